--- /dev/null
+++ b/marigoldway-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller library of the marigoldway load balancer.
--- /dev/null
+++ b/marigoldway-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of the marigoldway load balancer, free of input and output.
+//!
+//! Nothing in this crate opens a socket, reads a file, asks a clock or draws
+//! ambient randomness. Time comes in as a [`time::Timestamp`], randomness as a
+//! seeded generator, and every action goes out as a value. Each decision module
+//! is a state machine, so a test or a bench drives it without sockets.
+//!
+//! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
+//! which explains how a packet finds its target.
+
+pub mod errors;
+pub mod ids;
+pub mod request;
+pub mod route;
+pub mod time;
--- /dev/null
+++ b/marigoldway-core/src/route.rs
@@ -0,0 +1,145 @@
+//! Route IDs: QUIC connection IDs that carry the way to a target.
+//!
+//! A route ID has [`ROUTE_LEN`] octets, in the manner of QUIC-LB
+//! (draft-ietf-quic-load-balancers): one octet in clear (key epoch in the two
+//! upper bits, a constant below), one AES-128 block, and three
+//! octets of tag over the two. The block holds the agent's IPv4 address, its
+//! port, the service, the agent's incarnation and a nonce, so an entry routes
+//! an established flow with no state but the fleet's keys.
+
+use std::hash::Hasher;
+use std::net::Ipv4Addr;
+
+use aes::Aes128;
+use aes::cipher::BlockCipherDecrypt;
+use aes::cipher::BlockCipherEncrypt;
+use aes::cipher::KeyInit;
+use siphasher::sip::SipHasher13;
+
+use crate::ids::Incarnation;
+use crate::ids::InstanceId;
+use crate::ids::ServiceId;
+
+/// Length of a route ID in octets: the longest connection ID of QUIC version 1.
+pub const ROUTE_LEN: usize = 20;
+
+/// Length of the encrypted block in octets.
+const BLOCK_LEN: usize = 16;
+
+/// Lower six bits of the first octet.
+const VERSION_BITS: u8 = 0b01_0100;
+
+/// Number of key epochs: the epoch has two bits.
+const EPOCHS: u8 = 4;
+
+/// `Route` names the end of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Route {
+    /// The agent that holds the flow.
+    pub agent: InstanceId,
+    /// The service that the flow belongs to.
+    pub service: ServiceId,
+    /// The life of the agent in which the flow began.
+    pub incarnation: Incarnation,
+}
+
+/// `RouteKey` holds the two keys of one epoch, expanded.
+#[derive(Clone)]
+pub struct RouteKey {
+    epoch: u8,
+    cipher: Aes128,
+    tag: [u8; 16],
+}
+
+impl RouteKey {
+    /// Makes a key for `epoch`, of which the two lower bits count.
+    pub fn new(epoch: u8, cipher: &[u8; 16], tag: &[u8; 16]) -> RouteKey {
+        RouteKey {
+            epoch: epoch % EPOCHS,
+            cipher: Aes128::new(&(*cipher).into()),
+            tag: *tag,
+        }
+    }
+
+    fn first(&self) -> u8 {
+        (self.epoch << 6) | VERSION_BITS
+    }
+
+    fn tag(&self, id: &[u8]) -> [u8; 3] {
+        let mut hasher = SipHasher13::new_with_key(&self.tag);
+        hasher.write(id);
+        let sum = hasher.finish().to_le_bytes();
+        [sum[0], sum[1], sum[2]]
+    }
+}
+
+/// `RouteKeys` holds the current key and, while keys rotate, a second one.
+///
+/// New route IDs are made with the current key. Both keys decode.
+#[derive(Clone)]
+pub struct RouteKeys {
+    current: RouteKey,
+    other: Option<RouteKey>,
+}
+
+impl RouteKeys {
+    /// Makes a key set. `other` is the previous key, or the next one while it
+    /// is handed out ahead of its use.
+    pub fn new(current: RouteKey, other: Option<RouteKey>) -> RouteKeys {
+        RouteKeys { current, other }
+    }
+
+    /// Encodes `route` with the current key. The nonce makes two IDs of one
+    /// route differ.
+    pub fn encode(&self, route: &Route, nonce: u32) -> [u8; ROUTE_LEN] {
+        let key = &self.current;
+        let mut plain = [0; BLOCK_LEN];
+        plain[..4].copy_from_slice(&route.agent.0.ip().octets());
+        plain[4..6].copy_from_slice(&route.agent.0.port().to_be_bytes());
+        plain[6..8].copy_from_slice(&route.service.0.to_be_bytes());
+        plain[8..12].copy_from_slice(&route.incarnation.0.to_be_bytes());
+        plain[12..].copy_from_slice(&nonce.to_be_bytes());
+
+        let mut block = plain.into();
+        key.cipher.encrypt_block(&mut block);
+
+        let mut id = [0; ROUTE_LEN];
+        id[0] = key.first();
+        id[1..=BLOCK_LEN].copy_from_slice(&block);
+        let tag = key.tag(&id[..=BLOCK_LEN]);
+        id[BLOCK_LEN + 1..].copy_from_slice(&tag);
+        id
+    }
+
+    /// Decodes a connection ID, or gives `None` for one that was not made with
+    /// a key held here.
+    pub fn decode(&self, id: &[u8]) -> Option<Route> {
+        let id: &[u8; ROUTE_LEN] = id.try_into().ok()?;
+        let key = self.key(id[0])?;
+        if key.tag(&id[..=BLOCK_LEN]) != id[BLOCK_LEN + 1..] {
+            return None;
+        }
+
+        let mut block = [0; BLOCK_LEN];
+        block.copy_from_slice(&id[1..=BLOCK_LEN]);
+        let mut block = block.into();
+        key.cipher.decrypt_block(&mut block);
+
+        let ip = Ipv4Addr::new(block[0], block[1], block[2], block[3]);
+        let port = u16::from_be_bytes([block[4], block[5]]);
+        let service = u16::from_be_bytes([block[6], block[7]]);
+        let incarnation = u32::from_be_bytes([block[8], block[9], block[10], block[11]]);
+        Some(Route {
+            agent: InstanceId::new(ip, port),
+            service: ServiceId(service),
+            incarnation: Incarnation(incarnation),
+        })
+    }
+
+    fn key(&self, first: u8) -> Option<&RouteKey> {
+        if first == self.current.first() {
+            return Some(&self.current);
+        }
+        self.other.as_ref().filter(|key| first == key.first())
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/time.rs
@@ -0,0 +1,50 @@
+//! Points in time, handed in by the caller.
+
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `Timestamp` is a point on the monotonic clock of one process, in
+/// microseconds since a start that the process chooses.
+///
+/// Timestamps of two processes can't be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The start of the clock.
+    pub const ZERO: Timestamp = Timestamp(0);
+
+    /// Makes a timestamp from microseconds since the start of the clock.
+    pub const fn from_micros(micros: u64) -> Timestamp {
+        Timestamp(micros)
+    }
+
+    /// Makes a timestamp from milliseconds since the start of the clock.
+    pub const fn from_millis(millis: u64) -> Timestamp {
+        Timestamp(millis * 1_000)
+    }
+
+    /// Microseconds since the start of the clock.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time since `earlier`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, rhs: Duration) -> Timestamp {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/marigoldway-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, codecs and protocols of the marigoldway load balancer.
--- /dev/null
+++ b/marigoldway-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the fabric, the platform and the targets; never shipped.
--- /dev/null
+++ b/marigoldway/src/main.rs
@@ -0,0 +1,2 @@
+//! The marigoldway binary.
+fn main() {}
