Add the roster as a join and weighted rendezvous placement

The packet path needs a view of who serves: records merge by a total order, so any order, loss or doubling of messages gives the same roster. Placement names two candidates per flow from integer hashes and basic float operations, so that all entries choose alike.

--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -10,6 +10,8 @@
 
 pub mod errors;
 pub mod ids;
+pub mod placement;
 pub mod request;
+pub mod roster;
 pub mod route;
 pub mod time;
--- /dev/null
+++ b/marigoldway-core/src/roster.rs
@@ -0,0 +1,290 @@
+//! The roster: one record per instance, merged as a join.
+//!
+//! Only the owner of a record raises its version. A monitor may mark a record
+//! suspect or down at the version it knows; a live owner refutes the mark with
+//! a higher version. Of two records of one instance the greater one wins, by
+//! incarnation, then version, then state, then the other fields, so merging is
+//! commutative, associative and idempotent.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::DomainId;
+use crate::ids::Incarnation;
+use crate::ids::InstanceId;
+use crate::ids::RegionId;
+use crate::ids::ServiceId;
+use crate::placement::Candidates;
+use crate::placement::Member;
+use crate::placement::PlacementTable;
+
+/// Weight of a target that takes its whole share of new flows.
+pub const FULL_WEIGHT: u16 = 100;
+
+/// `Role` says which daemon a process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Role {
+    /// A balancer.
+    Entry,
+    /// The process beside a target.
+    Agent,
+}
+
+/// `State` is what is known of an instance, in the order in which one state
+/// overrides another at the same version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// The process runs and takes no new flows yet.
+    Starting,
+    /// The process takes new flows.
+    Serving,
+    /// The process ends the flows it has and takes no new ones.
+    Leaving,
+    /// A monitor has missed heartbeats of the instance.
+    Suspect,
+    /// A monitor has missed heartbeats for so long that it gave the instance up.
+    Down,
+}
+
+/// `Record` describes one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Record {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Daemon that the process runs.
+    pub role: Role,
+    /// Service of the target, for an agent.
+    pub service: Option<ServiceId>,
+    /// Failure domain of the instance.
+    pub domain: DomainId,
+    /// Region of the instance.
+    pub region: RegionId,
+    /// TCP address of the control channel.
+    pub control: SocketAddrV4,
+    /// What is known of the instance.
+    pub state: State,
+    /// Version, raised by the owner only.
+    pub version: u32,
+    /// Share of new flows, [`FULL_WEIGHT`] for a warm target.
+    pub weight: u16,
+}
+
+impl Record {
+    /// Tells whether this record wins over `other`, a record of the same instance.
+    pub fn supersedes(&self, other: &Record) -> bool {
+        self.precedence() > other.precedence()
+    }
+
+    /// Everything but the id, most significant first. Two different records
+    /// never have equal precedence, which makes the merge commutative.
+    fn precedence(&self) -> impl Ord {
+        (
+            self.incarnation,
+            self.version,
+            self.state,
+            self.weight,
+            (self.role, self.service),
+            (self.domain, self.region),
+            self.control,
+        )
+    }
+}
+
+/// `Merge` tells what became of a record that was merged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// The instance was unknown before.
+    New,
+    /// The record replaced an older one.
+    Raised,
+    /// The roster holds the same record.
+    Same,
+    /// The roster holds a newer record.
+    Stale,
+}
+
+impl Merge {
+    /// Tells whether the merge changed the roster.
+    pub fn changed(self) -> bool {
+        matches!(self, Merge::New | Merge::Raised)
+    }
+}
+
+/// `Roster` holds the newest known record of each instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Roster {
+    records: IndexMap<InstanceId, Record>,
+}
+
+impl Roster {
+    /// Makes an empty roster.
+    pub fn new() -> Roster {
+        Roster::default()
+    }
+
+    /// Merges one record.
+    pub fn merge(&mut self, record: Record) -> Merge {
+        let Some(held) = self.records.get_mut(&record.id) else {
+            self.records.insert(record.id, record);
+            return Merge::New;
+        };
+        if record == *held {
+            return Merge::Same;
+        }
+        if !record.supersedes(held) {
+            return Merge::Stale;
+        }
+        *held = record;
+        Merge::Raised
+    }
+
+    /// Merges every record of `other`.
+    pub fn merge_all(&mut self, other: &Roster) {
+        for record in other.records() {
+            self.merge(record.clone());
+        }
+    }
+
+    /// Takes the record of `id` away.
+    pub fn remove(&mut self, id: InstanceId) -> Option<Record> {
+        self.records.swap_remove(&id)
+    }
+
+    /// The record of `id`.
+    pub fn record(&self, id: InstanceId) -> Option<&Record> {
+        self.records.get(&id)
+    }
+
+    /// Every record, in no particular order.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Makes the view that the packet path reads. `lost` names the failure
+    /// domains from which nothing is heard.
+    pub fn view(&self, lost: &IndexSet<DomainId>) -> RosterView {
+        RosterView::new(self, lost)
+    }
+}
+
+/// `RosterView` is a roster at one moment, prepared for the packet path.
+#[derive(Clone, Debug, Default)]
+pub struct RosterView {
+    records: IndexMap<InstanceId, Record>,
+    entries: Vec<InstanceId>,
+    tables: IndexMap<ServiceId, PlacementTable>,
+}
+
+impl RosterView {
+    fn new(roster: &Roster, lost: &IndexSet<DomainId>) -> RosterView {
+        let mut records: Vec<Record> = roster.records().cloned().collect();
+        records.sort_by_key(|record| record.id);
+
+        let entries = records
+            .iter()
+            .filter(|record| record.role == Role::Entry)
+            .filter(|record| record.state <= State::Serving && !lost.contains(&record.domain))
+            .map(|record| record.id)
+            .collect();
+        let mut services: IndexMap<ServiceId, Vec<&Record>> = IndexMap::new();
+        for record in &records {
+            if let (Role::Agent, Some(service)) = (record.role, record.service) {
+                services.entry(service).or_default().push(record);
+            }
+        }
+        let tables = services
+            .into_iter()
+            .map(|(service, agents)| (service, PlacementTable::new(members(&agents, lost))))
+            .collect();
+        RosterView {
+            entries,
+            tables,
+            records: records.into_iter().map(|it| (it.id, it)).collect(),
+        }
+    }
+
+    /// The two candidates for a new flow of `service`, or `None` if no agent
+    /// of the service is known. `key` is a hash of the flow's connection ID.
+    pub fn candidates(&self, service: ServiceId, key: u64) -> Option<Candidates> {
+        self.tables.get(&service)?.choose(key)
+    }
+
+    /// Entries that forward packets, in the order of their ids.
+    pub fn entries(&self) -> &[InstanceId] {
+        &self.entries
+    }
+
+    /// Tells whether `id` is a known agent, to which packets of an established
+    /// flow may be sent. An agent that is suspect or down is included, since
+    /// the mark may be wrong.
+    pub fn is_agent(&self, id: InstanceId) -> bool {
+        self.records
+            .get(&id)
+            .is_some_and(|record| record.role == Role::Agent)
+    }
+
+    /// The record of `id`.
+    pub fn record(&self, id: InstanceId) -> Option<&Record> {
+        self.records.get(&id)
+    }
+
+    /// Every record, in the order of their ids.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Agents of `service` that take new flows.
+    pub fn serving(&self, service: ServiceId) -> impl Iterator<Item = &Record> {
+        self.records()
+            .filter(move |record| record.service == Some(service) && record.state == State::Serving)
+    }
+
+    /// Tells whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+/// The agents that new flows may go to. Agents that serve in a domain that is
+/// heard from come first. Others are taken only while there is none of them,
+/// so that a wrong mark can't empty a service.
+fn members(agents: &[&Record], lost: &IndexSet<DomainId>) -> Vec<Member> {
+    let tiers = [
+        (State::Serving, false),
+        (State::Suspect, false),
+        (State::Serving, true),
+        (State::Suspect, true),
+        (State::Leaving, false),
+    ];
+    for (state, silent) in tiers {
+        let tier: Vec<Member> = agents
+            .iter()
+            .filter(|agent| agent.state == state && agent.weight > 0)
+            .filter(|agent| lost.contains(&agent.domain) == silent)
+            .map(|agent| Member {
+                id: agent.id,
+                weight: agent.weight,
+            })
+            .collect();
+        if !tier.is_empty() {
+            return tier;
+        }
+    }
+    Vec::new()
+}
