--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod errors;
 pub mod ids;
+pub mod message;
 pub mod placement;
 pub mod request;
 pub mod roster;
--- /dev/null
+++ b/marigoldway-net/src/wire/membership.rs
@@ -0,0 +1,266 @@
+//! Messages of the membership protocol on the wire.
+//!
+//! Records are arrays without field names, since they are most of the traffic.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::Incarnation;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::RegionId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::message::Ack;
+use marigoldway_core::message::Beat;
+use marigoldway_core::message::Delta;
+use marigoldway_core::message::Digest;
+use marigoldway_core::message::Heartbeat;
+use marigoldway_core::message::Load;
+use marigoldway_core::message::Mark;
+use marigoldway_core::message::Message;
+use marigoldway_core::message::Scope;
+use marigoldway_core::roster::Record;
+use marigoldway_core::roster::Role;
+use marigoldway_core::roster::State;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// `MembershipWire` is a [`Message`] on the wire.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MembershipWire {
+    /// Id, incarnation, version, sum, revision.
+    #[serde(rename = "h")]
+    Heartbeat(u64, u32, u32, Option<u32>, u64),
+    /// Mark, lost domains, revision.
+    #[serde(rename = "a")]
+    Ack(Option<(u32, u32, u8)>, Vec<u8>, u64),
+    /// Asks for a heartbeat.
+    #[serde(rename = "p")]
+    Probe,
+    /// Id of the instance that asks.
+    #[serde(rename = "i")]
+    Inquiry(u64),
+    /// Records and beats.
+    #[serde(rename = "d")]
+    Delta(Vec<RecordWire>, Vec<(u8, u64)>),
+    /// Service of the scope, count, sums, reply.
+    #[serde(rename = "g")]
+    Digest(Option<u16>, u32, Vec<u32>, bool),
+    /// Id and flows.
+    #[serde(rename = "l")]
+    Load(u64, u32),
+}
+
+/// `RecordWire` is a [`Record`] on the wire: id, incarnation, role, service,
+/// domain, region, control address, state, version, weight. Addresses hold the
+/// IPv4 address in the upper 32 of 48 bits and the port in the lower 16.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordWire(u64, u32, u8, Option<u16>, u8, u8, u64, u8, u32, u16);
+
+impl From<&Record> for RecordWire {
+    fn from(record: &Record) -> RecordWire {
+        RecordWire(
+            record.id.to_u64(),
+            record.incarnation.0,
+            role_to_wire(record.role),
+            record.service.map(|service| service.0),
+            record.domain.0,
+            record.region.0,
+            InstanceId(record.control).to_u64(),
+            state_to_wire(record.state),
+            record.version,
+            record.weight,
+        )
+    }
+}
+
+impl TryFrom<RecordWire> for Record {
+    type Error = Error;
+
+    fn try_from(wire: RecordWire) -> Result<Record> {
+        let record = Record {
+            id: InstanceId(addr_from_wire(wire.0)?),
+            incarnation: Incarnation(wire.1),
+            role: role_from_wire(wire.2)?,
+            service: wire.3.map(ServiceId),
+            domain: DomainId(wire.4),
+            region: RegionId(wire.5),
+            control: addr_from_wire(wire.6)?,
+            state: state_from_wire(wire.7)?,
+            version: wire.8,
+            weight: wire.9,
+        };
+        if (record.role == Role::Agent) != record.service.is_some() {
+            return Err(Error::malformed("an agent and no other names a service"));
+        }
+        Ok(record)
+    }
+}
+
+impl From<&Message> for MembershipWire {
+    fn from(message: &Message) -> MembershipWire {
+        match message {
+            Message::Heartbeat(it) => MembershipWire::Heartbeat(
+                it.id.to_u64(),
+                it.incarnation.0,
+                it.version,
+                it.sum,
+                it.revision,
+            ),
+            Message::Ack(ack) => ack_to_wire(ack),
+            Message::Probe => MembershipWire::Probe,
+            Message::Inquiry { id } => MembershipWire::Inquiry(id.to_u64()),
+            Message::Delta(delta) => delta_to_wire(delta),
+            Message::Digest(digest) => digest_to_wire(digest),
+            Message::Load(load) => MembershipWire::Load(load.id.to_u64(), load.flows),
+        }
+    }
+}
+
+impl TryFrom<MembershipWire> for Message {
+    type Error = Error;
+
+    fn try_from(wire: MembershipWire) -> Result<Message> {
+        let message = match wire {
+            MembershipWire::Heartbeat(id, incarnation, version, sum, revision) => {
+                Message::Heartbeat(Heartbeat {
+                    id: InstanceId(addr_from_wire(id)?),
+                    incarnation: Incarnation(incarnation),
+                    version,
+                    sum,
+                    revision,
+                })
+            }
+            MembershipWire::Ack(mark, lost, revision) => Message::Ack(Ack {
+                mark: mark.map(mark_from_wire).transpose()?,
+                lost: lost.into_iter().map(DomainId).collect(),
+                revision,
+            }),
+            MembershipWire::Probe => Message::Probe,
+            MembershipWire::Inquiry(id) => Message::Inquiry {
+                id: InstanceId(addr_from_wire(id)?),
+            },
+            MembershipWire::Delta(records, beats) => {
+                Message::Delta(delta_from_wire(records, beats)?)
+            }
+            MembershipWire::Digest(service, count, sums, reply) => {
+                Message::Digest(digest_from_wire(service, count, sums, reply)?)
+            }
+            MembershipWire::Load(id, flows) => Message::Load(Load {
+                id: InstanceId(addr_from_wire(id)?),
+                flows,
+            }),
+        };
+        Ok(message)
+    }
+}
+
+fn ack_to_wire(ack: &Ack) -> MembershipWire {
+    let mark = ack
+        .mark
+        .map(|it| (it.incarnation.0, it.version, state_to_wire(it.state)));
+    let lost = ack.lost.iter().map(|domain| domain.0).collect();
+    MembershipWire::Ack(mark, lost, ack.revision)
+}
+
+fn mark_from_wire((incarnation, version, state): (u32, u32, u8)) -> Result<Mark> {
+    Ok(Mark {
+        incarnation: Incarnation(incarnation),
+        version,
+        state: state_from_wire(state)?,
+    })
+}
+
+fn delta_to_wire(delta: &Delta) -> MembershipWire {
+    let records = delta.records.iter().map(RecordWire::from).collect();
+    let beats = delta.beats.iter().map(|it| (it.domain.0, it.count));
+    MembershipWire::Delta(records, beats.collect())
+}
+
+fn delta_from_wire(records: Vec<RecordWire>, beats: Vec<(u8, u64)>) -> Result<Delta> {
+    let records = records
+        .into_iter()
+        .map(Record::try_from)
+        .collect::<Result<_>>()?;
+    let beats = beats
+        .into_iter()
+        .map(|(domain, count)| Beat {
+            domain: DomainId(domain),
+            count,
+        })
+        .collect();
+    Ok(Delta { records, beats })
+}
+
+fn digest_to_wire(digest: &Digest) -> MembershipWire {
+    let service = match digest.scope {
+        Scope::All => None,
+        Scope::Service(service) => Some(service.0),
+    };
+    MembershipWire::Digest(service, digest.count, digest.sums.clone(), digest.reply)
+}
+
+fn digest_from_wire(
+    service: Option<u16>,
+    count: u32,
+    sums: Vec<u32>,
+    reply: bool,
+) -> Result<Digest> {
+    if !sums.len().is_power_of_two() {
+        return Err(Error::malformed("buckets of a digest are a power of two"));
+    }
+    let scope = service.map_or(Scope::All, |it| Scope::Service(ServiceId(it)));
+    Ok(Digest {
+        scope,
+        count,
+        sums,
+        reply,
+    })
+}
+
+fn addr_from_wire(bits: u64) -> Result<SocketAddrV4> {
+    let ip = u32::try_from(bits >> 16)
+        .map_err(|_| Error::malformed("address has more than 48 bits"))?;
+    let port = (bits & u64::from(u16::MAX)) as u16;
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
+}
+
+fn role_to_wire(role: Role) -> u8 {
+    match role {
+        Role::Entry => 0,
+        Role::Agent => 1,
+    }
+}
+
+fn role_from_wire(role: u8) -> Result<Role> {
+    match role {
+        0 => Ok(Role::Entry),
+        1 => Ok(Role::Agent),
+        _ => Err(Error::malformed(format!("role {role}, expected 0 or 1"))),
+    }
+}
+
+fn state_to_wire(state: State) -> u8 {
+    match state {
+        State::Starting => 0,
+        State::Serving => 1,
+        State::Leaving => 2,
+        State::Suspect => 3,
+        State::Down => 4,
+    }
+}
+
+fn state_from_wire(state: u8) -> Result<State> {
+    match state {
+        0 => Ok(State::Starting),
+        1 => Ok(State::Serving),
+        2 => Ok(State::Leaving),
+        3 => Ok(State::Suspect),
+        4 => Ok(State::Down),
+        _ => Err(Error::malformed(format!("state {state}, expected 0 to 4"))),
+    }
+}
