--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -10,6 +10,8 @@
 
 pub mod errors;
 pub mod ids;
+pub mod packet;
 pub mod request;
+pub mod reset;
 pub mod route;
 pub mod time;
