--- /dev/null
+++ b/marigoldway/src/lib.rs
@@ -0,0 +1,6 @@
+//! The marigoldway load balancer as a process: command line, settings, logs,
+//! counters, operator endpoints, and the wiring of the other crates.
+//!
+//! Start with [`settings`], which lists all that a process is told.
+
+pub mod settings;
--- a/marigoldway/src/main.rs
+++ b/marigoldway/src/main.rs
@@ -1,2 +1,3 @@
 //! The marigoldway binary.
+
 fn main() {}
--- /dev/null
+++ b/marigoldway/src/settings/document.rs
@@ -0,0 +1,252 @@
+//! A settings file as text values, before they are checked.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use indexmap::IndexMap;
+use ini::Ini;
+use ini::ParseOption;
+
+use crate::settings::faults::Expected;
+use crate::settings::faults::Fault;
+use crate::settings::faults::Faults;
+
+/// Name of what stands before the first section.
+const GENERAL: &str = "before the first section";
+
+/// `Document` holds the sections of an INI file by name.
+#[derive(Clone, Debug, Default)]
+pub struct Document {
+    file: PathBuf,
+    sections: IndexMap<String, IndexMap<String, String>>,
+    repeated: Vec<Fault>,
+}
+
+impl Document {
+    /// Reads a file. A file that can't be read or isn't INI is one fault.
+    pub fn load(file: &Path) -> Result<Document, Faults> {
+        let text = fs::read_to_string(file)
+            .map_err(|err| Faults(vec![Fault::file(file, err.to_string(), "a readable file")]))?;
+        Document::parse(file, &text)
+    }
+
+    /// Parses the text of an INI file. `file` names it in faults.
+    pub fn parse(file: &Path, text: &str) -> Result<Document, Faults> {
+        // Quotes and escapes stay as they are, so a path is taken word for word.
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, options).map_err(|err| {
+            let read = format!("line {}, column {}: {}", err.line, err.col, err.msg);
+            Faults(vec![Fault::file(file, read, "INI text")])
+        })?;
+
+        let mut document = Document {
+            file: file.to_path_buf(),
+            ..Document::default()
+        };
+        for (section, values) in &ini {
+            if section.is_none() && values.is_empty() {
+                continue;
+            }
+            let section = section.unwrap_or(GENERAL);
+            document.sections.entry(section.to_owned()).or_default();
+            for (key, value) in values {
+                document.insert(section, key, value);
+            }
+        }
+        Ok(document)
+    }
+
+    /// The file that was read.
+    pub fn file(&self) -> &Path {
+        &self.file
+    }
+
+    /// Whether the file has a section of this name.
+    pub fn has_section(&self, name: &str) -> bool {
+        self.sections.contains_key(name)
+    }
+
+    fn insert(&mut self, section: &str, key: &str, value: &str) {
+        let values = self.sections.entry(section.to_owned()).or_default();
+        if values.contains_key(key) {
+            self.repeated.push(Fault {
+                file: self.file.clone(),
+                section: section.to_owned(),
+                key: key.to_owned(),
+                read: Some(value.to_owned()),
+                expected: Expected::new("each key once"),
+            });
+            return;
+        }
+        values.insert(key.to_owned(), value.to_owned());
+    }
+}
+
+/// `Reader` hands out sections and collects faults until [`Reader::finish`].
+pub(crate) struct Reader<'a> {
+    document: &'a Document,
+    taken: Vec<String>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(document: &'a Document) -> Reader<'a> {
+        Reader {
+            document,
+            taken: Vec::new(),
+            faults: document.repeated.clone(),
+        }
+    }
+
+    /// Reads one section with `read`, then faults every key it didn't ask for.
+    pub(crate) fn section<T>(
+        &mut self,
+        name: &str,
+        read: impl FnOnce(&mut Section<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let mut section = Section {
+            file: &self.document.file,
+            name,
+            values: self.document.sections.get(name),
+            asked: Vec::new(),
+            faults: &mut self.faults,
+        };
+        let value = read(&mut section);
+        section.refuse_unknown();
+        self.taken.push(name.to_owned());
+        value
+    }
+
+    /// Names of the sections that start with `prefix` and a space.
+    pub(crate) fn names(&self, prefix: &str) -> Vec<&'a str> {
+        let names = self.document.sections.keys();
+        names
+            .filter(|name| {
+                name.strip_prefix(prefix)
+                    .is_some_and(|rest| rest.starts_with(' '))
+            })
+            .map(String::as_str)
+            .collect()
+    }
+
+    pub(crate) fn file(&self) -> &'a Path {
+        &self.document.file
+    }
+
+    pub(crate) fn fault(&mut self, section: &str, key: &str, read: Option<&str>, expected: &str) {
+        self.faults.push(Fault {
+            file: self.document.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            read: read.map(str::to_owned),
+            expected: Expected::new(expected),
+        });
+    }
+
+    pub(crate) fn append(&mut self, faults: Faults) {
+        self.faults.extend(faults.0);
+    }
+
+    /// Gives `value` if there was no fault. `sections` says in words which
+    /// sections the file may hold.
+    pub(crate) fn finish<T>(mut self, value: Option<T>, sections: &str) -> Result<T, Faults> {
+        let document = self.document;
+        for name in document.sections.keys() {
+            if !self.taken.contains(name) {
+                self.fault(name, "", Some(name), sections);
+            }
+        }
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(Faults(self.faults)),
+        }
+    }
+}
+
+/// `Section` hands out the values of one section.
+pub(crate) struct Section<'a> {
+    file: &'a Path,
+    name: &'a str,
+    values: Option<&'a IndexMap<String, String>>,
+    asked: Vec<&'static str>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Section<'_> {
+    /// Reads a value that must be there.
+    pub(crate) fn required<T>(
+        &mut self,
+        key: &'static str,
+        parse: impl Fn(&str) -> Result<T, Expected>,
+    ) -> Option<T> {
+        match self.value(key) {
+            Some(text) => self.check(key, &text, &parse),
+            None => {
+                // The parser of a missing value knows best what is expected.
+                let expected = parse("").err();
+                self.fault(key, None, expected.unwrap_or(Expected::new("a value")));
+                None
+            }
+        }
+    }
+
+    /// Reads a value that may be left out: the outer option is a fault, the
+    /// inner one says whether the value is there.
+    pub(crate) fn optional<T>(
+        &mut self,
+        key: &'static str,
+        parse: impl Fn(&str) -> Result<T, Expected>,
+    ) -> Option<Option<T>> {
+        match self.value(key) {
+            Some(text) => self.check(key, &text, &parse).map(Some),
+            None => Some(None),
+        }
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<String> {
+        self.asked.push(key);
+        self.values.and_then(|values| values.get(key)).cloned()
+    }
+
+    fn check<T>(
+        &mut self,
+        key: &str,
+        text: &str,
+        parse: impl Fn(&str) -> Result<T, Expected>,
+    ) -> Option<T> {
+        match parse(text) {
+            Ok(value) => Some(value),
+            Err(expected) => {
+                self.fault(key, Some(text), expected);
+                None
+            }
+        }
+    }
+
+    fn refuse_unknown(&mut self) {
+        let Some(values) = self.values else {
+            return;
+        };
+        let expected = format!("one of the keys {}", self.asked.join(", "));
+        for (key, value) in values {
+            if !self.asked.contains(&key.as_str()) {
+                self.fault(key, Some(value), Expected::new(expected.clone()));
+            }
+        }
+    }
+
+    fn fault(&mut self, key: &str, read: Option<&str>, expected: Expected) {
+        self.faults.push(Fault {
+            file: self.file.to_path_buf(),
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+            read: read.map(str::to_owned),
+            expected,
+        });
+    }
+}
--- /dev/null
+++ b/marigoldway/src/settings/keys.rs
@@ -0,0 +1,196 @@
+//! The fleet's keys: secrets that every process of a deployment shares.
+
+use std::env;
+use std::fmt;
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::path::PathBuf;
+
+use marigoldway_core::route::RouteKey;
+use marigoldway_core::route::RouteKeys;
+
+use crate::settings::document::Document;
+use crate::settings::document::Reader;
+use crate::settings::document::Section;
+use crate::settings::faults::Expected;
+use crate::settings::faults::Fault;
+use crate::settings::faults::Faults;
+use crate::settings::values;
+
+/// Length of a [`Secret`] in octets.
+pub const SECRET_LEN: usize = 32;
+
+/// Length of each of the two route keys in octets.
+pub const ROUTE_KEY_LEN: usize = 16;
+
+/// Highest key epoch: the route ID has two bits for it.
+pub const EPOCH_MAX: u8 = 3;
+
+/// Permission bits of group and others, none of which a keys file may have.
+const SHARED_MODE: u32 = 0o077;
+
+/// `KeySource` says where the fleet's keys are read from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeySource {
+    /// A file that only its owner may read.
+    File(PathBuf),
+    /// An environment variable that holds the text of a keys file.
+    Variable(String),
+}
+
+impl TryFrom<&str> for KeySource {
+    type Error = Expected;
+
+    fn try_from(text: &str) -> Result<KeySource, Expected> {
+        match text.strip_prefix("env:") {
+            Some("") => Err(Expected::new(
+                "the name of an environment variable after env:",
+            )),
+            Some(name) => Ok(KeySource::Variable(name.to_owned())),
+            None if text.is_empty() => Err(Expected::new("a path, or env:NAME")),
+            None => Ok(KeySource::File(PathBuf::from(text))),
+        }
+    }
+}
+
+/// `Secret` is one key of the fleet. It never shows in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(pub [u8; SECRET_LEN]);
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// `FleetKeys` holds the keys of a fleet, checked.
+#[derive(Clone)]
+pub struct FleetKeys {
+    /// Keys of the route IDs.
+    pub route: RouteKeys,
+    /// Key of the envelope between entries and agents.
+    pub envelope: Secret,
+    /// Key of the stateless resets.
+    pub reset: Secret,
+    /// Key of the idempotency keys.
+    pub idempotency: Secret,
+    /// Key of the control channel.
+    pub control: Secret,
+}
+
+impl fmt::Debug for FleetKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKeys(..)")
+    }
+}
+
+impl FleetKeys {
+    /// Reads keys from their source. A relative path starts at `dir`. A file
+    /// that others than its owner may read is a fault. Faults never show a key.
+    pub fn load(source: &KeySource, dir: &Path) -> Result<FleetKeys, Faults> {
+        let document = match source {
+            KeySource::File(path) => {
+                let path = dir.join(path);
+                check_mode(&path)?;
+                Document::load(&path)?
+            }
+            KeySource::Variable(name) => {
+                let file = PathBuf::from(format!("env:{name}"));
+                let text = env::var(name)
+                    .map_err(|err| Faults(vec![Fault::file(&file, err.to_string(), "keys")]))?;
+                Document::parse(&file, &text)?
+            }
+        };
+        FleetKeys::try_from(&document)
+    }
+}
+
+impl TryFrom<&Document> for FleetKeys {
+    type Error = Faults;
+
+    fn try_from(document: &Document) -> Result<FleetKeys, Faults> {
+        let mut reader = Reader::new(document);
+        let keys = reader.section("keys", read_keys);
+        reader.finish(keys, "only the section [keys]").map_err(hide)
+    }
+}
+
+fn read_keys(section: &mut Section<'_>) -> Option<FleetKeys> {
+    let epoch = section.required("route-epoch", epoch);
+    let cipher = section.required("route-cipher", hex::<ROUTE_KEY_LEN>);
+    let tag = section.required("route-tag", hex::<ROUTE_KEY_LEN>);
+    let current = || Some(RouteKey::new(epoch?, &cipher?, &tag?));
+    let previous = read_previous(section, epoch);
+    let mut secret = |key| section.required(key, hex::<SECRET_LEN>).map(Secret);
+    let envelope = secret("envelope");
+    let reset = secret("reset");
+    let idempotency = secret("idempotency");
+    let control = secret("control");
+
+    Some(FleetKeys {
+        route: RouteKeys::new(current()?, previous?),
+        envelope: envelope?,
+        reset: reset?,
+        idempotency: idempotency?,
+        control: control?,
+    })
+}
+
+/// Reads the previous route key: all three values of it, or none.
+fn read_previous(section: &mut Section<'_>, current: Option<u8>) -> Option<Option<RouteKey>> {
+    let other = |text: &str| match epoch(text) {
+        Ok(epoch) if Some(epoch) == current => {
+            Err(Expected::new("an epoch other than route-epoch"))
+        }
+        result => result,
+    };
+    let epoch = section.optional("previous-epoch", other)?;
+    if epoch.is_none() {
+        // Values without their epoch would be dropped in silence.
+        let none = |_: &str| Err::<(), _>(Expected::new("previous-epoch beside it"));
+        let cipher = section.optional("previous-cipher", none);
+        let tag = section.optional("previous-tag", none);
+        return cipher.and(tag).map(|_| None);
+    }
+    let cipher = section.required("previous-cipher", hex::<ROUTE_KEY_LEN>);
+    let tag = section.required("previous-tag", hex::<ROUTE_KEY_LEN>);
+    Some(Some(RouteKey::new(epoch?, &cipher?, &tag?)))
+}
+
+fn epoch(text: &str) -> Result<u8, Expected> {
+    values::number(text, 0..=u32::from(EPOCH_MAX)).map(|epoch| epoch as u8)
+}
+
+fn hex<const LEN: usize>(text: &str) -> Result<[u8; LEN], Expected> {
+    let expected = || Expected::new(format!("{} hexadecimal digits", LEN * 2));
+    if text.len() != LEN * 2 || !text.is_ascii() {
+        return Err(expected());
+    }
+    let mut octets = [0; LEN];
+    for (i, octet) in octets.iter_mut().enumerate() {
+        *octet = u8::from_str_radix(&text[i * 2..i * 2 + 2], 16).map_err(|_| expected())?;
+    }
+    Ok(octets)
+}
+
+/// Drops what was read from the faults of a keys file, since it may be a key.
+fn hide(mut faults: Faults) -> Faults {
+    for fault in &mut faults.0 {
+        if !fault.key.is_empty() && fault.read.is_some() {
+            fault.read = Some("(not shown)".to_owned());
+        }
+    }
+    faults
+}
+
+fn check_mode(path: &Path) -> Result<(), Faults> {
+    let refuse = |read: String, expected| Faults(vec![Fault::file(path, read, expected)]);
+    let meta = fs::metadata(path)
+        .map_err(|err| refuse(err.to_string(), "a keys file, made by marigoldway keys"))?;
+    let mode = meta.permissions().mode() & 0o777;
+    if mode & SHARED_MODE != 0 {
+        return Err(refuse(format!("mode {mode:04o}"), "mode 0600"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/marigoldway/src/settings/mod.rs
@@ -0,0 +1,216 @@
+//! Settings of a process: an INI file, checked whole before anything starts.
+//!
+//! [`EntrySettings::load`] and [`AgentSettings::load`] read a file and every
+//! file that it names. All faults come back in one go as [`Faults`]. Relative
+//! paths start at the directory of the settings file.
+
+mod document;
+mod faults;
+mod keys;
+mod parts;
+mod values;
+
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+
+pub use crate::settings::document::Document;
+pub use crate::settings::faults::Expected;
+pub use crate::settings::faults::Fault;
+pub use crate::settings::faults::Faults;
+pub use crate::settings::keys::EPOCH_MAX;
+pub use crate::settings::keys::FleetKeys;
+pub use crate::settings::keys::KeySource;
+pub use crate::settings::keys::ROUTE_KEY_LEN;
+pub use crate::settings::keys::SECRET_LEN;
+pub use crate::settings::keys::Secret;
+pub use crate::settings::parts::DEFAULT_DRAIN_LIMIT;
+pub use crate::settings::parts::DEFAULT_HEALTH;
+pub use crate::settings::parts::DEFAULT_LEVEL;
+pub use crate::settings::parts::DEFAULT_OPERATOR;
+pub use crate::settings::parts::DEFAULT_PLATFORM_TIMEOUT;
+pub use crate::settings::parts::NetworkSettings;
+pub use crate::settings::parts::PlatformSettings;
+pub use crate::settings::parts::ProcessSettings;
+pub use crate::settings::parts::ServiceSettings;
+pub use crate::settings::parts::TargetSettings;
+pub use crate::settings::parts::TlsSettings;
+pub use crate::settings::values::Subnet;
+
+use crate::settings::document::Reader;
+
+/// `EntrySettings` holds all that an entry is told.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// What every process is told.
+    pub process: ProcessSettings,
+    /// Addresses of the process and of its first contacts.
+    pub network: NetworkSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// The services, at least one, no number or address twice.
+    pub services: Vec<ServiceSettings>,
+    /// The fleet's keys.
+    pub keys: FleetKeys,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    pub fn load(file: &Path) -> Result<EntrySettings, Faults> {
+        EntrySettings::try_from(&Document::load(file)?)
+    }
+}
+
+impl TryFrom<&Document> for EntrySettings {
+    type Error = Faults;
+
+    fn try_from(document: &Document) -> Result<EntrySettings, Faults> {
+        const SECTIONS: &str = "one of [process], [network], [platform], [service NAME]";
+
+        let mut reader = Reader::new(document);
+        let process = reader.section("process", ProcessSettings::read);
+        let network = reader.section("network", NetworkSettings::read_entry);
+        let platform = reader.section("platform", PlatformSettings::read);
+        let services = read_services(&mut reader);
+        let keys = load_keys(&mut reader, process.as_ref());
+
+        let settings = || {
+            Some(EntrySettings {
+                process: process?,
+                network: network?,
+                platform: platform?,
+                services,
+                keys: keys?,
+            })
+        };
+        reader.finish(settings(), SECTIONS)
+    }
+}
+
+/// `AgentSettings` holds all that an agent is told.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// What every process is told.
+    pub process: ProcessSettings,
+    /// Addresses of the process and of its first contacts.
+    pub network: NetworkSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// The target beside the agent.
+    pub target: TargetSettings,
+    /// Certificate that callers see.
+    pub tls: TlsSettings,
+    /// The fleet's keys.
+    pub keys: FleetKeys,
+}
+
+impl AgentSettings {
+    /// Reads and checks a settings file.
+    pub fn load(file: &Path) -> Result<AgentSettings, Faults> {
+        AgentSettings::try_from(&Document::load(file)?)
+    }
+}
+
+impl TryFrom<&Document> for AgentSettings {
+    type Error = Faults;
+
+    fn try_from(document: &Document) -> Result<AgentSettings, Faults> {
+        const SECTIONS: &str = "one of [process], [network], [platform], [target], [tls]";
+
+        let mut reader = Reader::new(document);
+        let process = reader.section("process", ProcessSettings::read);
+        let network = reader.section("network", NetworkSettings::read_agent);
+        let platform = reader.section("platform", PlatformSettings::read);
+        let target = reader.section("target", TargetSettings::read);
+        let tls = reader.section("tls", TlsSettings::read);
+        let tls = tls.map(|tls| locate_tls(&mut reader, &tls));
+        let keys = load_keys(&mut reader, process.as_ref());
+
+        let settings = || {
+            Some(AgentSettings {
+                process: process?,
+                network: network?,
+                platform: platform?,
+                target: target?,
+                tls: tls?,
+                keys: keys?,
+            })
+        };
+        reader.finish(settings(), SECTIONS)
+    }
+}
+
+fn read_services(reader: &mut Reader<'_>) -> Vec<ServiceSettings> {
+    let mut services: Vec<ServiceSettings> = Vec::new();
+    let sections = reader.names("service");
+    if sections.is_empty() {
+        reader.fault(
+            "service NAME",
+            "",
+            None,
+            "a section for each service, at least one",
+        );
+    }
+    for section in sections {
+        let name = section["service".len()..].trim();
+        if let Err(expected) = values::name(name) {
+            reader.fault(section, "", Some(name), &expected.0);
+        }
+        let Some(service) = reader.section(section, |part| ServiceSettings::read(part, name))
+        else {
+            continue;
+        };
+
+        if services.iter().any(|other| other.id == service.id) {
+            let id = service.id.to_string();
+            reader.fault(
+                section,
+                "id",
+                Some(&id),
+                "a number that no other service has",
+            );
+        }
+        if services.iter().any(|other| other.listen == service.listen) {
+            let listen = service.listen.to_string();
+            reader.fault(
+                section,
+                "listen",
+                Some(&listen),
+                "an address that no other service has",
+            );
+        }
+        services.push(service);
+    }
+    services
+}
+
+fn load_keys(reader: &mut Reader<'_>, process: Option<&ProcessSettings>) -> Option<FleetKeys> {
+    match FleetKeys::load(&process?.keys, directory(reader.file())) {
+        Ok(keys) => Some(keys),
+        Err(faults) => {
+            reader.append(faults);
+            None
+        }
+    }
+}
+
+/// Makes both paths start at the settings file, and faults those that can't be
+/// opened.
+fn locate_tls(reader: &mut Reader<'_>, tls: &TlsSettings) -> TlsSettings {
+    let mut locate = |key, path: &PathBuf| {
+        let path = directory(reader.file()).join(path);
+        if let Err(err) = File::open(&path) {
+            let read = format!("{}: {err}", path.display());
+            reader.fault("tls", key, Some(&read), "a readable PEM file");
+        }
+        path
+    };
+    TlsSettings {
+        certificate: locate("certificate", &tls.certificate),
+        key: locate("key", &tls.key),
+    }
+}
+
+fn directory(file: &Path) -> &Path {
+    file.parent().unwrap_or(Path::new(""))
+}
--- /dev/null
+++ b/marigoldway/src/settings/parts.rs
@@ -0,0 +1,234 @@
+//! The sections of a settings file as checked types.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use log::LevelFilter;
+
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::RegionId;
+use marigoldway_core::ids::ServiceId;
+
+use crate::settings::document::Section;
+use crate::settings::faults::Expected;
+use crate::settings::keys::KeySource;
+use crate::settings::values;
+use crate::settings::values::Subnet;
+
+/// Operator address where the settings name none: loopback only.
+pub const DEFAULT_OPERATOR: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9001);
+
+/// Level of the logs where the settings name none.
+pub const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
+
+/// Time that a leaving process may take where the settings name none.
+pub const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time that a call to the platform may take where the settings name none.
+pub const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Path of the target's health endpoint where the settings name none.
+pub const DEFAULT_HEALTH: &str = "/health";
+
+/// Most slots that a target may have.
+const SLOTS_MAX: u32 = 4096;
+
+/// Most connections that a target may hold.
+const CONNECTIONS_MAX: u32 = 1_000_000;
+
+/// `ProcessSettings` is the section `[process]`.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// Failure domain of the instance.
+    pub domain: DomainId,
+    /// Region of the instance.
+    pub region: RegionId,
+    /// Level of the logs.
+    pub log_level: LevelFilter,
+    /// Where the fleet's keys are read from.
+    pub keys: KeySource,
+    /// Address of the operator endpoints.
+    pub operator: SocketAddrV4,
+    /// Address that counters are sent to, `None` for nowhere.
+    pub statsd: Option<SocketAddrV4>,
+    /// Longest time between the first signal and the end.
+    pub drain_limit: Duration,
+}
+
+impl ProcessSettings {
+    pub(crate) fn read(section: &mut Section<'_>) -> Option<ProcessSettings> {
+        let id = |text: &str| values::number(text, 0..=u32::from(u8::MAX)).map(|id| id as u8);
+        let domain = section.required("domain", id);
+        let region = section.required("region", id);
+        let log_level = section.optional("log-level", values::level);
+        let keys = section.required("keys", |text| KeySource::try_from(text));
+        let operator = section.optional("operator", values::address);
+        let statsd = section.optional("statsd", values::address);
+        let drain_limit = section.optional("drain-limit", values::duration);
+
+        Some(ProcessSettings {
+            domain: DomainId(domain?),
+            region: RegionId(region?),
+            log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
+            keys: keys?,
+            operator: operator?.unwrap_or(DEFAULT_OPERATOR),
+            statsd: statsd?,
+            drain_limit: drain_limit?.unwrap_or(DEFAULT_DRAIN_LIMIT),
+        })
+    }
+}
+
+/// `NetworkSettings` is the section `[network]`.
+#[derive(Clone, Debug)]
+pub struct NetworkSettings {
+    /// UDP address for packets between processes.
+    pub data: InstanceId,
+    /// TCP address of the control channel.
+    pub control: SocketAddrV4,
+    /// Control addresses of the entries that a newcomer asks first.
+    pub contacts: Vec<SocketAddrV4>,
+    /// Where an entry may send routed packets while its roster is empty; empty
+    /// in an agent.
+    pub agent_networks: Vec<Subnet>,
+}
+
+impl NetworkSettings {
+    pub(crate) fn read_entry(section: &mut Section<'_>) -> Option<NetworkSettings> {
+        let network = NetworkSettings::read_agent(section);
+        let subnets = |text: &str| values::list(text, |item| Subnet::try_from(item));
+        let agent_networks = section.required("agent-networks", subnets);
+
+        Some(NetworkSettings {
+            agent_networks: agent_networks?,
+            ..network?
+        })
+    }
+
+    pub(crate) fn read_agent(section: &mut Section<'_>) -> Option<NetworkSettings> {
+        let data = section.required("data", values::address);
+        let control = section.required("control", values::address);
+        let contacts = section.required("contacts", |text| values::list(text, values::address));
+
+        Some(NetworkSettings {
+            data: InstanceId(data?),
+            control: control?,
+            contacts: contacts?,
+            agent_networks: Vec::new(),
+        })
+    }
+}
+
+/// `PlatformSettings` is the section `[platform]`.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// TCP address of the key-value service.
+    pub address: SocketAddrV4,
+    /// Longest time that a call may take.
+    pub timeout: Duration,
+}
+
+impl PlatformSettings {
+    pub(crate) fn read(section: &mut Section<'_>) -> Option<PlatformSettings> {
+        let address = section.required("address", values::address);
+        let timeout = section.optional("timeout", values::duration);
+
+        Some(PlatformSettings {
+            address: address?,
+            timeout: timeout?.unwrap_or(DEFAULT_PLATFORM_TIMEOUT),
+        })
+    }
+}
+
+/// `ServiceSettings` is a section `[service NAME]` of an entry.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Name of the service.
+    pub name: String,
+    /// Number of the service.
+    pub id: ServiceId,
+    /// UDP address at which callers reach the service.
+    pub listen: SocketAddrV4,
+}
+
+impl ServiceSettings {
+    pub(crate) fn read(section: &mut Section<'_>, name: &str) -> Option<ServiceSettings> {
+        let id = section.required("id", service_id);
+        let listen = section.required("listen", values::address);
+
+        Some(ServiceSettings {
+            name: name.to_owned(),
+            id: id?,
+            listen: listen?,
+        })
+    }
+}
+
+/// `TargetSettings` is the section `[target]` of an agent.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// Number of the service that the target belongs to.
+    pub service: ServiceId,
+    /// Name of the service that the target belongs to.
+    pub name: String,
+    /// TCP address of the target.
+    pub address: SocketAddrV4,
+    /// Requests that the target runs at a time.
+    pub slots: u32,
+    /// Connections that the target holds at a time.
+    pub connections: u32,
+    /// Path of the target's health endpoint.
+    pub health: String,
+}
+
+impl TargetSettings {
+    pub(crate) fn read(section: &mut Section<'_>) -> Option<TargetSettings> {
+        let service = section.required("service", service_id);
+        let name = section.required("name", values::name);
+        let address = section.required("address", values::address);
+        let slots = section.required("slots", |text| values::number(text, 1..=SLOTS_MAX));
+        let connections = |text: &str| values::number(text, 1..=CONNECTIONS_MAX);
+        let connections = section.required("connections", connections);
+        let health = section.optional("health", values::url_path);
+
+        Some(TargetSettings {
+            service: service?,
+            name: name?,
+            address: address?,
+            slots: slots?,
+            connections: connections?,
+            health: health?.unwrap_or_else(|| DEFAULT_HEALTH.to_owned()),
+        })
+    }
+}
+
+/// `TlsSettings` is the section `[tls]` of an agent.
+#[derive(Clone, Debug)]
+pub struct TlsSettings {
+    /// Path of the certificate chain, PEM.
+    pub certificate: PathBuf,
+    /// Path of the private key, PEM.
+    pub key: PathBuf,
+}
+
+impl TlsSettings {
+    pub(crate) fn read(section: &mut Section<'_>) -> Option<TlsSettings> {
+        let path = |text: &str| match text {
+            "" => Err(Expected::new("the path of a PEM file")),
+            _ => Ok(PathBuf::from(text)),
+        };
+        let certificate = section.required("certificate", path);
+        let key = section.required("key", path);
+
+        Some(TlsSettings {
+            certificate: certificate?,
+            key: key?,
+        })
+    }
+}
+
+fn service_id(text: &str) -> Result<ServiceId, Expected> {
+    values::number(text, 1..=u32::from(u16::MAX)).map(|id| ServiceId(id as u16))
+}
