Add the membership state machine: monitors, gossip, beats, sleep

Each instance heartbeats to three monitors; entries spread changes to a few neighbours within a budget and repair by digest. The loss of a whole domain is told by a beat per domain that stops, in place of a record per instance: with the beat off and a budget of 300 octets a second flows still went to a dead domain after 7 s, with it on none did. A process that slept asks before it acts: with that off an entry that slept 10 s marked others, with it on none.

--- /dev/null
+++ b/marigoldway-core/src/digest.rs
@@ -0,0 +1,108 @@
+//! Digests: sums over buckets of records, by which two rosters find where they
+//! differ.
+
+use crate::ids::InstanceId;
+use crate::message::Digest;
+use crate::message::Scope;
+use crate::placement::mix;
+use crate::roster::Record;
+use crate::roster::Role;
+use crate::roster::Roster;
+use crate::roster::State;
+
+/// Records a bucket, about.
+const BUCKET_RECORDS: usize = 8;
+
+/// Most buckets of a digest.
+const BUCKETS_MAX: usize = 256;
+
+impl Scope {
+    /// Tells whether the scope covers a record.
+    pub fn covers(self, record: &Record) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Service(service) => {
+                record.role == Role::Entry || record.service == Some(service)
+            }
+        }
+    }
+}
+
+/// Makes a digest of `roster` with a number of buckets that suits its size.
+pub fn digest(roster: &Roster, scope: Scope) -> Digest {
+    let count = roster.records().filter(|it| scope.covers(it)).count();
+    let buckets = (count / BUCKET_RECORDS).next_power_of_two();
+    digest_with(roster, scope, buckets.min(BUCKETS_MAX))
+}
+
+/// Makes a digest with `buckets` buckets, a power of two.
+pub fn digest_with(roster: &Roster, scope: Scope, buckets: usize) -> Digest {
+    let mut sums = vec![0; buckets];
+    let mut count = 0;
+    for record in roster.records().filter(|it| scope.covers(it)) {
+        sums[bucket(record.id, buckets)] ^= fingerprint(record);
+        count += 1;
+    }
+    Digest {
+        scope,
+        count,
+        sums,
+        reply: false,
+    }
+}
+
+/// One sum over all records in `scope`.
+pub fn sum(roster: &Roster, scope: Scope) -> u32 {
+    roster
+        .records()
+        .filter(|it| scope.covers(it))
+        .fold(0, |sum, record| sum ^ fingerprint(record))
+}
+
+/// The records of the buckets in which `roster` differs from `digest`.
+pub fn differing<'a>(roster: &'a Roster, digest: &Digest) -> Vec<&'a Record> {
+    let buckets = digest.sums.len();
+    let own = digest_with(roster, digest.scope, buckets);
+    roster
+        .records()
+        .filter(|it| digest.scope.covers(it))
+        .filter(|it| {
+            let bucket = bucket(it.id, buckets);
+            own.sums[bucket] != digest.sums[bucket]
+        })
+        .collect()
+}
+
+/// Tells whether `roster` has the sums of `digest`.
+pub fn agrees(roster: &Roster, digest: &Digest) -> bool {
+    digest_with(roster, digest.scope, digest.sums.len()).sums == digest.sums
+}
+
+fn bucket(id: InstanceId, buckets: usize) -> usize {
+    // The count of buckets is a power of two below 2^32.
+    mix(id.to_u64()) as usize & (buckets - 1)
+}
+
+/// A hash over all that may change in a record, equal on all processes.
+fn fingerprint(record: &Record) -> u32 {
+    let state = match record.state {
+        State::Starting => 0,
+        State::Serving => 1,
+        State::Leaving => 2,
+        State::Suspect => 3,
+        State::Down => 4,
+    };
+    let service = record.service.map_or(u64::MAX, |it| u64::from(it.0));
+    let place = u64::from(record.domain.0) << 8 | u64::from(record.region.0);
+    let life = u64::from(record.incarnation.0) << 32 | u64::from(record.version);
+    let parts = [
+        record.id.to_u64(),
+        life,
+        state << 16 | u64::from(record.weight),
+        service,
+        place,
+        InstanceId(record.control).to_u64(),
+    ];
+    let hash = parts.into_iter().fold(0, |hash, part| mix(hash ^ part));
+    (hash >> 32) as u32
+}
--- /dev/null
+++ b/marigoldway-core/src/gossip.rs
@@ -0,0 +1,160 @@
+//! Gossip: how changes of the roster spread among entries.
+//!
+//! A record that changed is sent once to each of a few neighbours: the next
+//! entry in the order of ids, which makes sure that every entry is somebody's
+//! neighbour, and some drawn at random. Records that keep flows off an
+//! instance go first. A budget bounds the octets; what a full budget or a
+//! broken connection holds back is repaired by digests.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ids::InstanceId;
+use crate::roster::Record;
+use crate::roster::Roster;
+use crate::time::Timestamp;
+
+/// Octets of a record on the wire, about.
+pub const RECORD_OCTETS: u64 = 40;
+
+/// `GossipOptions` bounds the traffic among entries.
+#[derive(Clone, Copy, Debug)]
+pub struct GossipOptions {
+    /// Entries to which changes are sent.
+    pub neighbours: usize,
+    /// Time after which the neighbours are drawn anew.
+    pub redraw: Duration,
+    /// Octets of records a second, over all neighbours.
+    pub rate: u64,
+    /// Octets of records that may be sent at once after a quiet time.
+    pub burst: u64,
+    /// Records in one message at most.
+    pub batch: usize,
+}
+
+impl Default for GossipOptions {
+    fn default() -> GossipOptions {
+        GossipOptions {
+            neighbours: 4,
+            redraw: Duration::from_secs(15),
+            rate: 3_000,
+            burst: 64_000,
+            batch: 200,
+        }
+    }
+}
+
+/// `Gossip` holds what is still to be sent, and to whom.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    hot: IndexSet<InstanceId>,
+    neighbours: Vec<InstanceId>,
+    drawn: Option<Timestamp>,
+    budget: u64,
+    filled: Timestamp,
+    options: GossipOptions,
+}
+
+impl Gossip {
+    /// Makes an empty queue with a full budget.
+    pub fn new(now: Timestamp, options: GossipOptions) -> Gossip {
+        Gossip {
+            hot: IndexSet::new(),
+            neighbours: Vec::new(),
+            drawn: None,
+            budget: options.burst,
+            filled: now,
+            options,
+        }
+    }
+
+    /// Queues the record of `id`.
+    pub fn push(&mut self, id: InstanceId) {
+        self.hot.insert(id);
+    }
+
+    /// Drops all that is queued.
+    pub fn clear(&mut self) {
+        self.hot.clear();
+    }
+
+    /// The entries to which changes are sent.
+    pub fn neighbours(&self) -> &[InstanceId] {
+        &self.neighbours
+    }
+
+    /// Has the neighbours drawn anew at the next call of [`Gossip::draw`].
+    pub fn invalidate(&mut self) {
+        self.drawn = None;
+    }
+
+    /// Draws neighbours out of `entries`, which excludes `own`, if it is time.
+    pub fn draw(
+        &mut self,
+        now: Timestamp,
+        own: InstanceId,
+        entries: &[InstanceId],
+        rng: &mut impl Rng,
+    ) {
+        let fresh = |drawn| now.since(drawn) < self.options.redraw;
+        if self.drawn.is_some_and(fresh) {
+            return;
+        }
+        self.drawn = Some(now);
+        self.neighbours.clear();
+        let next = entries.iter().filter(|id| **id > own).min();
+        self.neighbours.extend(next.or(entries.iter().min()));
+
+        let mut rest: Vec<InstanceId> = entries.to_vec();
+        rest.retain(|id| !self.neighbours.contains(id));
+        while self.neighbours.len() < self.options.neighbours && !rest.is_empty() {
+            let drawn = rng.random_range(0..rest.len());
+            self.neighbours.push(rest.swap_remove(drawn));
+        }
+    }
+
+    /// Takes the records to send now, most urgent first, as far as the budget
+    /// for `copies` copies of each goes.
+    pub fn take(&mut self, now: Timestamp, roster: &Roster, copies: usize) -> Vec<Record> {
+        self.fill(now);
+        self.hot.retain(|id| roster.record(*id).is_some());
+        if self.hot.is_empty() || copies == 0 {
+            return Vec::new();
+        }
+        self.hot
+            .sort_by_cached_key(|id| Reverse(roster.record(*id).map(|record| record.state)));
+        let cost = RECORD_OCTETS * copies as u64;
+        let room = usize::try_from(self.budget / cost).unwrap_or(usize::MAX);
+        let count = self.hot.len().min(room).min(self.options.batch);
+        self.spend(cost * count as u64);
+        self.hot
+            .drain(..count)
+            .filter_map(|id| roster.record(id).cloned())
+            .collect()
+    }
+
+    /// Number of records that a repair may send now.
+    pub fn room(&mut self, now: Timestamp) -> usize {
+        self.fill(now);
+        let room = usize::try_from(self.budget / RECORD_OCTETS).unwrap_or(usize::MAX);
+        room.min(self.options.batch)
+    }
+
+    /// Takes octets from the budget.
+    pub fn spend(&mut self, octets: u64) {
+        self.budget = self.budget.saturating_sub(octets);
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let micros = now.since(self.filled).as_micros();
+        let earned = u64::try_from(micros).unwrap_or(u64::MAX) / 1_000 * self.options.rate / 1_000;
+        if earned > 0 {
+            self.budget = self.budget.saturating_add(earned).min(self.options.burst);
+            self.filled = now;
+        }
+    }
+}
--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,10 +8,15 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod beats;
+pub mod digest;
 pub mod errors;
 pub mod forward;
+pub mod gossip;
 pub mod ids;
+pub mod membership;
 pub mod message;
+pub mod monitor;
 pub mod packet;
 pub mod placement;
 pub mod reply;
--- /dev/null
+++ b/marigoldway-core/src/membership/mod.rs
@@ -0,0 +1,319 @@
+//! Membership: the state machine by which a process knows who is there.
+//!
+//! It joins through its contacts, sends heartbeats to its monitors, and keeps
+//! the roster. An entry also watches instances, spreads changes among entries
+//! and to the agents it watches, and repairs differences by digest. Drive it
+//! with [`Membership::handle`]; call it with [`Input::Tick`] every
+//! [`MembershipOptions::tick`] and with every message that comes in.
+//!
+//! A process that slept notices the jump of its own clock. It then says
+//! nothing but one question until a monitor has told it what is known of it,
+//! and goes on under a version above that, so nothing it had to say before the
+//! sleep wins over what happened meanwhile.
+
+mod interface;
+mod options;
+mod receive;
+mod timers;
+
+use std::mem;
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rand::Rng;
+
+use crate::beats::Beats;
+use crate::gossip::Gossip;
+use crate::ids::DomainId;
+use crate::ids::InstanceId;
+use crate::message::Mark;
+use crate::message::Message;
+use crate::message::Scope;
+use crate::monitor::Entries;
+use crate::monitor::MONITORS;
+use crate::monitor::Monitor;
+use crate::roster::Merge;
+use crate::roster::Record;
+use crate::roster::Role;
+use crate::roster::Roster;
+use crate::roster::RosterView;
+use crate::roster::State;
+use crate::time::Timestamp;
+
+pub use crate::membership::interface::Event;
+pub use crate::membership::interface::Input;
+pub use crate::membership::interface::Output;
+pub use crate::membership::options::MembershipOptions;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// No peer has told its roster yet.
+    Joining,
+    /// The protocol runs.
+    Joined,
+    /// The process slept and waits to hear what is known of it.
+    Asking { since: Timestamp },
+    /// A later life of the instance runs: this one says nothing more.
+    Replaced,
+}
+
+/// `Membership` is the state of one process.
+pub struct Membership {
+    options: MembershipOptions,
+    own: Record,
+    contacts: Vec<SocketAddrV4>,
+    phase: Phase,
+    question: u32,
+    roster: Roster,
+    addresses: IndexMap<SocketAddrV4, InstanceId>,
+    fallen: IndexMap<InstanceId, Timestamp>,
+    beats: Beats,
+    lost: IndexSet<DomainId>,
+    entries: Entries,
+    dirty: bool,
+    monitor: Monitor,
+    gossip: Gossip,
+    mismatches: IndexMap<InstanceId, u32>,
+    waiting: IndexMap<InstanceId, Timestamp>,
+    avoided: IndexMap<InstanceId, Timestamp>,
+    flows: u32,
+    revision: u64,
+    timers: timers::Timers,
+    outputs: Vec<Output>,
+}
+
+impl Membership {
+    /// Makes the state of a process with the record `own`, which has just
+    /// started. `contacts` are control addresses of entries.
+    pub fn new(
+        now: Timestamp,
+        own: Record,
+        contacts: Vec<SocketAddrV4>,
+        options: MembershipOptions,
+    ) -> Membership {
+        let mut membership = Membership {
+            phase: Phase::Joining,
+            question: 0,
+            roster: Roster::new(),
+            addresses: IndexMap::new(),
+            fallen: IndexMap::new(),
+            beats: Beats::new(options.lost),
+            lost: IndexSet::new(),
+            entries: Entries::default(),
+            dirty: true,
+            monitor: Monitor::new(options.monitor),
+            gossip: Gossip::new(now, options.gossip),
+            mismatches: IndexMap::new(),
+            waiting: IndexMap::new(),
+            avoided: IndexMap::new(),
+            flows: 0,
+            revision: 0,
+            timers: timers::Timers::new(now),
+            outputs: Vec::new(),
+            contacts: Vec::new(),
+            own,
+            options,
+        };
+        membership.add_contacts(contacts);
+        let own = membership.own.clone();
+        membership.merge(now, own);
+        membership
+    }
+
+    /// Takes one input and gives what is to be done, in order.
+    pub fn handle(&mut self, now: Timestamp, input: Input, rng: &mut impl Rng) -> Vec<Output> {
+        if self.phase == Phase::Replaced {
+            return Vec::new();
+        }
+        // Whatever comes first after a sleep must not be answered as if no
+        // time had passed.
+        self.notice_sleep(now);
+        match input {
+            Input::Tick => self.tick(now, rng),
+            Input::Receive { from, message } => self.receive(now, from, message, rng),
+            Input::State(state) => self.renew(now, |own| own.state = state),
+            Input::Weight(weight) => self.renew(now, |own| own.weight = weight),
+            Input::Contacts(contacts) => self.add_contacts(contacts),
+            Input::Flows(flows) => self.flows = flows,
+            Input::Revision(revision) => self.revision = revision,
+        }
+        mem::take(&mut self.outputs)
+    }
+
+    /// The view of the roster for the packet path.
+    pub fn view(&self) -> RosterView {
+        self.roster.view(&self.lost)
+    }
+
+    /// The roster.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The record of this process.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Tells whether a peer has told its roster.
+    pub fn is_joined(&self) -> bool {
+        matches!(self.phase, Phase::Joined)
+    }
+
+    /// Goes on after a sleep.
+    fn resume(&mut self) {
+        self.phase = match self.roster.len() {
+            0 | 1 => Phase::Joining,
+            _ => Phase::Joined,
+        };
+    }
+
+    fn scope(&self) -> Scope {
+        match self.own.service {
+            Some(service) => Scope::Service(service),
+            None => Scope::All,
+        }
+    }
+
+    fn add_contacts(&mut self, contacts: Vec<SocketAddrV4>) {
+        for contact in contacts {
+            if contact != self.own.control && !self.contacts.contains(&contact) {
+                self.contacts.push(contact);
+            }
+        }
+    }
+
+    /// Changes the own record under a higher version, if `change` changes it.
+    fn renew(&mut self, now: Timestamp, change: impl FnOnce(&mut Record)) {
+        let mut changed = self.own.clone();
+        change(&mut changed);
+        if changed == self.own {
+            return;
+        }
+        self.own = changed;
+        self.own.version += 1;
+        self.announce(now);
+    }
+
+    /// Raises the own version above `mark`.
+    fn refute(&mut self, now: Timestamp, mark: Mark) {
+        self.own.version = self.own.version.max(mark.version) + 1;
+        self.event(Event::Refuted {
+            version: self.own.version,
+        });
+        self.announce(now);
+    }
+
+    /// Merges the own record and tells the monitors at once.
+    fn announce(&mut self, now: Timestamp) {
+        let own = self.own.clone();
+        self.merge(now, own.clone());
+        for to in self.monitors() {
+            self.send_records(to, vec![own.clone()]);
+        }
+        if self.own.role == Role::Entry {
+            self.flush(now);
+        }
+    }
+
+    /// Merges a record, and queues it for other processes if it is new.
+    fn merge(&mut self, now: Timestamp, record: Record) -> bool {
+        let id = record.id;
+        if id == self.own.id && record != self.own {
+            self.answer_for_own(now, &record);
+            return false;
+        }
+        let before = self.roster.record(id).map(|it| it.state);
+        let (state, control, domain) = (record.state, record.control, record.domain);
+        let raised = self.roster.record(id).is_some_and(|held| {
+            (held.incarnation, held.version) < (record.incarnation, record.version)
+        });
+        let merge = self.roster.merge(record);
+        if !merge.changed() {
+            return false;
+        }
+
+        self.addresses.insert(control, id);
+        self.beats.learn(now, domain);
+        if state == State::Down {
+            self.fallen.insert(id, now);
+        } else {
+            self.fallen.swap_remove(&id);
+        }
+        // Only its owner raises a version, so the owner lives.
+        if raised && state < State::Suspect {
+            self.monitor.hear(now, id);
+        }
+        let is_entry = self.roster.record(id).map(|it| it.role) == Some(Role::Entry);
+        let fell = before.is_some_and(|it| (it == State::Down) != (state == State::Down));
+        if merge == Merge::New || is_entry || fell {
+            self.dirty = true;
+        }
+        if self.own.role == Role::Entry {
+            self.gossip.push(id);
+        }
+        self.output_view();
+        true
+    }
+
+    /// Answers a record of this instance that this life of it didn't make.
+    fn answer_for_own(&mut self, now: Timestamp, record: &Record) {
+        if record.incarnation > self.own.incarnation {
+            self.phase = Phase::Replaced;
+            return self.event(Event::Replaced);
+        }
+        if record.incarnation == self.own.incarnation && record.supersedes(&self.own) {
+            self.refute(now, mark_of(record));
+        }
+    }
+
+    /// Control addresses of the monitors, or of contacts while no entry is known.
+    fn monitors(&self) -> Vec<SocketAddrV4> {
+        let monitors: Vec<SocketAddrV4> = self
+            .own_monitors()
+            .into_iter()
+            .filter_map(|id| self.roster.record(id))
+            .map(|record| record.control)
+            .collect();
+        if !monitors.is_empty() {
+            return monitors;
+        }
+        self.contacts.iter().copied().take(MONITORS).collect()
+    }
+
+    fn own_monitors(&self) -> Vec<InstanceId> {
+        if self.avoided.is_empty() {
+            return self.entries.monitors(&self.own);
+        }
+        let keep = |record: &Record| !self.avoided.contains_key(&record.id);
+        Entries::new(&self.roster, keep).monitors(&self.own)
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: Message) {
+        let asks = matches!(message, Message::Inquiry { .. });
+        let quiet = matches!(self.phase, Phase::Asking { .. } | Phase::Replaced);
+        if to == self.own.control || (quiet && !asks) {
+            return;
+        }
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    fn event(&mut self, event: Event) {
+        self.outputs.push(Output::Event(event));
+    }
+
+    fn output_view(&mut self) {
+        if !self.outputs.contains(&Output::View) {
+            self.outputs.push(Output::View);
+        }
+    }
+}
+
+fn mark_of(record: &Record) -> Mark {
+    Mark {
+        incarnation: record.incarnation,
+        version: record.version,
+        state: record.state,
+    }
+}
--- a/marigoldway-core/src/message.rs
+++ b/marigoldway-core/src/message.rs
@@ -22,6 +22,8 @@
     Inquiry {
         /// The instance that asks.
         id: InstanceId,
+        /// Number of the question.
+        number: u32,
     },
     /// Records and beats that are new to the sender.
     Delta(Delta),
@@ -51,6 +53,8 @@
 pub struct Ack {
     /// What the monitor knows of the instance.
     pub mark: Option<Mark>,
+    /// Number of the question that this answers, zero for a heartbeat.
+    pub number: u32,
     /// Failure domains that the monitor doesn't hear from.
     pub lost: Vec<DomainId>,
     /// Revision of the lists that the monitor holds.
--- /dev/null
+++ b/marigoldway-core/src/monitor.rs
@@ -0,0 +1,205 @@
+//! Monitors: who watches whom, and when silence becomes a mark.
+//!
+//! Each instance sends heartbeats to [`MONITORS`] entries, chosen by
+//! rendezvous hashing among those of its own failure domain. Entries have one
+//! of their monitors in another domain, so that the loss of all entries of a
+//! domain is seen. Where a domain has too few entries, others fill in.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ids::DomainId;
+use crate::ids::InstanceId;
+use crate::ids::RegionId;
+use crate::placement::mix;
+use crate::placement::rank;
+use crate::roster::Record;
+use crate::roster::Role;
+use crate::roster::Roster;
+use crate::roster::State;
+use crate::time::Timestamp;
+
+/// Monitors of an instance.
+pub const MONITORS: usize = 3;
+
+/// `MonitorOptions` holds the limits of silence.
+#[derive(Clone, Copy, Debug)]
+pub struct MonitorOptions {
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a monitor asks for a heartbeat.
+    pub probe: Duration,
+    /// Silence after which an instance is suspect.
+    pub suspect: Duration,
+    /// Silence after which an instance is down.
+    pub down: Duration,
+}
+
+impl Default for MonitorOptions {
+    fn default() -> MonitorOptions {
+        MonitorOptions {
+            heartbeat: Duration::from_millis(750),
+            probe: Duration::from_millis(1_250),
+            suspect: Duration::from_millis(2_000),
+            down: Duration::from_secs(8),
+        }
+    }
+}
+
+/// `Entries` holds the entries that can be monitors, by failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Entries {
+    domains: IndexMap<DomainId, (RegionId, Vec<InstanceId>)>,
+}
+
+impl Entries {
+    /// Collects the entries of `roster` that forward packets and that `keep`
+    /// lets pass.
+    pub fn new(roster: &Roster, keep: impl Fn(&Record) -> bool) -> Entries {
+        let mut domains: IndexMap<DomainId, (RegionId, Vec<InstanceId>)> = IndexMap::new();
+        let live = roster
+            .records()
+            .filter(|it| it.role == Role::Entry && it.state <= State::Serving && keep(it));
+        for record in live {
+            let place = domains.entry(record.domain);
+            let (_, ids) = place.or_insert_with(|| (record.region, Vec::new()));
+            ids.push(record.id);
+        }
+        domains.sort_unstable_keys();
+        for (_, ids) in domains.values_mut() {
+            ids.sort_unstable();
+        }
+        Entries { domains }
+    }
+
+    /// Every entry.
+    pub fn all(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        self.domains.values().flat_map(|(_, ids)| ids).copied()
+    }
+
+    /// The monitors of an instance, best first.
+    pub fn monitors(&self, record: &Record) -> Vec<InstanceId> {
+        let near = match record.role {
+            Role::Entry => MONITORS - 1,
+            Role::Agent => MONITORS,
+        };
+        let key = mix(record.id.to_u64());
+        let pick = |members: &mut dyn Iterator<Item = InstanceId>, count| {
+            rank(key, members.filter(|id| *id != record.id), count)
+        };
+        let own = self.domains.get(&record.domain);
+        let mut monitors = pick(&mut own.into_iter().flat_map(|(_, ids)| ids).copied(), near);
+        if monitors.len() == MONITORS {
+            return monitors;
+        }
+
+        let others = |same: bool| {
+            self.domains
+                .iter()
+                .filter(|(domain, _)| **domain != record.domain)
+                .filter(move |(_, (region, _))| (*region == record.region) == same)
+                .flat_map(|(_, (_, ids))| ids)
+                .copied()
+        };
+        for same in [true, false] {
+            let missing = MONITORS - monitors.len();
+            monitors.extend(pick(&mut others(same), missing));
+        }
+        monitors
+    }
+}
+
+/// `Finding` is what a monitor concludes from silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// Ask the instance for a heartbeat.
+    Probe(InstanceId),
+    /// Mark the instance suspect.
+    Suspect(InstanceId),
+    /// Mark the instance down.
+    Down(InstanceId),
+}
+
+/// `Monitor` watches the instances that this entry is a monitor of.
+#[derive(Clone, Debug)]
+pub struct Monitor {
+    watches: IndexMap<InstanceId, Watch>,
+    options: MonitorOptions,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    heard: Timestamp,
+    probed: Timestamp,
+}
+
+impl Monitor {
+    /// Makes a monitor that watches nobody.
+    pub fn new(options: MonitorOptions) -> Monitor {
+        Monitor {
+            watches: IndexMap::new(),
+            options,
+        }
+    }
+
+    /// Watches exactly the instances of `roster` whose monitors include `own`.
+    /// A new watch counts as heard at `now`.
+    pub fn assign(&mut self, now: Timestamp, own: InstanceId, roster: &Roster, entries: &Entries) {
+        let mut watches = IndexMap::new();
+        for record in roster.records() {
+            if record.state == State::Down || !entries.monitors(record).contains(&own) {
+                continue;
+            }
+            let fresh = Watch {
+                heard: now,
+                probed: now,
+            };
+            let watch = self.watches.get(&record.id).copied().unwrap_or(fresh);
+            watches.insert(record.id, watch);
+        }
+        self.watches = watches;
+    }
+
+    /// The instances that are watched.
+    pub fn watched(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        self.watches.keys().copied()
+    }
+
+    /// Takes note that an instance lives.
+    pub fn hear(&mut self, now: Timestamp, id: InstanceId) {
+        if let Some(watch) = self.watches.get_mut(&id) {
+            watch.heard = now;
+        }
+    }
+
+    /// Starts all waits anew, after this process slept: silence that it slept
+    /// through says nothing about others.
+    pub fn rest(&mut self, now: Timestamp) {
+        for watch in self.watches.values_mut() {
+            watch.heard = now;
+        }
+    }
+
+    /// Concludes from the silence up to `now`.
+    pub fn check(&mut self, now: Timestamp, roster: &Roster) -> Vec<Finding> {
+        let options = self.options;
+        let mut findings = Vec::new();
+        for (id, watch) in &mut self.watches {
+            let Some(record) = roster.record(*id) else {
+                continue;
+            };
+            let silence = now.since(watch.heard);
+            if silence >= options.down && record.state == State::Suspect {
+                findings.push(Finding::Down(*id));
+            } else if silence >= options.suspect && record.state < State::Suspect {
+                findings.push(Finding::Suspect(*id));
+            }
+            if silence >= options.probe && now.since(watch.probed) >= options.heartbeat {
+                watch.probed = now;
+                findings.push(Finding::Probe(*id));
+            }
+        }
+        findings
+    }
+}
--- a/marigoldway-core/src/placement.rs
+++ b/marigoldway-core/src/placement.rs
@@ -102,13 +102,17 @@
     members: impl IntoIterator<Item = InstanceId>,
     count: usize,
 ) -> Vec<InstanceId> {
-    let mut ranked: Vec<(u64, InstanceId)> = members
-        .into_iter()
-        .map(|id| (mix(key ^ mix(id.to_u64())), id))
-        .collect();
-    ranked.sort_unstable();
-    ranked.truncate(count);
-    ranked.into_iter().map(|(_, id)| id).collect()
+    let mut best: Vec<(u64, InstanceId)> = Vec::with_capacity(count + 1);
+    for id in members {
+        let ranked = (mix(key ^ mix(id.to_u64())), id);
+        if best.len() == count && best.last().is_none_or(|last| ranked >= *last) {
+            continue;
+        }
+        let place = best.partition_point(|other| *other < ranked);
+        best.insert(place, ranked);
+        best.truncate(count);
+    }
+    best.into_iter().map(|(_, id)| id).collect()
 }
 
 /// A 64-bit finalizer (the one of SplitMix64): every input bit changes every
--- /dev/null
+++ b/marigoldway-core/tests/membership.rs
@@ -0,0 +1,275 @@
+//! Processes learn who is there, under loss, death, sleep and cuts.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::Incarnation;
+use marigoldway_core::membership::Event;
+use marigoldway_core::membership::Input;
+use marigoldway_core::membership::MembershipOptions;
+use marigoldway_core::roster::State;
+
+use crate::support::Fleet;
+use crate::support::instance;
+use crate::support::record;
+
+/// A time that no test reaches: switches a mechanism off.
+const NEVER: Duration = Duration::from_secs(1_000_000);
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settled(seed: u64, options: MembershipOptions, domains: u8, entries: u32, agents: u32) -> Fleet {
+    let mut fleet = Fleet::new(seed, options);
+    fleet.populate(domains, entries, agents);
+    let joined = fleet.run_until(300 * SECOND, Fleet::agrees);
+    assert!(joined.is_some(), "the fleet didn't settle");
+    fleet.run(3 * SECOND);
+    fleet.events.clear();
+    fleet
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    #[test]
+    fn roster_converges_under_loss_and_doubling(
+        seed: u64,
+        loss in 0.0..0.3_f64,
+        doubled in 0.0..0.5_f64,
+        leaving in 0..3_u32,
+    ) {
+        let mut fleet = settled(seed, MembershipOptions::default(), 3, 2, 3);
+        fleet.loss = loss;
+        fleet.doubled = doubled;
+        fleet.input(instance(15_000 + leaving), Input::State(State::Leaving));
+        fleet.kill(instance(25_000 + leaving));
+        fleet.start(record(36_000, Some(1), 3, 2));
+        fleet.run(20 * SECOND);
+        // Marks come and go while heartbeats are lost; once they aren't, all agree.
+        fleet.loss = 0.0;
+        let agreed = fleet.run_until(20 * SECOND, Fleet::agrees);
+        prop_assert!(agreed.is_some());
+        prop_assert!(fleet.lists(instance(15_000 + leaving), State::Leaving));
+        prop_assert!(fleet.lists(instance(25_000 + leaving), State::Down));
+        prop_assert!(fleet.lists(instance(36_000), State::Serving));
+    }
+}
+
+#[test]
+fn roster_is_steady_while_nothing_happens() {
+    let mut fleet = settled(1, MembershipOptions::default(), 3, 4, 6);
+    fleet.run(60 * SECOND);
+    assert_eq!(
+        fleet.events.iter().filter(|(_, it)| is_change(it)).count(),
+        0
+    );
+}
+
+fn is_change(event: &Event) -> bool {
+    !matches!(event, Event::Revision { .. } | Event::Peer(_))
+}
+
+#[test]
+fn leaving_target_is_unlisted_everywhere_within_three_seconds() {
+    let mut fleet = settled(2, MembershipOptions::default(), 3, 10, 5);
+    let target = instance(15_000);
+    assert!(fleet.places_on(&[target]));
+    fleet.input(target, Input::State(State::Leaving));
+    let took = fleet.run_until(30 * SECOND, |it| !it.places_on(&[target]));
+    assert!(took.unwrap() <= 3 * SECOND, "took {took:?}");
+}
+
+#[test]
+fn leaving_target_stays_listed_with_gossip_off() {
+    let mut options = MembershipOptions::default();
+    options.gossip.rate = 0;
+    options.gossip.burst = 0;
+    let mut fleet = Fleet::new(2, options);
+    fleet.populate(3, 10, 5);
+    fleet.run(60 * SECOND);
+    let target = instance(15_000);
+    fleet.input(target, Input::State(State::Leaving));
+    fleet.run(3 * SECOND);
+    assert!(fleet.places_on(&[target]));
+}
+
+#[test]
+fn dead_target_is_suspect_everywhere_within_three_seconds() {
+    let mut fleet = settled(3, MembershipOptions::default(), 3, 3, 5);
+    let target = instance(25_001);
+    fleet.kill(target);
+    let took = fleet.run_until(30 * SECOND, |it| !it.places_on(&[target]));
+    assert!(took.unwrap() <= 3 * SECOND, "took {took:?}");
+    assert!(
+        fleet
+            .run_until(15 * SECOND, |it| it.lists(target, State::Down))
+            .is_some()
+    );
+    let forget = fleet.options.forget + 5 * SECOND;
+    fleet.run(forget);
+    assert!(
+        fleet
+            .running()
+            .all(|it| it.roster().record(target).is_none())
+    );
+}
+
+#[test]
+fn dead_entry_is_seen_and_its_agents_stay() {
+    // One entry a domain: its agents find monitors in the other domains.
+    let mut fleet = settled(4, MembershipOptions::default(), 3, 1, 3);
+    fleet.kill(instance(10_000));
+    let down = |it: &Fleet| it.lists(instance(10_000), State::Down);
+    assert!(fleet.run_until(20 * SECOND, down).is_some());
+    fleet.run(20 * SECOND);
+    for n in 0..3 {
+        assert!(fleet.lists(instance(15_000 + n), State::Serving));
+        assert!(fleet.places_on(&[instance(15_000 + n)]));
+    }
+}
+
+#[test]
+fn all_entries_replaced_at_once_find_the_agents_again() {
+    let mut fleet = settled(5, MembershipOptions::default(), 3, 1, 3);
+    for domain in 1..=3_u8 {
+        let mut own = record(u32::from(domain) * 10_000, None, domain, domain.div_ceil(2));
+        own.incarnation = Incarnation(2);
+        fleet.start(own);
+    }
+    let whole = |it: &Fleet| it.agrees() && it.entries().all(|it| it.roster().len() == 12);
+    let took = fleet.run_until(20 * SECOND, whole);
+    assert!(took.is_some_and(|it| it <= 5 * SECOND), "took {took:?}");
+}
+
+#[test]
+fn restarted_process_takes_over_and_the_old_one_ends() {
+    let mut fleet = settled(6, MembershipOptions::default(), 3, 1, 3);
+    let id = instance(15_000);
+    let mut old = fleet.processes.swap_remove(&id).unwrap();
+    let mut own = record(15_000, Some(1), 1, 1);
+    own.incarnation = Incarnation(2);
+    fleet.start(own.clone());
+    let known = |it: &Fleet| {
+        let newest = |it: &marigoldway_core::roster::Roster| it.record(id).map(|it| it.incarnation);
+        it.running()
+            .all(|it| newest(it.roster()) == Some(Incarnation(2)))
+    };
+    assert!(fleet.run_until(5 * SECOND, known).is_some());
+
+    // The old life wakes and learns from its first answer that it is replaced.
+    old.frozen = false;
+    fleet.processes.insert(id, old);
+    fleet.events.clear();
+    fleet.run(3 * SECOND);
+    assert!(fleet.events.contains(&(id, Event::Replaced)));
+}
+
+#[test]
+fn frozen_target_comes_back_above_what_was_said_of_it() {
+    let mut fleet = settled(7, MembershipOptions::default(), 3, 2, 3);
+    let id = instance(15_000);
+    fleet.freeze(id);
+    fleet.run(12 * SECOND);
+    assert!(fleet.lists(id, State::Down));
+    let version = fleet
+        .entries()
+        .next()
+        .unwrap()
+        .roster()
+        .record(id)
+        .unwrap()
+        .version;
+    fleet.thaw(id);
+    let back = fleet.run_until(10 * SECOND, |it| it.lists(id, State::Serving));
+    assert!(back.is_some_and(|it| it <= 3 * SECOND), "took {back:?}");
+    assert!(fleet.processes[&id].membership.own().version > version);
+    // Nobody else was marked, by it or by others.
+    let others = |it: &Event| matches!(it, Event::Marked { id: marked, .. } if *marked != id);
+    assert!(!fleet.events.iter().any(|(_, it)| others(it)));
+}
+
+/// Marks that an entry sets on others after it slept for ten seconds.
+fn marks_after_sleep(options: MembershipOptions) -> usize {
+    let mut fleet = settled(8, options, 3, 1, 3);
+    fleet.freeze(instance(10_000));
+    fleet.run(10 * SECOND);
+    fleet.events.clear();
+    fleet.thaw(instance(10_000));
+    fleet.run(5 * SECOND);
+    let by_sleeper = |it: &&(_, Event)| it.0 == instance(10_000);
+    let marks = fleet.events.iter().filter(by_sleeper);
+    marks
+        .filter(|(_, it)| matches!(it, Event::Marked { .. }))
+        .count()
+}
+
+#[test]
+fn frozen_entry_accuses_nobody_when_it_wakes() {
+    let off = MembershipOptions {
+        sleep: NEVER,
+        ..MembershipOptions::default()
+    };
+    assert!(marks_after_sleep(off) > 0, "the fault doesn't show");
+    assert_eq!(marks_after_sleep(MembershipOptions::default()), 0);
+}
+
+/// Kills a domain whole and tells whether flows still go there ten seconds later.
+fn places_on_dead_domain(options: MembershipOptions) -> bool {
+    let mut fleet = settled(9, options, 3, 4, 12);
+    for n in 0..4 {
+        fleet.kill(instance(10_000 + n));
+    }
+    let agents: Vec<_> = (0..12).map(|n| instance(15_000 + n)).collect();
+    agents.iter().for_each(|id| fleet.kill(*id));
+    fleet.run(7 * SECOND);
+    fleet.places_on(&agents)
+}
+
+#[test]
+fn lost_domain_gets_no_flows() {
+    // The budget is as small beside the domain as it is at full size.
+    let mut options = MembershipOptions::default();
+    options.gossip.rate = 300;
+    options.gossip.burst = 300;
+    let off = MembershipOptions {
+        lost: NEVER,
+        ..options
+    };
+    assert!(places_on_dead_domain(off), "the fault doesn't show");
+    assert!(!places_on_dead_domain(options));
+}
+
+#[test]
+fn cut_region_is_lost_and_heals() {
+    let mut fleet = settled(10, MembershipOptions::default(), 4, 3, 4);
+    let far: Vec<_> = (0..4).map(|n| instance(35_000 + n)).collect();
+    fleet.cut = vec![DomainId(3), DomainId(4)];
+    fleet.run(60 * SECOND);
+    for entry in fleet.entries() {
+        let near = entry.own().domain.0 <= 2;
+        let view = entry.view();
+        for key in 0..200 {
+            let key = marigoldway_core::placement::mix(key);
+            let first = view
+                .candidates(marigoldway_core::ids::ServiceId(1), key)
+                .unwrap()
+                .first;
+            let domain = view.record(first).unwrap().domain.0;
+            assert_eq!(domain <= 2, near);
+        }
+    }
+
+    fleet.cut.clear();
+    let healed = fleet.run_until(60 * SECOND, |it| it.agrees() && it.places_on(&far[..1]));
+    assert!(
+        healed.is_some_and(|it| it <= 20 * SECOND),
+        "took {healed:?}"
+    );
+    for id in far {
+        assert!(fleet.lists(id, State::Serving));
+    }
+}
--- a/marigoldway-net/src/wire/membership.rs
+++ b/marigoldway-net/src/wire/membership.rs
@@ -35,15 +35,15 @@
     /// Id, incarnation, version, sum, revision.
     #[serde(rename = "h")]
     Heartbeat(u64, u32, u32, Option<u32>, u64),
-    /// Mark, lost domains, revision.
+    /// Mark, number, lost domains, revision.
     #[serde(rename = "a")]
-    Ack(Option<(u32, u32, u8)>, Vec<u8>, u64),
+    Ack(Option<(u32, u32, u8)>, u32, Vec<u8>, u64),
     /// Asks for a heartbeat.
     #[serde(rename = "p")]
     Probe,
-    /// Id of the instance that asks.
+    /// Id of the instance that asks, number.
     #[serde(rename = "i")]
-    Inquiry(u64),
+    Inquiry(u64, u32),
     /// Records and beats.
     #[serde(rename = "d")]
     Delta(Vec<RecordWire>, Vec<(u8, u64)>),
@@ -113,7 +113,7 @@
             ),
             Message::Ack(ack) => ack_to_wire(ack),
             Message::Probe => MembershipWire::Probe,
-            Message::Inquiry { id } => MembershipWire::Inquiry(id.to_u64()),
+            Message::Inquiry { id, number } => MembershipWire::Inquiry(id.to_u64(), *number),
             Message::Delta(delta) => delta_to_wire(delta),
             Message::Digest(digest) => digest_to_wire(digest),
             Message::Load(load) => MembershipWire::Load(load.id.to_u64(), load.flows),
@@ -135,13 +135,15 @@
                     revision,
                 })
             }
-            MembershipWire::Ack(mark, lost, revision) => Message::Ack(Ack {
+            MembershipWire::Ack(mark, number, lost, revision) => Message::Ack(Ack {
+                number,
                 mark: mark.map(mark_from_wire).transpose()?,
                 lost: lost.into_iter().map(DomainId).collect(),
                 revision,
             }),
             MembershipWire::Probe => Message::Probe,
-            MembershipWire::Inquiry(id) => Message::Inquiry {
+            MembershipWire::Inquiry(id, number) => Message::Inquiry {
+                number,
                 id: InstanceId(addr_from_wire(id)?),
             },
             MembershipWire::Delta(records, beats) => {
@@ -164,7 +166,7 @@
         .mark
         .map(|it| (it.incarnation.0, it.version, state_to_wire(it.state)));
     let lost = ack.lost.iter().map(|domain| domain.0).collect();
-    MembershipWire::Ack(mark, lost, ack.revision)
+    MembershipWire::Ack(mark, ack.number, lost, ack.revision)
 }
 
 fn mark_from_wire((incarnation, version, state): (u32, u32, u8)) -> Result<Mark> {
--- a/marigoldway-net/tests/control.rs
+++ b/marigoldway-net/tests/control.rs
@@ -29,7 +29,7 @@
 }
 
 fn frame(n: u64) -> Frame {
-    Frame::Membership(MembershipWire::Inquiry(n))
+    Frame::Membership(MembershipWire::Inquiry(n, 1))
 }
 
 async fn receive(inbound: &mut Inbound) -> (SocketAddrV4, Frame) {
