--- a/marigoldway-core/src/forward.rs
+++ b/marigoldway-core/src/forward.rs
@@ -21,9 +21,9 @@
 use crate::route::Route;
 use crate::route::RouteKeys;
 
-/// `Drop` says why a datagram went no further.
+/// `DropReason` says why a datagram went no further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Drop {
+pub enum DropReason {
     /// The datagram is not QUIC, or is truncated.
     Malformed,
     /// The datagram is longer than the system carries.
@@ -48,41 +48,41 @@
     SendFailed,
 }
 
-impl Drop {
+impl DropReason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Drop; 11] = [
-        Drop::Malformed,
-        Drop::Oversized,
-        Drop::ForeignService,
-        Drop::UnknownRoute,
-        Drop::ForeignAgent,
-        Drop::NoTarget,
-        Drop::ForgedEnvelope,
-        Drop::WrongDirection,
-        Drop::FlowRefused,
-        Drop::NoEntry,
-        Drop::SendFailed,
+    pub const ALL: [DropReason; 11] = [
+        DropReason::Malformed,
+        DropReason::Oversized,
+        DropReason::ForeignService,
+        DropReason::UnknownRoute,
+        DropReason::ForeignAgent,
+        DropReason::NoTarget,
+        DropReason::ForgedEnvelope,
+        DropReason::WrongDirection,
+        DropReason::FlowRefused,
+        DropReason::NoEntry,
+        DropReason::SendFailed,
     ];
 
     /// The reason as it stands in the names of counters.
     pub fn as_str(self) -> &'static str {
         match self {
-            Drop::Malformed => "malformed",
-            Drop::Oversized => "oversized",
-            Drop::ForeignService => "foreign-service",
-            Drop::UnknownRoute => "unknown-route",
-            Drop::ForeignAgent => "foreign-agent",
-            Drop::NoTarget => "no-target",
-            Drop::ForgedEnvelope => "forged-envelope",
-            Drop::WrongDirection => "wrong-direction",
-            Drop::FlowRefused => "flow-refused",
-            Drop::NoEntry => "no-entry",
-            Drop::SendFailed => "send-failed",
+            DropReason::Malformed => "malformed",
+            DropReason::Oversized => "oversized",
+            DropReason::ForeignService => "foreign-service",
+            DropReason::UnknownRoute => "unknown-route",
+            DropReason::ForeignAgent => "foreign-agent",
+            DropReason::NoTarget => "no-target",
+            DropReason::ForgedEnvelope => "forged-envelope",
+            DropReason::WrongDirection => "wrong-direction",
+            DropReason::FlowRefused => "flow-refused",
+            DropReason::NoEntry => "no-entry",
+            DropReason::SendFailed => "send-failed",
         }
     }
 }
 
-impl fmt::Display for Drop {
+impl fmt::Display for DropReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
     }
@@ -98,7 +98,7 @@
     /// Answer it with a stateless reset: its agent is gone.
     Reset,
     /// Drop it.
-    Drop(Drop),
+    Drop(DropReason),
 }
 
 /// `AgentScope` decides which addresses may be agents that the roster doesn't
@@ -137,25 +137,27 @@
         scope: &impl AgentScope,
     ) -> Decision {
         if datagram.len() > self.longest {
-            return Decision::Drop(Drop::Oversized);
+            return Decision::Drop(DropReason::Oversized);
         }
         let Some(head) = Head::parse(datagram) else {
-            return Decision::Drop(Drop::Malformed);
+            return Decision::Drop(DropReason::Malformed);
         };
         if let Some(route) = self.keys.decode(head.id) {
             return follow(&route, service, &head, view, scope);
         }
         match head.form {
-            Form::Opening if datagram.len() < MIN_INITIAL_LEN => Decision::Drop(Drop::Malformed),
+            Form::Opening if datagram.len() < MIN_INITIAL_LEN => {
+                Decision::Drop(DropReason::Malformed)
+            }
             Form::Opening => self.place(service, head.id, view),
-            Form::Handshake | Form::Short => Decision::Drop(Drop::UnknownRoute),
+            Form::Handshake | Form::Short => Decision::Drop(DropReason::UnknownRoute),
         }
     }
 
     fn place(&self, service: ServiceId, id: &[u8], view: &RosterView) -> Decision {
         match view.candidates(service, self.flow_key(id)) {
             Some(candidates) => Decision::Place(candidates),
-            None => Decision::Drop(Drop::NoTarget),
+            None => Decision::Drop(DropReason::NoTarget),
         }
     }
 
@@ -175,7 +177,7 @@
     scope: &impl AgentScope,
 ) -> Decision {
     if route.service != service {
-        return Decision::Drop(Drop::ForeignService);
+        return Decision::Drop(DropReason::ForeignService);
     }
     match view.record(route.agent) {
         // The caller need not wait for its timeout.
@@ -186,13 +188,13 @@
         // The roster may lag behind a new agent, so an agent that it doesn't
         // hold is tried as well, within the networks of the settings.
         None if scope.contains(route.agent) => Decision::Route(route.agent),
-        None => Decision::Drop(Drop::ForeignAgent),
+        None => Decision::Drop(DropReason::ForeignAgent),
     }
 }
 
 fn reset_if_short(head: &Head<'_>) -> Decision {
     match head.form {
         Form::Short => Decision::Reset,
-        Form::Opening | Form::Handshake => Decision::Drop(Drop::UnknownRoute),
+        Form::Opening | Form::Handshake => Decision::Drop(DropReason::UnknownRoute),
     }
 }
--- /dev/null
+++ b/marigoldway-net/src/forward.rs
@@ -0,0 +1,194 @@
+//! The packet loops of an entry.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use tokio::sync::watch;
+
+use marigoldway_core::forward::AgentScope;
+use marigoldway_core::forward::Decision;
+use marigoldway_core::forward::DropReason;
+use marigoldway_core::forward::Forwarder;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::packet::Head;
+use marigoldway_core::reset::ResetKey;
+use marigoldway_core::roster::RosterView;
+
+use crate::counters::PacketCounters;
+use crate::counters::Passage;
+use crate::envelope::Direction;
+use crate::envelope::Envelope;
+use crate::envelope::EnvelopeKey;
+use crate::envelope::HEADER_LEN;
+use crate::envelope::MAX_DATAGRAM_LEN;
+use crate::udp::Batch;
+use crate::udp::Received;
+use crate::udp::Udp;
+
+/// `EntryKeys` are the keys that an entry's packet path uses.
+#[derive(Clone)]
+pub struct EntryKeys {
+    /// Decides on callers' datagrams.
+    pub forwarder: Forwarder,
+    /// Authenticates envelopes.
+    pub envelope: EnvelopeKey,
+    /// Derives stateless reset tokens.
+    pub reset: ResetKey,
+}
+
+/// `EntryPlane` moves datagrams between callers and agents. It holds nothing
+/// that outlives a datagram but its keys and the latest roster.
+pub struct EntryPlane<S> {
+    keys: EntryKeys,
+    scope: S,
+    views: watch::Receiver<Arc<RosterView>>,
+    counters: Arc<PacketCounters>,
+    data: Udp,
+    services: IndexMap<ServiceId, Udp>,
+}
+
+impl<S: AgentScope> EntryPlane<S> {
+    /// Makes a plane from bound sockets: `data` towards agents, and one socket
+    /// for each service towards callers.
+    pub fn new(
+        keys: EntryKeys,
+        scope: S,
+        views: watch::Receiver<Arc<RosterView>>,
+        data: Udp,
+        services: IndexMap<ServiceId, Udp>,
+    ) -> EntryPlane<S> {
+        EntryPlane {
+            keys,
+            scope,
+            views,
+            counters: Arc::default(),
+            data,
+            services,
+        }
+    }
+
+    /// The counters of the plane.
+    pub fn counters(&self) -> &Arc<PacketCounters> {
+        &self.counters
+    }
+
+    /// Takes callers' datagrams of one service until the socket fails.
+    ///
+    /// Does nothing if the plane has no such service.
+    pub async fn serve(&self, service: ServiceId) -> io::Result<()> {
+        let Some(socket) = self.services.get(&service) else {
+            return Ok(());
+        };
+        let mut batch = Batch::default();
+        let mut packet = Vec::with_capacity(HEADER_LEN + MAX_DATAGRAM_LEN);
+        loop {
+            socket.recv(&mut batch).await?;
+            // One look at the roster serves the whole batch.
+            let view = self.views.borrow().clone();
+            for datagram in batch.datagrams() {
+                self.inbound(service, socket, &datagram, &view, &mut packet)
+                    .await;
+            }
+        }
+    }
+
+    async fn inbound(
+        &self,
+        service: ServiceId,
+        socket: &Udp,
+        datagram: &Received<'_>,
+        view: &RosterView,
+        packet: &mut Vec<u8>,
+    ) {
+        let decision = self
+            .keys
+            .forwarder
+            .decide(service, datagram.contents, view, &self.scope);
+        let (agent, second, passage) = match decision {
+            Decision::Route(agent) => (agent, None, Passage::Routed),
+            Decision::Place(it) => (it.first, it.second, Passage::Placed),
+            Decision::Reset => return self.reset(socket, datagram).await,
+            Decision::Drop(reason) => return self.counters.count_drop(reason),
+        };
+        let SocketAddr::V4(caller) = datagram.from else {
+            return self.counters.count_drop(DropReason::Malformed);
+        };
+        let envelope = Envelope {
+            caller,
+            service,
+            direction: Direction::Inbound {
+                second,
+                passed: false,
+            },
+        };
+        self.to_agent(agent, &envelope, datagram, passage, packet)
+            .await;
+    }
+
+    async fn to_agent(
+        &self,
+        agent: InstanceId,
+        envelope: &Envelope,
+        datagram: &Received<'_>,
+        passage: Passage,
+        packet: &mut Vec<u8>,
+    ) {
+        packet.clear();
+        packet.extend_from_slice(&self.keys.envelope.seal(envelope, datagram.contents));
+        packet.extend_from_slice(datagram.contents);
+        match self.data.send(agent.addr(), packet, datagram.ecn).await {
+            Ok(()) => self.counters.count(passage),
+            Err(_) => self.counters.count_drop(DropReason::SendFailed),
+        }
+    }
+
+    async fn reset(&self, socket: &Udp, datagram: &Received<'_>) {
+        let Some(head) = Head::parse(datagram.contents) else {
+            return self.counters.count_drop(DropReason::Malformed);
+        };
+        let len = datagram.contents.len();
+        let Some(reset) = self.keys.reset.datagram(head.id, len, &mut rand::rng()) else {
+            return self.counters.count_drop(DropReason::UnknownRoute);
+        };
+        match socket.send(datagram.from, &reset, None).await {
+            Ok(()) => self.counters.count(Passage::Reset),
+            Err(_) => self.counters.count_drop(DropReason::SendFailed),
+        }
+    }
+
+    /// Takes agents' replies until the socket fails.
+    pub async fn serve_replies(&self) -> io::Result<()> {
+        let mut batch = Batch::default();
+        loop {
+            self.data.recv(&mut batch).await?;
+            for packet in batch.datagrams() {
+                match self.reply(&packet).await {
+                    Ok(()) => self.counters.count(Passage::Replied),
+                    Err(reason) => self.counters.count_drop(reason),
+                }
+            }
+        }
+    }
+
+    async fn reply(&self, packet: &Received<'_>) -> Result<(), DropReason> {
+        let (envelope, datagram) = self
+            .keys
+            .envelope
+            .open(packet.contents)
+            .ok_or(DropReason::ForgedEnvelope)?;
+        if envelope.direction != Direction::Reply {
+            return Err(DropReason::WrongDirection);
+        }
+        let socket = self
+            .services
+            .get(&envelope.service)
+            .ok_or(DropReason::ForeignService)?;
+        socket
+            .send(SocketAddr::V4(envelope.caller), datagram, packet.ecn)
+            .await
+            .map_err(|_| DropReason::SendFailed)
+    }
+}
--- /dev/null
+++ b/marigoldway-net/src/gate.rs
@@ -0,0 +1,143 @@
+//! What an agent does with a datagram before QUIC sees it.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use indexmap::IndexMap;
+use tokio::sync::watch;
+
+use marigoldway_core::forward::DropReason;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::packet::Form;
+use marigoldway_core::packet::Head;
+use marigoldway_core::reply;
+use marigoldway_core::roster::RosterView;
+use marigoldway_core::route::Route;
+use marigoldway_core::route::RouteKeys;
+use marigoldway_core::time::Timestamp;
+
+use crate::clock::Clock;
+use crate::envelope::Direction;
+use crate::envelope::Envelope;
+
+/// Most entries remembered by their packets, for the time before the roster
+/// names any.
+const HEARD_MAX: usize = 16;
+
+/// `Verdict` is what becomes of a datagram at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// QUIC takes it.
+    Take,
+    /// It opens a flow that the second candidate shall take.
+    Pass(InstanceId),
+    /// It is dropped.
+    Drop(DropReason),
+}
+
+/// `Gate` keeps flows of other agents and services away from QUIC, passes new
+/// flows on, and chooses the entries that carry replies.
+pub struct Gate {
+    own: Route,
+    keys: RouteKeys,
+    clock: Clock,
+    views: watch::Receiver<Arc<RosterView>>,
+    heard: Mutex<IndexMap<InstanceId, Timestamp>>,
+}
+
+impl Gate {
+    /// Makes the gate of the agent that `own` names.
+    pub fn new(
+        own: Route,
+        keys: RouteKeys,
+        clock: Clock,
+        views: watch::Receiver<Arc<RosterView>>,
+    ) -> Gate {
+        Gate {
+            own,
+            keys,
+            clock,
+            views,
+            heard: Mutex::default(),
+        }
+    }
+
+    /// The route of the flows that begin here.
+    pub fn own(&self) -> &Route {
+        &self.own
+    }
+
+    /// The keys of the route IDs.
+    pub fn keys(&self) -> &RouteKeys {
+        &self.keys
+    }
+
+    /// Judges a datagram that came in its envelope from the entry or agent at
+    /// `from`.
+    pub fn judge(&self, from: SocketAddr, envelope: &Envelope, datagram: &[u8]) -> Verdict {
+        let Direction::Inbound { second, passed } = envelope.direction else {
+            return Verdict::Drop(DropReason::WrongDirection);
+        };
+        if envelope.service != self.own.service {
+            return Verdict::Drop(DropReason::ForeignService);
+        }
+        if !passed {
+            self.hear(from);
+        }
+        let Some(head) = Head::parse(datagram) else {
+            return Verdict::Drop(DropReason::Malformed);
+        };
+        match (self.keys.decode(head.id), head.form) {
+            (Some(route), _) => self.follow(&route),
+            (None, Form::Opening) => self.open(second, passed),
+            (None, Form::Handshake | Form::Short) => Verdict::Drop(DropReason::UnknownRoute),
+        }
+    }
+
+    /// QUIC answers flows of an earlier life with a stateless reset.
+    fn follow(&self, route: &Route) -> Verdict {
+        if route.service != self.own.service {
+            return Verdict::Drop(DropReason::ForeignService);
+        }
+        if route.agent != self.own.agent {
+            return Verdict::Drop(DropReason::ForeignAgent);
+        }
+        Verdict::Take
+    }
+
+    fn open(&self, _second: Option<InstanceId>, _passed: bool) -> Verdict {
+        Verdict::Take
+    }
+
+    /// The entry that carries a reply to `caller`.
+    ///
+    /// Until the roster names entries, those that were heard from serve.
+    pub fn entry(&self, caller: SocketAddrV4) -> Option<InstanceId> {
+        let now = self.clock.now();
+        let view = self.views.borrow();
+        if !view.entries().is_empty() {
+            return reply::choose(view.entries(), caller, now);
+        }
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let entries: Vec<InstanceId> = heard.keys().copied().collect();
+        reply::choose(&entries, caller, now)
+    }
+
+    fn hear(&self, from: SocketAddr) {
+        if !self.views.borrow().entries().is_empty() {
+            return;
+        }
+        let Ok(entry) = InstanceId::try_from(from) else {
+            return;
+        };
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        if heard.len() >= HEARD_MAX && !heard.contains_key(&entry) {
+            let oldest = heard.iter().min_by_key(|(_, at)| **at).map(|(id, _)| *id);
+            oldest.map(|id| heard.swap_remove(&id));
+        }
+        heard.insert(entry, self.clock.now());
+    }
+}
--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -1,5 +1,9 @@
 //! Sockets, codecs and protocols of the marigoldway load balancer.
 
 pub mod clock;
+pub mod counters;
 pub mod envelope;
+pub mod forward;
+pub mod gate;
+pub mod quic;
 pub mod udp;
--- /dev/null
+++ b/marigoldway-net/src/quic.rs
@@ -0,0 +1,304 @@
+//! QUIC at an agent, over envelopes in place of bare UDP.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::io;
+use std::io::ErrorKind;
+use std::io::IoSliceMut;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use quinn::AsyncUdpSocket;
+use quinn::ConnectionId;
+use quinn::ConnectionIdGenerator;
+use quinn::Endpoint;
+use quinn::EndpointConfig;
+use quinn::ServerConfig;
+use quinn::TokioRuntime;
+use quinn::UdpPoller;
+use quinn::crypto::CryptoError;
+use quinn::crypto::HmacKey;
+use quinn_proto::InvalidCid;
+use quinn_udp::RecvMeta;
+use quinn_udp::Transmit;
+use rand::RngExt;
+
+use marigoldway_core::forward::DropReason;
+use marigoldway_core::reset::ResetKey;
+use marigoldway_core::route::ROUTE_LEN;
+
+use crate::counters::PacketCounters;
+use crate::counters::Passage;
+use crate::envelope::Direction;
+use crate::envelope::Envelope;
+use crate::envelope::EnvelopeKey;
+use crate::envelope::HEADER_LEN;
+use crate::envelope::MAX_DATAGRAM_LEN;
+use crate::gate::Gate;
+use crate::gate::Verdict;
+use crate::udp::Batch;
+use crate::udp::Received;
+use crate::udp::Udp;
+
+/// `AgentSocket` unwraps the envelopes that come from entries and wraps the
+/// replies that go to them.
+pub struct AgentSocket {
+    udp: Udp,
+    key: EnvelopeKey,
+    gate: Arc<Gate>,
+    counters: Arc<PacketCounters>,
+    inbox: Mutex<Inbox>,
+}
+
+/// `Inbox` holds datagrams between the kernel's batch and QUIC's buffers.
+#[derive(Default)]
+struct Inbox {
+    batch: Batch,
+    queue: VecDeque<(RecvMeta, Vec<u8>)>,
+}
+
+impl AgentSocket {
+    /// Makes the socket of an agent.
+    pub fn new(udp: Udp, key: EnvelopeKey, gate: Arc<Gate>) -> AgentSocket {
+        AgentSocket {
+            udp,
+            key,
+            gate,
+            counters: Arc::default(),
+            inbox: Mutex::default(),
+        }
+    }
+
+    /// The counters of the socket.
+    pub fn counters(&self) -> &Arc<PacketCounters> {
+        &self.counters
+    }
+
+    fn unwrap_batch(&self, inbox: &mut Inbox) {
+        for packet in inbox.batch.datagrams() {
+            match self.unwrap(&packet) {
+                Ok(Some(item)) => inbox.queue.push_back(item),
+                Ok(None) => (),
+                Err(reason) => self.counters.count_drop(reason),
+            }
+        }
+    }
+
+    fn unwrap(&self, packet: &Received<'_>) -> Result<Option<(RecvMeta, Vec<u8>)>, DropReason> {
+        let opened = self.key.open(packet.contents);
+        let (envelope, datagram) = opened.ok_or(DropReason::ForgedEnvelope)?;
+        match self.gate.judge(packet.from, &envelope, datagram) {
+            Verdict::Drop(reason) => Err(reason),
+            Verdict::Pass(second) => {
+                self.pass(&envelope, datagram, packet, second)?;
+                Ok(None)
+            }
+            Verdict::Take => {
+                self.counters.count(Passage::Taken);
+                let meta = RecvMeta {
+                    addr: SocketAddr::V4(envelope.caller),
+                    len: datagram.len(),
+                    stride: datagram.len(),
+                    ecn: packet.ecn,
+                    dst_ip: None,
+                };
+                Ok(Some((meta, datagram.to_vec())))
+            }
+        }
+    }
+
+    fn pass(
+        &self,
+        envelope: &Envelope,
+        datagram: &[u8],
+        packet: &Received<'_>,
+        second: marigoldway_core::ids::InstanceId,
+    ) -> Result<(), DropReason> {
+        let envelope = Envelope {
+            direction: Direction::Inbound {
+                second: None,
+                passed: true,
+            },
+            ..*envelope
+        };
+        let sealed = self.sealed(&envelope, datagram);
+        self.udp
+            .try_send(second.addr(), &sealed, packet.ecn)
+            .map_err(|_| DropReason::SendFailed)?;
+        self.counters.count(Passage::Passed);
+        Ok(())
+    }
+
+    fn sealed(&self, envelope: &Envelope, datagram: &[u8]) -> Vec<u8> {
+        let mut packet = Vec::with_capacity(HEADER_LEN + datagram.len());
+        packet.extend_from_slice(&self.key.seal(envelope, datagram));
+        packet.extend_from_slice(datagram);
+        packet
+    }
+}
+
+impl fmt::Debug for AgentSocket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgentSocket").finish_non_exhaustive()
+    }
+}
+
+impl AsyncUdpSocket for AgentSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(WritePoller {
+            socket: self,
+            wait: None,
+        })
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let SocketAddr::V4(caller) = transmit.destination else {
+            self.counters.count_drop(DropReason::Malformed);
+            return Ok(());
+        };
+        // A reply that no entry can carry is lost like any datagram, and QUIC
+        // sends its content again.
+        let Some(entry) = self.gate.entry(caller) else {
+            self.counters.count_drop(DropReason::NoEntry);
+            return Ok(());
+        };
+        let envelope = Envelope {
+            caller,
+            service: self.gate.own().service,
+            direction: Direction::Reply,
+        };
+        let packet = self.sealed(&envelope, transmit.contents);
+        match self.udp.try_send(entry.addr(), &packet, transmit.ecn) {
+            Ok(()) => self.counters.count(Passage::Answered),
+            Err(err) if err.kind() == ErrorKind::WouldBlock => return Err(err),
+            Err(_) => self.counters.count_drop(DropReason::SendFailed),
+        }
+        Ok(())
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut inbox = self.inbox.lock().unwrap_or_else(PoisonError::into_inner);
+        let inbox = &mut *inbox;
+        while inbox.queue.is_empty() {
+            ready!(self.udp.poll_recv(cx, &mut inbox.batch))?;
+            self.unwrap_batch(inbox);
+        }
+
+        let mut filled = 0;
+        for (buf, meta) in bufs.iter_mut().zip(meta) {
+            let Some((head, datagram)) = inbox.queue.pop_front() else {
+                break;
+            };
+            buf[..datagram.len()].copy_from_slice(&datagram);
+            *meta = head;
+            filled += 1;
+        }
+        Poll::Ready(Ok(filled))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.udp.local_addr()
+    }
+}
+
+type Wait = Pin<Box<dyn Future<Output = io::Result<()>> + Send + Sync>>;
+
+/// `WritePoller` waits until the socket takes another datagram.
+struct WritePoller {
+    socket: Arc<AgentSocket>,
+    wait: Option<Wait>,
+}
+
+impl fmt::Debug for WritePoller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WritePoller").finish_non_exhaustive()
+    }
+}
+
+impl UdpPoller for WritePoller {
+    fn poll_writable(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let socket = self.socket.clone();
+        let wait = self
+            .wait
+            .get_or_insert_with(|| Box::pin(async move { socket.udp.writable().await }));
+        let result = ready!(wait.as_mut().poll(cx));
+        self.wait = None;
+        Poll::Ready(result)
+    }
+}
+
+/// `RouteIdGenerator` makes the route IDs of one agent.
+struct RouteIdGenerator {
+    gate: Arc<Gate>,
+}
+
+impl ConnectionIdGenerator for RouteIdGenerator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let nonce = rand::rng().random();
+        ConnectionId::new(&self.gate.keys().encode(self.gate.own(), nonce))
+    }
+
+    /// Accepts the IDs of earlier lives too, so that QUIC resets their flows.
+    fn validate(&self, id: &ConnectionId) -> Result<(), InvalidCid> {
+        match self.gate.keys().decode(id) {
+            Some(_) => Ok(()),
+            None => Err(InvalidCid),
+        }
+    }
+
+    fn cid_len(&self) -> usize {
+        ROUTE_LEN
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+/// `FleetResetKey` lets QUIC derive the fleet's stateless reset tokens.
+struct FleetResetKey(ResetKey);
+
+impl HmacKey for FleetResetKey {
+    fn sign(&self, data: &[u8], signature: &mut [u8]) {
+        signature.copy_from_slice(&self.0.sign(data)[..signature.len()]);
+    }
+
+    fn signature_len(&self) -> usize {
+        32
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        if self.0.sign(data)[..] == *signature {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
+
+/// Makes the QUIC endpoint of an agent over `socket`.
+pub fn agent_endpoint(
+    socket: Arc<AgentSocket>,
+    reset: ResetKey,
+    server: ServerConfig,
+) -> io::Result<Endpoint> {
+    let gate = socket.gate.clone();
+    let mut config = EndpointConfig::new(Arc::new(FleetResetKey(reset)));
+    config.cid_generator(move || Box::new(RouteIdGenerator { gate: gate.clone() }));
+    config
+        .max_udp_payload_size(MAX_DATAGRAM_LEN as u16)
+        .map_err(io::Error::other)?;
+    Endpoint::new_with_abstract_socket(config, Some(server), socket, Arc::new(TokioRuntime))
+}
