--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod forward;
 pub mod ids;
+pub mod message;
 pub mod packet;
 pub mod placement;
 pub mod reply;
--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod forward;
 pub mod gate;
 pub mod quic;
+pub mod errors;
 pub mod udp;
+pub mod wire;
