--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod admission;
 pub mod errors;
 pub mod ids;
 pub mod request;
