Add idempotency keys, the duplicate table, retries and relay decisions

A key names the one incarnation that may run its request, so no shared store is needed. The first attempt settles a key, "not run" included: an attempt that was delayed while a later one was refused would else run after its caller was told that nothing ran. For the same reason an expired key and a full table give "unknown", not a refusal; both move from Refusal to the new Doubt. core takes base64, which the workspace has already, for the text of keys.

--- /dev/null
+++ b/marigoldway-core/src/duplicates.rs
@@ -0,0 +1,215 @@
+//! The duplicate table: what became of each idempotency key of this process.
+//!
+//! The first attempt with a key settles it, whatever its outcome is, and every
+//! later attempt with the same request is given the same outcome. That holds
+//! for "not run" as well: an attempt that was delayed in the network while a
+//! later one was refused must not run after its caller was told that nothing
+//! ran. A caller that was told "not run" takes a new key.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::admission::RequestId;
+use crate::idempotency::IdempotencyKey;
+use crate::idempotency::Serial;
+use crate::request::Doubt;
+use crate::request::Refusal;
+use crate::time::Timestamp;
+
+/// `Digest` is the SHA-256 sum of everything that makes two requests the same:
+/// customer, method, path and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Digest(pub [u8; 32]);
+
+/// `DuplicatesOptions` bounds the memory of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DuplicatesOptions {
+    /// Keys that are kept at a time.
+    pub keys: usize,
+    /// Octets of answers that are kept at a time.
+    pub octets: usize,
+    /// Longest answer that is kept, in octets.
+    pub answer: usize,
+}
+
+impl Default for DuplicatesOptions {
+    fn default() -> DuplicatesOptions {
+        DuplicatesOptions {
+            keys: 65_536,
+            octets: 16 << 20,
+            answer: 16 << 10,
+        }
+    }
+}
+
+/// `Settled` is what became of a key, for good.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settled<A> {
+    /// The target ran the request, and this is the whole answer.
+    Done(A),
+    /// The request did not run and never will.
+    NotRun(Refusal),
+    /// The request may have run.
+    Unknown(Doubt),
+}
+
+/// `Claim` says what to do with an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Claim<A> {
+    /// It is the first: run it, and settle the key in every case.
+    Run,
+    /// The first attempt is in progress. This one is among the waiters that
+    /// [`Duplicates::settle`] gives back.
+    Wait,
+    /// The key was settled before.
+    Settled(Settled<A>),
+}
+
+#[derive(Clone, Debug)]
+enum State<A> {
+    Open { waiters: Vec<RequestId> },
+    Settled(Settled<A>),
+}
+
+#[derive(Clone, Debug)]
+struct Entry<A> {
+    digest: Digest,
+    state: State<A>,
+    /// Octets that count for this entry.
+    octets: usize,
+}
+
+/// `Duplicates` is the duplicate table of one incarnation of an agent. `A` is
+/// the kept form of an answer.
+#[derive(Clone, Debug)]
+pub struct Duplicates<A> {
+    options: DuplicatesOptions,
+    entries: IndexMap<Serial, Entry<A>>,
+    /// Keys in the order of their first attempts.
+    expiries: VecDeque<(Timestamp, Serial)>,
+    octets: usize,
+}
+
+impl<A: Clone> Duplicates<A> {
+    /// Makes an empty table.
+    pub fn new(options: DuplicatesOptions) -> Duplicates<A> {
+        Duplicates {
+            options,
+            entries: IndexMap::new(),
+            expiries: VecDeque::new(),
+            octets: 0,
+        }
+    }
+
+    /// Takes in an attempt with a key that this process issued and that has not
+    /// expired.
+    pub fn claim(
+        &mut self,
+        key: &IdempotencyKey,
+        digest: Digest,
+        id: RequestId,
+        now: Timestamp,
+    ) -> Claim<A> {
+        if let Some(entry) = self.entries.get_mut(&key.serial) {
+            return join(entry, digest, id);
+        }
+        self.expire(now);
+        let octets = self.options.answer;
+        if self.entries.len() >= self.options.keys || self.octets + octets > self.options.octets {
+            // Without a place in the table a delayed attempt could still run
+            // later, so this is no "not run".
+            return Claim::Settled(Settled::Unknown(Doubt::DuplicatesFull));
+        }
+
+        self.octets += octets;
+        self.expiries.push_back((key.expiry, key.serial));
+        let entry = Entry {
+            digest,
+            state: State::Open {
+                waiters: Vec::new(),
+            },
+            octets,
+        };
+        self.entries.insert(key.serial, entry);
+        Claim::Run
+    }
+
+    /// Settles a key and gives back the attempts that wait for it. `octets` is
+    /// the length of an answer; one that is too long to keep is given to the
+    /// waiters only, and later attempts learn that it is lost.
+    ///
+    /// A key that is settled already stays as it is.
+    pub fn settle(
+        &mut self,
+        serial: Serial,
+        settled: &Settled<A>,
+        octets: usize,
+    ) -> Vec<RequestId> {
+        let Some(entry) = self.entries.get_mut(&serial) else {
+            return Vec::new();
+        };
+        let State::Open { waiters } = &mut entry.state else {
+            return Vec::new();
+        };
+        let waiters = std::mem::take(waiters);
+
+        let (kept, octets) = match settled {
+            Settled::Done(_) if octets > self.options.answer => {
+                (Settled::Unknown(Doubt::AnswerNotKept), 0)
+            }
+            Settled::Done(_) => (settled.clone(), octets),
+            Settled::NotRun(_) | Settled::Unknown(_) => (settled.clone(), 0),
+        };
+        entry.state = State::Settled(kept);
+        self.octets = self.octets - entry.octets + octets;
+        entry.octets = octets;
+        waiters
+    }
+
+    /// Number of kept keys.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no key is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Drops the keys that have expired. One in progress is kept until it is
+    /// settled.
+    fn expire(&mut self, now: Timestamp) {
+        for _ in 0..self.expiries.len() {
+            let Some(&(expiry, serial)) = self.expiries.front() else {
+                return;
+            };
+            if expiry > now {
+                return;
+            }
+            self.expiries.pop_front();
+            let open = self
+                .entries
+                .get(&serial)
+                .is_some_and(|entry| matches!(entry.state, State::Open { .. }));
+            if open {
+                self.expiries.push_back((expiry, serial));
+            } else if let Some(entry) = self.entries.swap_remove(&serial) {
+                self.octets -= entry.octets;
+            }
+        }
+    }
+}
+
+fn join<A: Clone>(entry: &mut Entry<A>, digest: Digest, id: RequestId) -> Claim<A> {
+    if entry.digest != digest {
+        return Claim::Settled(Settled::NotRun(Refusal::KeyReused));
+    }
+    match &mut entry.state {
+        State::Open { waiters } => {
+            waiters.push(id);
+            Claim::Wait
+        }
+        State::Settled(settled) => Claim::Settled(settled.clone()),
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/idempotency.rs
@@ -0,0 +1,213 @@
+//! Idempotency keys: each names the one process that may run its request.
+//!
+//! An agent issues keys ahead of use. A key carries the agent, its incarnation,
+//! the service, an expiry and a serial number, authenticated with a key that
+//! the fleet shares. Any agent reads from it who may run the request, so no
+//! shared store has to know about requests.
+
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use sha2::Sha256;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::ids::Incarnation;
+use crate::ids::InstanceId;
+use crate::ids::ServiceId;
+use crate::time::Timestamp;
+
+/// Length of the authenticated fields in octets.
+const FIELDS_LEN: usize = 28;
+
+/// Length of the tag in octets.
+const TAG_LEN: usize = 16;
+
+/// Length of a key in octets, before it is written as base64url text.
+const KEY_LEN: usize = FIELDS_LEN + TAG_LEN;
+
+/// Length of a block of SHA-256 in octets.
+const BLOCK_LEN: usize = 64;
+
+/// `Serial` numbers the keys of one incarnation, from zero.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Serial(pub u64);
+
+/// `IdempotencyKey` is what a key says once it was found authentic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct IdempotencyKey {
+    /// The agent that issued the key.
+    pub agent: InstanceId,
+    /// The life of the agent in which it issued the key.
+    pub incarnation: Incarnation,
+    /// The service that the key is good for.
+    pub service: ServiceId,
+    /// When the key expires, on the clock of the process that issued it.
+    pub expiry: Timestamp,
+    /// Number of the key.
+    pub serial: Serial,
+}
+
+/// `KeyCipher` makes and checks the tags of keys.
+#[derive(Clone)]
+pub struct KeyCipher(Hmac<Sha256>);
+
+impl KeyCipher {
+    /// Makes a cipher from the fleet's secret.
+    pub fn new(secret: &[u8; 32]) -> KeyCipher {
+        // HMAC pads a key shorter than its block with zeros.
+        let mut block = [0; BLOCK_LEN];
+        block[..secret.len()].copy_from_slice(secret);
+        KeyCipher(Hmac::new(&block.into()))
+    }
+
+    /// Writes `key` as base64url text.
+    pub fn encode(&self, key: &IdempotencyKey) -> String {
+        let mut octets = [0; KEY_LEN];
+        octets[..FIELDS_LEN].copy_from_slice(&fields(key));
+        let tag = self.tag(&octets[..FIELDS_LEN]).finalize().into_bytes();
+        octets[FIELDS_LEN..].copy_from_slice(&tag[..TAG_LEN]);
+        URL_SAFE_NO_PAD.encode(octets)
+    }
+
+    /// Reads a key from text.
+    ///
+    /// Gives [`Error::Malformed`] for text that is no key, and
+    /// [`Error::NotAuthentic`] for a key that the fleet did not issue.
+    pub fn decode(&self, text: &str) -> Result<IdempotencyKey> {
+        let octets = URL_SAFE_NO_PAD
+            .decode(text)
+            .map_err(|err| Error::malformed(format!("idempotency key: {err}")))?;
+        let octets: [u8; KEY_LEN] = octets
+            .try_into()
+            .map_err(|_| Error::malformed(format!("idempotency key, expected {KEY_LEN} octets")))?;
+
+        let (fields, tag) = octets.split_at(FIELDS_LEN);
+        self.tag(fields)
+            .verify_truncated_left(tag)
+            .map_err(|_| Error::NotAuthentic)?;
+        Ok(parse(&octets))
+    }
+
+    fn tag(&self, fields: &[u8]) -> Hmac<Sha256> {
+        let mut mac = self.0.clone();
+        mac.update(fields);
+        mac
+    }
+}
+
+impl fmt::Debug for KeyCipher {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyCipher")
+    }
+}
+
+/// `Issuer` issues the keys of one incarnation of an agent, and sorts the keys
+/// that come back.
+#[derive(Clone, Debug)]
+pub struct Issuer {
+    agent: InstanceId,
+    incarnation: Incarnation,
+    service: ServiceId,
+    lifetime: Duration,
+    next: Serial,
+}
+
+/// `Owner` says who may run the request of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This process may.
+    Here,
+    /// This process may not any more, since the key has expired. Whether its
+    /// request ran before is unknown.
+    Expired,
+    /// Another agent may, and has to be asked.
+    Peer(InstanceId),
+    /// Nobody may: the process is gone, and with it what it knew.
+    Gone,
+    /// The key belongs to another service, so it never ran in this one.
+    OtherService,
+}
+
+impl Issuer {
+    /// Makes an issuer whose keys expire after `lifetime`.
+    pub fn new(
+        agent: InstanceId,
+        incarnation: Incarnation,
+        service: ServiceId,
+        lifetime: Duration,
+    ) -> Issuer {
+        Issuer {
+            agent,
+            incarnation,
+            service,
+            lifetime,
+            next: Serial(0),
+        }
+    }
+
+    /// Issues a key.
+    pub fn issue(&mut self, now: Timestamp) -> IdempotencyKey {
+        let serial = self.next;
+        self.next = Serial(serial.0 + 1);
+        IdempotencyKey {
+            agent: self.agent,
+            incarnation: self.incarnation,
+            service: self.service,
+            expiry: now + self.lifetime,
+            serial,
+        }
+    }
+
+    /// Says who may run the request of `key`.
+    pub fn owner(&self, key: &IdempotencyKey, now: Timestamp) -> Owner {
+        if key.service != self.service {
+            return Owner::OtherService;
+        }
+        if key.agent != self.agent {
+            return Owner::Peer(key.agent);
+        }
+        if key.incarnation != self.incarnation {
+            return Owner::Gone;
+        }
+        if key.expiry <= now {
+            return Owner::Expired;
+        }
+        Owner::Here
+    }
+}
+
+fn fields(key: &IdempotencyKey) -> [u8; FIELDS_LEN] {
+    let mut out = [0; FIELDS_LEN];
+    out[..4].copy_from_slice(&key.agent.0.ip().octets());
+    out[4..6].copy_from_slice(&key.agent.0.port().to_be_bytes());
+    out[6..8].copy_from_slice(&key.service.0.to_be_bytes());
+    out[8..12].copy_from_slice(&key.incarnation.0.to_be_bytes());
+    out[12..20].copy_from_slice(&key.expiry.as_micros().to_be_bytes());
+    out[20..].copy_from_slice(&key.serial.0.to_be_bytes());
+    out
+}
+
+fn parse(octets: &[u8; KEY_LEN]) -> IdempotencyKey {
+    let ip = Ipv4Addr::from(part::<4>(octets, 0));
+    let port = u16::from_be_bytes(part(octets, 4));
+    IdempotencyKey {
+        agent: InstanceId::new(ip, port),
+        service: ServiceId(u16::from_be_bytes(part(octets, 6))),
+        incarnation: Incarnation(u32::from_be_bytes(part(octets, 8))),
+        expiry: Timestamp::from_micros(u64::from_be_bytes(part(octets, 12))),
+        serial: Serial(u64::from_be_bytes(part(octets, 20))),
+    }
+}
+
+fn part<const N: usize>(octets: &[u8; KEY_LEN], at: usize) -> [u8; N] {
+    let mut out = [0; N];
+    out.copy_from_slice(&octets[at..at + N]);
+    out
+}
--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -9,8 +9,12 @@
 //! which explains how a packet finds its target.
 
 pub mod admission;
+pub mod duplicates;
 pub mod errors;
+pub mod idempotency;
 pub mod ids;
+pub mod relay;
 pub mod request;
+pub mod retry;
 pub mod route;
 pub mod time;
--- a/marigoldway-core/src/request.rs
+++ b/marigoldway-core/src/request.rs
@@ -70,14 +70,10 @@
     NotInPlan,
     /// The idempotency key is malformed or was not issued by an agent.
     KeyInvalid,
-    /// The idempotency key has expired.
-    KeyExpired,
     /// The idempotency key was used before with another request.
     KeyReused,
     /// The request must carry an idempotency key and has none.
     KeyMissing,
-    /// The duplicate table is full.
-    DuplicatesFull,
     /// The target refused the request before it began to run it.
     TargetRefused,
     /// The target can't be reached.
@@ -90,7 +86,7 @@
 
 impl Refusal {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Refusal; 18] = [
+    pub const ALL: [Refusal; 16] = [
         Refusal::Leaving,
         Refusal::QueueFull,
         Refusal::Deadline,
@@ -101,10 +97,8 @@
         Refusal::UnknownCustomer,
         Refusal::NotInPlan,
         Refusal::KeyInvalid,
-        Refusal::KeyExpired,
         Refusal::KeyReused,
         Refusal::KeyMissing,
-        Refusal::DuplicatesFull,
         Refusal::TargetRefused,
         Refusal::TargetDown,
         Refusal::BodyLimit,
@@ -125,10 +119,8 @@
             Refusal::UnknownCustomer => "unknown-customer",
             Refusal::NotInPlan => "not-in-plan",
             Refusal::KeyInvalid => "key-invalid",
-            Refusal::KeyExpired => "key-expired",
             Refusal::KeyReused => "key-reused",
             Refusal::KeyMissing => "key-missing",
-            Refusal::DuplicatesFull => "duplicates-full",
             Refusal::TargetRefused => "target-refused",
             Refusal::TargetDown => "target-down",
             Refusal::BodyLimit => "body-limit",
@@ -142,3 +134,60 @@
         f.write_str(self.as_str())
     }
 }
+
+/// `Doubt` says why it is unknown whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Doubt {
+    /// The connection to the target broke before the whole answer came.
+    AnswerBroken,
+    /// The answer did not come before the deadline.
+    AnswerLate,
+    /// The request ran, but its answer was too long to be kept for a repeat.
+    AnswerNotKept,
+    /// The idempotency key has expired; the request may have run before.
+    KeyExpired,
+    /// The process that issued the idempotency key is gone.
+    IssuerGone,
+    /// The process that issued the idempotency key did not answer.
+    IssuerSilent,
+    /// The peer that the request was relayed to did not answer.
+    PeerSilent,
+    /// The duplicate table is full, so a delayed attempt may still run.
+    DuplicatesFull,
+}
+
+impl Doubt {
+    /// Every reason, in the order of the counters.
+    pub const ALL: [Doubt; 8] = [
+        Doubt::AnswerBroken,
+        Doubt::AnswerLate,
+        Doubt::AnswerNotKept,
+        Doubt::KeyExpired,
+        Doubt::IssuerGone,
+        Doubt::IssuerSilent,
+        Doubt::PeerSilent,
+        Doubt::DuplicatesFull,
+    ];
+
+    /// The reason as it stands in the `marigoldway-reason` header and in the
+    /// names of counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Doubt::AnswerBroken => "answer-broken",
+            Doubt::AnswerLate => "answer-late",
+            Doubt::AnswerNotKept => "answer-not-kept",
+            Doubt::KeyExpired => "key-expired",
+            Doubt::IssuerGone => "issuer-gone",
+            Doubt::IssuerSilent => "issuer-silent",
+            Doubt::PeerSilent => "peer-silent",
+            Doubt::DuplicatesFull => "duplicates-full",
+        }
+    }
+}
+
+impl fmt::Display for Doubt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
