--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,8 +8,11 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod admission;
+pub mod duplicates;
 pub mod errors;
 pub mod forward;
+pub mod idempotency;
 pub mod ids;
 pub mod message;
 pub mod packet;
@@ -18,5 +21,9 @@
 pub mod request;
 pub mod reset;
 pub mod roster;
+pub mod relay;
+pub mod request;
+pub mod reset;
+pub mod retry;
 pub mod route;
 pub mod time;
