Add the two lists: format, checks, catalog, examples

Plans and allowances are text, one item a line, checked as a whole; a refusal names the line and the reason.

--- a/marigoldway-core/src/errors.rs
+++ b/marigoldway-core/src/errors.rs
@@ -21,6 +21,13 @@
         /// What was read, and the range that is allowed.
         detail: String,
     },
+    /// A line of a list can't be accepted.
+    Line {
+        /// Line number from 1.
+        line: usize,
+        /// What is wrong with the line.
+        reason: String,
+    },
     /// The input was not made with one of the keys held here.
     NotAuthentic,
 }
@@ -33,6 +40,14 @@
         }
     }
 
+    /// Makes an [`Error::Line`].
+    pub fn line(line: usize, reason: impl Into<String>) -> Error {
+        Error::Line {
+            line,
+            reason: reason.into(),
+        }
+    }
+
     /// Makes an [`Error::OutOfRange`].
     pub fn out_of_range(name: &'static str, detail: impl Into<String>) -> Error {
         Error::OutOfRange {
@@ -47,6 +62,7 @@
         match self {
             Error::Malformed { detail } => write!(f, "malformed input: {detail}"),
             Error::OutOfRange { name, detail } => write!(f, "{name} out of range: {detail}"),
+            Error::Line { line, reason } => write!(f, "line {line}: {reason}"),
             Error::NotAuthentic => f.write_str("not made with a key held here"),
         }
     }
--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod errors;
 pub mod ids;
+pub mod lists;
 pub mod request;
 pub mod route;
 pub mod time;
