--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod idempotency;
 pub mod ids;
 pub mod message;
+pub mod lists;
 pub mod packet;
 pub mod placement;
 pub mod reply;
