--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -9,7 +9,13 @@
 //! which explains how a packet finds its target.
 
 pub mod errors;
+pub mod forward;
 pub mod ids;
+pub mod packet;
+pub mod placement;
+pub mod reply;
 pub mod request;
+pub mod reset;
+pub mod roster;
 pub mod route;
 pub mod time;
