Add the caller library: whole answers or truthful outcomes over HTTP/3

A client speaks HTTP/3 to one service over one connection at a time. A try that broke after its first octet is unknown; not run is said only where nothing was sent or the server said so. A later refusal never overrides an earlier doubt.

--- /dev/null
+++ b/marigoldway-client/src/client.rs
@@ -0,0 +1,184 @@
+//! A client of one service.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use http::Method;
+use quinn::Endpoint;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use crate::answer::Answer;
+use crate::answer::Reason;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::exchange;
+use crate::exchange::Try;
+use crate::link;
+use crate::link::Link;
+use crate::link::LinkState;
+use crate::options::ClientOptions;
+use crate::request::Key;
+use crate::request::Request;
+use crate::retry;
+use crate::retry::Budget;
+use crate::retry::Repeat;
+
+/// Time that a client waits past a deadline, for the server's word on it.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Least time left in which a try is begun.
+const MIN_LEFT: Duration = Duration::from_millis(1);
+
+/// `Client` speaks to one service over one connection at a time and opens the
+/// next one where that is lost. Clones share the connection.
+#[derive(Clone)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    options: ClientOptions,
+    endpoint: Endpoint,
+    link: tokio::sync::Mutex<Option<Link>>,
+    budget: Mutex<Budget>,
+}
+
+impl Client {
+    /// Makes a client and opens its first connection.
+    ///
+    /// Fails on malformed options, and where no server can be reached.
+    pub async fn connect(options: ClientOptions) -> Result<Client> {
+        let endpoint = link::endpoint(&options)?;
+        let client = Client {
+            shared: Arc::new(Shared {
+                options,
+                endpoint,
+                link: tokio::sync::Mutex::new(None),
+                budget: Mutex::default(),
+            }),
+        };
+        client.link().await?;
+        Ok(client)
+    }
+
+    /// Sends a request and waits for the whole answer or a truthful outcome.
+    ///
+    /// Fails only on a malformed request. A request that may be repeated, or
+    /// that carries a key, is sent again within the retry budget and its
+    /// deadline; any other is never sent again after its first octet.
+    pub async fn request(&self, request: Request) -> Result<Answer> {
+        let limit = request.deadline.unwrap_or(self.shared.options.deadline);
+        let deadline = Instant::now() + limit;
+        let repeat = repeat(&request);
+        self.budget().earn();
+
+        let mut retries = 0;
+        let mut doubt = false;
+        loop {
+            let mut end = self.attempt(&request, deadline).await?;
+            let again = retry::may_retry(repeat, end.sent, &end.answer);
+            retry::settle(&mut doubt, &mut end.answer);
+            if !again {
+                return Ok(end.answer);
+            }
+            let pause = retry::pause(retries, end.answer.retry_after, &mut rand::rng());
+            if Instant::now() + pause >= deadline || !self.budget().spend() {
+                return Ok(end.answer);
+            }
+            sleep(pause).await;
+            retries += 1;
+        }
+    }
+
+    /// Fetches `count` idempotency keys from the service.
+    pub async fn keys(&self, count: usize) -> Result<Vec<Key>> {
+        let request = Request {
+            method: Method::POST,
+            path: format!("/.marigoldway/keys?count={count}"),
+            repeatable: true,
+            ..Request::default()
+        };
+        let answer = self.request(request).await?;
+        if !answer.is_success() {
+            return Err(Error::refused(answer));
+        }
+        let text = std::str::from_utf8(&answer.body)
+            .map_err(|_| Error::malformed("keys that are no UTF-8 text"))?;
+        text.lines().map(Key::try_from).collect()
+    }
+
+    /// Closes the connection and waits until the server was told.
+    pub async fn close(&self) {
+        self.shared.link.lock().await.take();
+        self.shared.endpoint.close(0x100_u32.into(), b"");
+        self.shared.endpoint.wait_idle().await;
+    }
+
+    /// The open connection, or a new one where there is none.
+    pub(crate) async fn link(&self) -> Result<Link> {
+        let mut slot = self.shared.link.lock().await;
+        if let Some(link) = slot.as_ref().filter(|l| l.state() == LinkState::Open) {
+            return Ok(link.clone());
+        }
+        *slot = None;
+        let link = self.dial().await?;
+        *slot = Some(link.clone());
+        Ok(link)
+    }
+
+    /// Tries the servers in turn, beginning with any of them.
+    async fn dial(&self) -> Result<Link> {
+        let options = &self.shared.options;
+        let start = rand::rng().random_range(0..options.servers.len());
+        let (tail, first) = options.servers.split_at(start);
+        let mut fault = Error::no_connection("no server");
+        for server in first.iter().chain(tail) {
+            match Link::open(&self.shared.endpoint, *server, options).await {
+                Ok(link) => return Ok(link),
+                Err(error) => fault = error,
+            }
+        }
+        Err(fault)
+    }
+
+    async fn attempt(&self, request: &Request, deadline: Instant) -> Result<Try> {
+        let mut link = match timeout_at(deadline, self.link()).await {
+            Ok(Ok(link)) => link,
+            Ok(Err(fault @ Error::Malformed { .. })) => return Err(fault),
+            Ok(Err(_)) => return Ok(Try::unsent(Reason::NoConnection)),
+            Err(_) => return Ok(Try::unsent(Reason::Timeout)),
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left < MIN_LEFT {
+            return Ok(Try::unsent(Reason::Timeout));
+        }
+
+        let options = &self.shared.options;
+        let head = exchange::head(request, options, left)?;
+        let body = request.body.clone();
+        let running = exchange::exchange(&mut link, head, body, options.body_limit);
+        let end = timeout_at(deadline + GRACE, running).await;
+        Ok(end.unwrap_or_else(|_| Try::broken(Reason::Timeout)))
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        let budget = &self.shared.budget;
+        budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn repeat(request: &Request) -> Repeat {
+    if request.repeatable {
+        return Repeat::Free;
+    }
+    match request.key {
+        Some(_) => Repeat::Keyed,
+        None => Repeat::Never,
+    }
+}
--- /dev/null
+++ b/marigoldway-client/src/exchange.rs
@@ -0,0 +1,205 @@
+//! One try of a request over one connection.
+
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use h3::client::RequestStream;
+use h3::error::Code;
+use h3::error::StreamError;
+use h3_quinn::RecvStream;
+use h3_quinn::SendStream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use http::header::CONTENT_LENGTH;
+use marigoldway_core::request::Outcome;
+
+use crate::answer::Answer;
+use crate::answer::Reason;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::link::Link;
+use crate::link::LinkState;
+use crate::options::ClientOptions;
+use crate::request::Request;
+
+/// `Try` is how one try ended.
+pub(crate) struct Try {
+    /// Whether an octet of the request may have left this process.
+    pub(crate) sent: bool,
+    /// What is known of the request after this try.
+    pub(crate) answer: Answer,
+}
+
+impl Try {
+    /// A try that ended before its first octet.
+    pub(crate) fn unsent(reason: Reason) -> Try {
+        Try {
+            sent: false,
+            answer: Answer::unanswered(Outcome::NotRun, reason),
+        }
+    }
+
+    /// A try that broke off after its first octet may have gone out.
+    pub(crate) fn broken(reason: Reason) -> Try {
+        Try {
+            sent: true,
+            answer: Answer::unanswered(Outcome::Unknown, reason),
+        }
+    }
+
+    fn failed(error: &StreamError) -> Try {
+        match error {
+            StreamError::RemoteClosing => Try::unsent(Reason::Rejected),
+            // A server gives this code only to a request that it didn't begin
+            // to process (RFC 9114, section 4.1.1).
+            StreamError::RemoteTerminate { code } if *code == Code::H3_REQUEST_REJECTED => Try {
+                sent: true,
+                answer: Answer::unanswered(Outcome::NotRun, Reason::Rejected),
+            },
+            _ => Try::broken(Reason::Broken),
+        }
+    }
+}
+
+/// The head of `request` as HTTP/3 sends it. `left` is the time that the
+/// service may take.
+pub(crate) fn head(
+    request: &Request,
+    options: &ClientOptions,
+    left: Duration,
+) -> Result<http::Request<()>> {
+    let mut head = http::Request::builder()
+        .method(&request.method)
+        .uri(format!("https://{}{}", options.name, request.path))
+        .body(())
+        .map_err(|error| Error::malformed(error.to_string()))?;
+    let headers = head.headers_mut();
+    headers.extend(request.headers.clone());
+
+    let token = format!("Bearer {}", options.token);
+    headers.insert(AUTHORIZATION, secret(&token)?);
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert("marigoldway-deadline-ms", HeaderValue::from(millis));
+    if let Some(key) = &request.key {
+        headers.insert("idempotency-key", secret(key.as_str())?);
+    }
+    if !request.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(request.body.len()));
+    }
+    Ok(head)
+}
+
+fn secret(text: &str) -> Result<HeaderValue> {
+    let mut value = HeaderValue::from_str(text)
+        .map_err(|_| Error::malformed("token or key with octets that no header may hold"))?;
+    value.set_sensitive(true);
+    Ok(value)
+}
+
+/// Sends a request and waits for the whole answer.
+pub(crate) async fn exchange(
+    link: &mut Link,
+    head: http::Request<()>,
+    body: Bytes,
+    limit: usize,
+) -> Try {
+    if link.state() != LinkState::Open {
+        return Try::unsent(Reason::Rejected);
+    }
+    let stream = match link.sender.send_request(head).await {
+        Ok(stream) => stream,
+        Err(error) => return Try::failed(&error),
+    };
+    let (send, mut recv) = stream.split();
+
+    // The body goes out beside the reading, because a server may refuse early.
+    let sending = send_body(send, body);
+    let receiving = receive(&mut recv, limit);
+    tokio::pin!(sending);
+    tokio::pin!(receiving);
+    let mut sent = false;
+    loop {
+        tokio::select! {
+            end = &mut receiving => return end,
+            () = &mut sending, if !sent => sent = true,
+        }
+    }
+}
+
+/// `Upload` resets its stream when it is dropped before the end, so that no
+/// server takes half a body for a whole one.
+struct Upload {
+    stream: RequestStream<SendStream<Bytes>, Bytes>,
+    whole: bool,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if !self.whole {
+            self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
+        }
+    }
+}
+
+/// Sends the body. A fault shows on the receiving side too, which reports it.
+async fn send_body(stream: RequestStream<SendStream<Bytes>, Bytes>, body: Bytes) {
+    let mut upload = Upload {
+        stream,
+        whole: false,
+    };
+    if !body.is_empty() && upload.stream.send_data(body).await.is_err() {
+        return;
+    }
+    upload.whole = upload.stream.finish().await.is_ok();
+}
+
+async fn receive(stream: &mut RequestStream<RecvStream, Bytes>, limit: usize) -> Try {
+    let (status, headers) = match stream.recv_response().await {
+        Ok(response) => {
+            let (parts, ()) = response.into_parts();
+            (parts.status, parts.headers)
+        }
+        Err(error) => return Try::failed(&error),
+    };
+    let body = match receive_body(stream, limit).await {
+        Ok(body) => body,
+        Err(end) => return end,
+    };
+    if length(&headers).is_some_and(|length| length != body.len()) {
+        return Try::broken(Reason::Broken);
+    }
+    whole(status, headers, body)
+}
+
+fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Try {
+    Try {
+        sent: true,
+        answer: Answer::whole(status, headers, body),
+    }
+}
+
+async fn receive_body(
+    stream: &mut RequestStream<RecvStream, Bytes>,
+    limit: usize,
+) -> std::result::Result<Bytes, Try> {
+    let mut body = BytesMut::new();
+    loop {
+        let mut chunk = match stream.recv_data().await {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => return Ok(body.freeze()),
+            Err(error) => return Err(Try::failed(&error)),
+        };
+        if body.len() + chunk.remaining() > limit {
+            return Err(Try::broken(Reason::TooLong));
+        }
+        body.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+    }
+}
+
+fn length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
