--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -3,9 +3,9 @@
 pub mod clock;
 pub mod counters;
 pub mod envelope;
+pub mod errors;
 pub mod forward;
 pub mod gate;
 pub mod quic;
-pub mod errors;
 pub mod udp;
 pub mod wire;
--- a/marigoldway-net/src/wire/membership.rs
+++ b/marigoldway-net/src/wire/membership.rs
@@ -223,8 +223,8 @@
 }
 
 fn addr_from_wire(bits: u64) -> Result<SocketAddrV4> {
-    let ip = u32::try_from(bits >> 16)
-        .map_err(|_| Error::malformed("address has more than 48 bits"))?;
+    let ip =
+        u32::try_from(bits >> 16).map_err(|_| Error::malformed("address has more than 48 bits"))?;
     let port = (bits & u64::from(u16::MAX)) as u16;
     Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), port))
 }
