--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -109,14 +109,12 @@
         | Refusal::CustomerConnections
         | Refusal::RequestRate
         | Refusal::BulkLimit
-        | Refusal::DuplicatesFull
         | Refusal::TargetRefused
         | Refusal::TargetDown => true,
         Refusal::Deadline
         | Refusal::UnknownCustomer
         | Refusal::NotInPlan
         | Refusal::KeyInvalid
-        | Refusal::KeyExpired
         | Refusal::KeyReused
         | Refusal::KeyMissing
         | Refusal::BodyLimit
