--- /dev/null
+++ b/marigoldway/src/agent/flows.rs
@@ -0,0 +1,106 @@
+//! The flows of an agent: HTTP/3 connections and their requests.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use h3::server::Connection;
+use quinn::Endpoint;
+use quinn::Incoming;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::agent::proxy::Proxy;
+use crate::shutdown::Phase;
+use crate::shutdown::reached;
+
+/// `Flows` accepts connections and serves their requests.
+pub(super) struct Flows {
+    proxy: Arc<Proxy>,
+    phase: watch::Receiver<Phase>,
+    open: AtomicUsize,
+    ended: Notify,
+}
+
+impl Flows {
+    /// Makes an empty set of flows.
+    pub(super) fn new(proxy: Proxy, phase: watch::Receiver<Phase>) -> Flows {
+        Flows {
+            proxy: Arc::new(proxy),
+            phase,
+            open: AtomicUsize::new(0),
+            ended: Notify::new(),
+        }
+    }
+
+    /// Flows that are open.
+    pub(super) fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Waits until no flow is open.
+    pub(super) async fn ended(&self) {
+        loop {
+            let ended = self.ended.notified();
+            if self.open() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Accepts flows until the endpoint is closed.
+    pub(super) async fn accept(self: Arc<Self>, endpoint: Endpoint) {
+        while let Some(incoming) = endpoint.accept().await {
+            let flows = self.clone();
+            flows.open.fetch_add(1, Ordering::AcqRel);
+            tokio::spawn(async move {
+                flows.serve(incoming).await;
+                flows.open.fetch_sub(1, Ordering::AcqRel);
+                flows.ended.notify_waiters();
+            });
+        }
+    }
+
+    async fn serve(&self, incoming: Incoming) {
+        let caller = incoming.remote_address();
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(err) => return log::debug!("event=handshake-failed caller={caller} error={err:?}"),
+        };
+        let connection = h3_quinn::Connection::new(connection);
+        match h3::server::Connection::new(connection).await {
+            Ok(connection) => self.requests(connection).await,
+            Err(err) => log::debug!("event=flow-failed caller={caller} error={err:?}"),
+        }
+    }
+
+    /// Serves the requests of one flow. When the agent leaves, the caller is
+    /// told so, and the flow ends with the last request that it has open.
+    async fn requests(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
+        let mut phase = self.phase.clone();
+        let mut told = false;
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = reached(&mut phase, Phase::Leaving), if !told => {
+                    told = true;
+                    if connection.shutdown(0).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            let Ok(Some(resolver)) = accepted else {
+                return;
+            };
+            let proxy = self.proxy.clone();
+            tokio::spawn(async move {
+                if let Ok((request, stream)) = resolver.resolve_request().await {
+                    proxy.serve(request, stream).await;
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway/src/agent/mod.rs
@@ -0,0 +1,101 @@
+//! The `agent` process: it stands beside a target and ends the flows to it.
+
+mod flows;
+mod proxy;
+mod tls;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use quinn::Endpoint;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use marigoldway_core::ids::Incarnation;
+use marigoldway_core::reset::ResetKey;
+use marigoldway_core::roster::RosterView;
+use marigoldway_core::route::Route;
+use marigoldway_net::clock::Clock;
+use marigoldway_net::counters::PacketCounters;
+use marigoldway_net::envelope::EnvelopeKey;
+use marigoldway_net::gate::Gate;
+use marigoldway_net::quic;
+use marigoldway_net::quic::AgentSocket;
+
+use crate::agent::flows::Flows;
+use crate::agent::proxy::Proxy;
+use crate::entry::bind;
+use crate::entry::half;
+use crate::errors::RunError;
+use crate::settings::AgentSettings;
+use crate::shutdown::Phase;
+use crate::shutdown::reached;
+
+/// Time that the last packets to callers may take at the end.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// `Agent` is the running packet path of an agent.
+pub struct Agent {
+    endpoint: Endpoint,
+    flows: Arc<Flows>,
+    counters: Arc<PacketCounters>,
+}
+
+impl Agent {
+    /// Binds the socket of an agent and begins to accept flows.
+    ///
+    /// Fails where the address can't be bound or the certificate can't be used.
+    pub fn start(
+        settings: &AgentSettings,
+        incarnation: Incarnation,
+        clock: Clock,
+        views: watch::Receiver<Arc<RosterView>>,
+        phase: watch::Receiver<Phase>,
+    ) -> Result<Agent, Report<RunError>> {
+        let own = Route {
+            agent: settings.network.data,
+            service: settings.target.service,
+            incarnation,
+        };
+        let gate = Arc::new(Gate::new(own, settings.keys.route.clone(), clock, views));
+        let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
+        let udp = bind(settings.network.data.addr())?;
+        let socket = Arc::new(AgentSocket::new(udp, key, gate));
+        let counters = socket.counters().clone();
+
+        let reset = ResetKey::new(&settings.keys.reset.0);
+        let server = tls::server_config(&settings.tls)?;
+        let endpoint = quic::agent_endpoint(socket, reset, server)
+            .change_context_lazy(|| RunError::start("QUIC endpoint"))?;
+        let proxy = Proxy::new(&settings.target, settings.network.data);
+        let flows = Arc::new(Flows::new(proxy, phase));
+        tokio::spawn(flows.clone().accept(endpoint.clone()));
+        Ok(Agent {
+            endpoint,
+            flows,
+            counters,
+        })
+    }
+
+    /// The counters of the packet path.
+    pub fn counters(&self) -> &Arc<PacketCounters> {
+        &self.counters
+    }
+
+    /// Waits until the process was told to leave and its flows have ended, or
+    /// `limit` has passed, and closes what is left. Gives back how many flows
+    /// were cut.
+    pub async fn drain(&self, mut phase: watch::Receiver<Phase>, limit: Duration) -> usize {
+        reached(&mut phase, Phase::Leaving).await;
+        tokio::select! {
+            () = self.flows.ended() => (),
+            _ = timeout(limit, reached(&mut phase, Phase::Ending)) => (),
+        }
+        let cut = self.flows.open();
+        self.endpoint.close(0_u32.into(), b"leaving");
+        let _ = timeout(CLOSE_LIMIT, self.endpoint.wait_idle()).await;
+        cut
+    }
+}
--- /dev/null
+++ b/marigoldway/src/entry/mod.rs
@@ -0,0 +1,108 @@
+//! The `entry` process: a balancer that holds no state for any flow.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use indexmap::IndexMap;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use marigoldway_core::forward::Forwarder;
+use marigoldway_core::reset::ResetKey;
+use marigoldway_core::roster::RosterView;
+use marigoldway_net::counters::PacketCounters;
+use marigoldway_net::envelope::EnvelopeKey;
+use marigoldway_net::envelope::MAX_DATAGRAM_LEN;
+use marigoldway_net::forward::EntryKeys;
+use marigoldway_net::forward::EntryPlane;
+use marigoldway_net::udp::BUFFER_LEN;
+use marigoldway_net::udp::Udp;
+
+use crate::errors::RunError;
+use crate::scope::AgentNetworks;
+use crate::settings::EntrySettings;
+use crate::shutdown::Phase;
+use crate::shutdown::reached;
+
+/// Time for which a leaving entry still forwards: agents learn within it that
+/// replies shall take another way, and packets on their way arrive.
+pub const LINGER: Duration = Duration::from_secs(3);
+
+/// Binds the sockets of an entry and starts its packet loops. Gives back the
+/// counters of the packet path.
+///
+/// Fails where an address can't be bound. The loops run until the process ends.
+pub fn start(
+    settings: &EntrySettings,
+    views: watch::Receiver<Arc<RosterView>>,
+) -> Result<Arc<PacketCounters>, Report<RunError>> {
+    let data = bind(settings.network.data.addr())?;
+    let mut services = IndexMap::new();
+    for service in &settings.services {
+        services.insert(service.id, bind(SocketAddr::V4(service.listen))?);
+    }
+    let ids: Vec<_> = services.keys().copied().collect();
+    let scope = AgentNetworks(settings.network.agent_networks.clone());
+    let plane = Arc::new(EntryPlane::new(
+        keys(settings),
+        scope,
+        views,
+        data,
+        services,
+    ));
+
+    for id in ids {
+        let plane = plane.clone();
+        tokio::spawn(async move {
+            loop {
+                let end = plane.serve(id).await;
+                log::warn!("event=receive-failed service={id} result={end:?}");
+            }
+        });
+    }
+    let counters = plane.counters().clone();
+    tokio::spawn(async move {
+        loop {
+            let end = plane.serve_replies().await;
+            log::warn!("event=receive-failed socket=data result={end:?}");
+        }
+    });
+    Ok(counters)
+}
+
+/// Waits until the process was told to leave and has lingered.
+pub async fn drain(mut phase: watch::Receiver<Phase>) {
+    reached(&mut phase, Phase::Leaving).await;
+    tokio::select! {
+        () = sleep(LINGER) => (),
+        () = reached(&mut phase, Phase::Ending) => (),
+    }
+}
+
+fn keys(settings: &EntrySettings) -> EntryKeys {
+    let envelope = half(&settings.keys.envelope.0, 0);
+    let hash = half(&settings.keys.envelope.0, 1);
+    EntryKeys {
+        forwarder: Forwarder::new(settings.keys.route.clone(), hash, MAX_DATAGRAM_LEN),
+        envelope: EnvelopeKey::new(envelope),
+        reset: ResetKey::new(&settings.keys.reset.0),
+    }
+}
+
+/// One of the two keys of 16 octets in a secret of 32.
+pub(crate) fn half(secret: &[u8; 32], index: usize) -> [u8; 16] {
+    std::array::from_fn(|at| secret[index * 16 + at])
+}
+
+/// Binds a socket and says so if the kernel grants less than it was asked for.
+pub(crate) fn bind(addr: SocketAddr) -> Result<Udp, Report<RunError>> {
+    let socket = Udp::bind(addr).change_context_lazy(|| RunError::bind(addr))?;
+    let granted = socket.granted();
+    if granted < BUFFER_LEN {
+        log::warn!("event=small-buffer addr={addr} granted={granted} asked={BUFFER_LEN}");
+    }
+    Ok(socket)
+}
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -3,4 +3,9 @@
 //!
 //! Start with [`settings`], which lists all that a process is told.
 
+pub mod agent;
+pub mod entry;
+pub mod errors;
+pub mod scope;
 pub mod settings;
+pub mod shutdown;
