--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod counters;
+pub mod control;
 pub mod envelope;
 pub mod errors;
 pub mod forward;
