--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod clock;
 pub mod envelope;
+pub mod platform;
 pub mod udp;
--- /dev/null
+++ b/marigoldway-net/src/platform/calls.rs
@@ -0,0 +1,64 @@
+//! Counts of the calls made to the platform.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// `CallKind` sorts calls as the platform counts them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CallKind {
+    /// A read.
+    Get,
+    /// A compare-and-swap.
+    Swap,
+    /// The opening of a lease.
+    Lease,
+    /// The renewal of a lease.
+    KeepAlive,
+    /// A watch, counted when it is opened.
+    Watch,
+}
+
+impl CallKind {
+    /// Every kind, in the order of the counters.
+    pub const ALL: [CallKind; 5] = [
+        CallKind::Get,
+        CallKind::Swap,
+        CallKind::Lease,
+        CallKind::KeepAlive,
+        CallKind::Watch,
+    ];
+
+    /// The kind as it stands in the names of counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CallKind::Get => "get",
+            CallKind::Swap => "swap",
+            CallKind::Lease => "lease",
+            CallKind::KeepAlive => "keep-alive",
+            CallKind::Watch => "watch",
+        }
+    }
+}
+
+/// `CallCounts` counts calls by kind since the start of the process.
+#[derive(Debug, Default)]
+pub struct CallCounts {
+    counts: [AtomicU64; CallKind::ALL.len()],
+}
+
+impl CallCounts {
+    /// Counts one call.
+    pub(crate) fn count(&self, kind: CallKind) {
+        self.counts[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Calls of one kind.
+    pub fn of(&self, kind: CallKind) -> u64 {
+        self.counts[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// Calls of every kind.
+    pub fn total(&self) -> u64 {
+        CallKind::ALL.into_iter().map(|kind| self.of(kind)).sum()
+    }
+}
--- /dev/null
+++ b/marigoldway-net/src/platform/etcd.rs
@@ -0,0 +1,240 @@
+//! The platform over etcd's v3 JSON gateway.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::platform::LeaseId;
+use crate::platform::Platform;
+use crate::platform::Range;
+use crate::platform::Read;
+use crate::platform::Stored;
+use crate::platform::Swap;
+use crate::platform::Swapped;
+use crate::platform::Watch;
+use crate::platform::calls::CallCounts;
+use crate::platform::calls::CallKind;
+use crate::platform::errors::Error;
+use crate::platform::errors::Result;
+use crate::platform::wire::GrantRequest;
+use crate::platform::wire::KeepAliveRequest;
+use crate::platform::wire::LeaseResponse;
+use crate::platform::wire::RangeRequest;
+use crate::platform::wire::RangeResponse;
+use crate::platform::wire::Streamed;
+use crate::platform::wire::TxnRequest;
+use crate::platform::wire::TxnResponse;
+use crate::platform::wire::WatchRequest;
+use crate::platform::wire::WatchResponse;
+
+/// Longest answer in octets: two values of a megabyte in base64.
+const MAX_ANSWER_LEN: usize = 4 << 20;
+
+/// Changes of one watch that wait for their reader.
+const WATCH_QUEUE: usize = 16;
+
+/// `EtcdOptions` says where the platform is and how long a call may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EtcdOptions {
+    /// TCP address of the gateway.
+    pub address: SocketAddr,
+    /// Time limit of a call, and of the opening of a watch.
+    pub timeout: Duration,
+}
+
+/// `EtcdPlatform` makes one connection for each call, since calls are rare.
+#[derive(Debug)]
+pub struct EtcdPlatform {
+    options: EtcdOptions,
+    calls: CallCounts,
+}
+
+impl EtcdPlatform {
+    /// Makes a client. Nothing is sent yet.
+    pub fn new(options: EtcdOptions) -> EtcdPlatform {
+        EtcdPlatform {
+            options,
+            calls: CallCounts::default(),
+        }
+    }
+
+    /// The calls made so far.
+    pub fn calls(&self) -> &CallCounts {
+        &self.calls
+    }
+
+    async fn call<A: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        path: &'static str,
+        body: &impl Serialize,
+    ) -> Result<A> {
+        let body = encode(body)?;
+        self.limited(kind, async {
+            let (response, reader) = self.send(path, body).await?;
+            let answer = Limited::new(response.into_body(), MAX_ANSWER_LEN)
+                .collect()
+                .await
+                .map_err(Error::unreachable);
+            reader.abort();
+            serde_json::from_slice(&answer?.to_bytes()).map_err(Error::answer)
+        })
+        .await
+    }
+
+    /// Sends one request and waits for the head of the answer. The task given
+    /// back drives the connection.
+    async fn send(
+        &self,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<(Response<Incoming>, JoinHandle<()>)> {
+        let address = self.options.address;
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(Error::unreachable)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(Error::unreachable)?;
+        let driver = tokio::spawn(async move {
+            // What breaks the connection is seen by the reader of the answer.
+            let _ = connection.await;
+        });
+
+        let request = Request::post(path)
+            .header(HOST, address.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(Error::answer)?;
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(Error::unreachable)?;
+        if response.status() != StatusCode::OK {
+            driver.abort();
+            return Err(Error::answer(response.status()));
+        }
+        Ok((response, driver))
+    }
+
+    async fn limited<T>(&self, kind: CallKind, work: impl Future<Output = Result<T>>) -> Result<T> {
+        self.calls.count(kind);
+        let limit = self.options.timeout;
+        tokio::time::timeout(limit, work)
+            .await
+            .unwrap_or(Err(Error::Timeout { limit }))
+    }
+}
+
+impl Platform for EtcdPlatform {
+    async fn get(&self, range: Range<'_>) -> Result<Read> {
+        let request = RangeRequest::from(range);
+        let response: RangeResponse = self.call(CallKind::Get, "/v3/kv/range", &request).await?;
+        Read::try_from(response)
+    }
+
+    async fn compare_and_swap(&self, swap: &Swap) -> Result<Swapped> {
+        let request = TxnRequest::from(swap);
+        let response: TxnResponse = self.call(CallKind::Swap, "/v3/kv/txn", &request).await?;
+        if response.succeeded {
+            return Ok(Swapped::Applied(response.revision()));
+        }
+        Ok(Swapped::Refused)
+    }
+
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        let request = GrantRequest {
+            ttl: ttl.as_secs().max(1).to_string(),
+        };
+        let path = "/v3/lease/grant";
+        let response: LeaseResponse = self.call(CallKind::Lease, path, &request).await?;
+        Ok(LeaseId(response.id.0))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<()> {
+        let request = KeepAliveRequest {
+            id: lease.0.to_string(),
+        };
+        let path = "/v3/lease/keepalive";
+        let response: Streamed<LeaseResponse> =
+            self.call(CallKind::KeepAlive, path, &request).await?;
+        if response.result.ttl.0 == 0 {
+            return Err(Error::LeaseLost);
+        }
+        Ok(())
+    }
+
+    async fn watch(&self, prefix: &str, revision: u64) -> Result<Watch> {
+        let body = encode(&WatchRequest::new(prefix, revision))?;
+        let opened = self.send("/v3/watch", body);
+        let (response, driver) = self.limited(CallKind::Watch, opened).await?;
+        let (changes, queue) = mpsc::channel(WATCH_QUEUE);
+        let reader = tokio::spawn(async move {
+            read_watch(response.into_body(), &changes).await;
+            driver.abort();
+        });
+        Ok(Watch::new(queue, reader))
+    }
+}
+
+fn encode(body: &impl Serialize) -> Result<Bytes> {
+    let body = serde_json::to_vec(body).map_err(Error::answer)?;
+    Ok(Bytes::from(body))
+}
+
+/// Reads answers, one JSON value a line, until one can't be used.
+async fn read_watch(mut body: Incoming, changes: &mpsc::Sender<Stored>) {
+    let mut buffer = BytesMut::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.extend_from_slice(&data);
+        if buffer.len() > MAX_ANSWER_LEN {
+            return;
+        }
+        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line = buffer.split_to(end);
+            buffer.advance(1);
+            if !pass_on(&line, changes).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Passes the changes of one answer on, and tells whether the watch goes on.
+async fn pass_on(line: &[u8], changes: &mpsc::Sender<Stored>) -> bool {
+    let Ok(answer) = serde_json::from_slice::<Streamed<WatchResponse>>(line) else {
+        return false;
+    };
+    for event in answer.result.events {
+        let Some(Ok(stored)) = event.put().map(Stored::try_from) else {
+            continue;
+        };
+        if changes.send(stored).await.is_err() {
+            return false;
+        }
+    }
+    !answer.result.canceled
+}
--- /dev/null
+++ b/marigoldway-net/src/platform/wire.rs
@@ -0,0 +1,253 @@
+//! JSON messages of etcd's v3 gateway, as far as the client uses them.
+//!
+//! The gateway follows the JSON mapping of protocol buffers: octets in base64,
+//! 64-bit numbers as strings, and fields with a default value left out.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::platform::LeaseId;
+use crate::platform::Range;
+use crate::platform::Read;
+use crate::platform::Stored;
+use crate::platform::Swap;
+use crate::platform::errors::Error;
+
+#[derive(Debug, Serialize)]
+pub(crate) struct RangeRequest {
+    key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    range_end: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    limit: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    sort_order: Option<&'static str>,
+}
+
+impl From<Range<'_>> for RangeRequest {
+    fn from(range: Range<'_>) -> RangeRequest {
+        let (key, end) = match range {
+            Range::Key(key) => (key, None),
+            Range::Newest(key, _) | Range::Prefix(key) => (key, Some(prefix_end(key))),
+        };
+        let limit = match range {
+            Range::Newest(_, limit) => Some(limit),
+            Range::Key(_) | Range::Prefix(_) => None,
+        };
+        RangeRequest {
+            key: STANDARD.encode(key),
+            range_end: end,
+            limit: limit.map(|n| n.to_string()),
+            sort_order: limit.map(|_| "DESCEND"),
+        }
+    }
+}
+
+/// The first key after all that start with `prefix`, in base64. Prefixes end in
+/// an ASCII character, so the last octet can be raised.
+fn prefix_end(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last = last.saturating_add(1);
+    }
+    STANDARD.encode(end)
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Header {
+    revision: Number,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct KeyValue {
+    key: String,
+    value: String,
+    mod_revision: Number,
+}
+
+impl TryFrom<KeyValue> for Stored {
+    type Error = Error;
+
+    fn try_from(kv: KeyValue) -> Result<Stored, Error> {
+        let key = STANDARD.decode(kv.key).map_err(Error::answer)?;
+        Ok(Stored {
+            key: String::from_utf8(key).map_err(Error::answer)?,
+            value: STANDARD.decode(kv.value).map_err(Error::answer)?,
+            revision: kv.mod_revision.0,
+        })
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeResponse {
+    header: Header,
+    kvs: Vec<KeyValue>,
+}
+
+impl TryFrom<RangeResponse> for Read {
+    type Error = Error;
+
+    fn try_from(response: RangeResponse) -> Result<Read, Error> {
+        Ok(Read {
+            found: response
+                .kvs
+                .into_iter()
+                .map(Stored::try_from)
+                .collect::<Result<_, _>>()?,
+            revision: response.header.revision.0,
+        })
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct TxnRequest {
+    compare: Vec<Compare>,
+    success: Vec<Operation>,
+}
+
+#[derive(Debug, Serialize)]
+struct Compare {
+    key: String,
+    target: &'static str,
+    result: &'static str,
+    mod_revision: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Operation {
+    request_put: Put,
+}
+
+#[derive(Debug, Serialize)]
+struct Put {
+    key: String,
+    value: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<String>,
+}
+
+impl From<&Swap> for TxnRequest {
+    fn from(swap: &Swap) -> TxnRequest {
+        let compare = swap.compares.iter().map(|(key, revision)| Compare {
+            key: STANDARD.encode(key),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: revision.to_string(),
+        });
+        let success = swap.puts.iter().map(|(key, value)| Operation {
+            request_put: Put {
+                key: STANDARD.encode(key),
+                value: STANDARD.encode(value),
+                lease: swap.lease.map(|LeaseId(id)| id.to_string()),
+            },
+        });
+        TxnRequest {
+            compare: compare.collect(),
+            success: success.collect(),
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResponse {
+    header: Header,
+    pub(crate) succeeded: bool,
+}
+
+impl TxnResponse {
+    pub(crate) fn revision(&self) -> u64 {
+        self.header.revision.0
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct GrantRequest {
+    #[serde(rename = "TTL")]
+    pub(crate) ttl: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    pub(crate) id: Number,
+    #[serde(rename = "TTL")]
+    pub(crate) ttl: Number,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct KeepAliveRequest {
+    #[serde(rename = "ID")]
+    pub(crate) id: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Streamed<T> {
+    pub(crate) result: T,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchRequest {
+    create_request: CreateRequest,
+}
+
+#[derive(Debug, Serialize)]
+struct CreateRequest {
+    key: String,
+    range_end: String,
+    start_revision: String,
+}
+
+impl WatchRequest {
+    pub(crate) fn new(prefix: &str, revision: u64) -> WatchRequest {
+        WatchRequest {
+            create_request: CreateRequest {
+                key: STANDARD.encode(prefix),
+                range_end: prefix_end(prefix),
+                start_revision: revision.to_string(),
+            },
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchResponse {
+    pub(crate) canceled: bool,
+    pub(crate) events: Vec<Event>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    kv: KeyValue,
+}
+
+impl Event {
+    /// The written value, or `None` if the key was deleted.
+    pub(crate) fn put(self) -> Option<KeyValue> {
+        (self.kind != "DELETE").then_some(self.kv)
+    }
+}
+
+/// `Number` reads a 64-bit number that stands as a string.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(try_from = "String")]
+pub(crate) struct Number(pub(crate) u64);
+
+impl TryFrom<String> for Number {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: String) -> Result<Number, Self::Error> {
+        text.parse().map(Number)
+    }
+}
