--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod counters;
 pub mod control;
 pub mod envelope;
+pub mod platform;
 pub mod errors;
 pub mod forward;
 pub mod gate;
