--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -3,4 +3,8 @@
 //!
 //! Start with [`settings`], which lists all that a process is told.
 
+pub mod logging;
+pub mod metrics;
+pub mod operator;
 pub mod settings;
+pub mod shutdown;
--- /dev/null
+++ b/marigoldway/src/metrics.rs
@@ -0,0 +1,192 @@
+//! Counters: kept in the process, and sent to StatsD as what was added since.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::NopMetricSink;
+use cadence::StatsdClient;
+use indexmap::IndexMap;
+
+use marigoldway_core::forward::Drop;
+use marigoldway_core::request::Refusal;
+
+use crate::shutdown::Shutdown;
+
+/// Prefix of every counter's name at StatsD.
+const PREFIX: &str = "marigoldway";
+
+/// Time between two reports to StatsD.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `Retry` says why a process tried something again or elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Retry {
+    /// The first candidate passed a new flow to the second.
+    FlowPassed,
+    /// A request went to a peer because the own target is saturated.
+    RelaySaturated,
+    /// A request went to the agent that issued its idempotency key.
+    RelayKey,
+    /// The target refused a request before it began, which went to a peer.
+    TargetRefused,
+    /// A connection to the target was opened anew before an octet was sent.
+    TargetConnect,
+    /// A control connection to a peer was opened anew.
+    ControlConnect,
+    /// A call to the platform was made again.
+    PlatformCall,
+}
+
+impl Retry {
+    /// Every reason, in the order of the counters.
+    pub const ALL: [Retry; 7] = [
+        Retry::FlowPassed,
+        Retry::RelaySaturated,
+        Retry::RelayKey,
+        Retry::TargetRefused,
+        Retry::TargetConnect,
+        Retry::ControlConnect,
+        Retry::PlatformCall,
+    ];
+
+    /// The reason as it stands in the names of counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Retry::FlowPassed => "flow-passed",
+            Retry::RelaySaturated => "relay-saturated",
+            Retry::RelayKey => "relay-key",
+            Retry::TargetRefused => "target-refused",
+            Retry::TargetConnect => "target-connect",
+            Retry::ControlConnect => "control-connect",
+            Retry::PlatformCall => "platform-call",
+        }
+    }
+}
+
+/// `Counter` names one counter of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Counter {
+    /// Requests that were refused.
+    Refusal(Refusal),
+    /// Things that were tried again or elsewhere.
+    Retry(Retry),
+    /// Datagrams that were dropped.
+    Drop(Drop),
+    /// Any other event.
+    Event(&'static str),
+}
+
+impl Counter {
+    /// Name of the counter, such as `refusal.leaving`.
+    pub fn name(self) -> String {
+        match self {
+            Counter::Refusal(reason) => format!("refusal.{}", reason.as_str()),
+            Counter::Retry(reason) => format!("retry.{}", reason.as_str()),
+            Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
+            Counter::Event(name) => format!("event.{name}"),
+        }
+    }
+}
+
+/// `Metrics` holds the counters of a process.
+pub struct Metrics {
+    client: StatsdClient,
+    counters: RwLock<IndexMap<Counter, Arc<AtomicU64>>>,
+}
+
+impl Metrics {
+    /// Makes counters that go to `statsd`, or stay in the process. Every
+    /// refusal, retry and drop reason is there from the start, at zero.
+    ///
+    /// Errors are the system's, where it gives no socket.
+    pub fn new(statsd: Option<SocketAddrV4>) -> io::Result<Metrics> {
+        let client = match statsd {
+            Some(addr) => {
+                let socket = UdpSocket::bind("0.0.0.0:0")?;
+                socket.set_nonblocking(true)?;
+                let sink = BufferedUdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
+                StatsdClient::from_sink(PREFIX, sink)
+            }
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+
+        let refusals = Refusal::ALL.into_iter().map(Counter::Refusal);
+        let retries = Retry::ALL.into_iter().map(Counter::Retry);
+        let drops = Drop::ALL.into_iter().map(Counter::Drop);
+        let known = refusals.chain(retries).chain(drops);
+        Ok(Metrics {
+            client,
+            counters: RwLock::new(known.map(|counter| (counter, Arc::default())).collect()),
+        })
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds `count` to a counter.
+    pub fn add(&self, counter: Counter, count: u64) {
+        self.cell(counter).fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// The cell behind a counter, for a path that counts too often to look it
+    /// up each time.
+    pub fn cell(&self, counter: Counter) -> Arc<AtomicU64> {
+        let counters = self.counters.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(cell) = counters.get(&counter) {
+            return cell.clone();
+        }
+        drop(counters);
+
+        let mut counters = self
+            .counters
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        counters.entry(counter).or_default().clone()
+    }
+
+    /// Every counter by name.
+    pub fn snapshot(&self) -> IndexMap<String, u64> {
+        let counters = self.counters.read().unwrap_or_else(PoisonError::into_inner);
+        counters
+            .iter()
+            .map(|(counter, cell)| (counter.name(), cell.load(Ordering::Relaxed)))
+            .collect()
+    }
+
+    /// Sends what was added since `sent`, and brings `sent` up to date.
+    fn report(&self, sent: &mut IndexMap<String, u64>) {
+        for (name, count) in self.snapshot() {
+            let before = sent.insert(name.clone(), count).unwrap_or_default();
+            let added = i64::try_from(count.saturating_sub(before)).unwrap_or(i64::MAX);
+            if added > 0 {
+                // StatsD is lossy by design, and the counters stay readable here.
+                let _ = self.client.count(&name, added);
+            }
+        }
+        let _ = self.client.flush();
+    }
+}
+
+/// Reports counters to StatsD until the process ends.
+pub async fn run(metrics: Arc<Metrics>, shutdown: Shutdown) {
+    let mut sent = IndexMap::new();
+    let mut tick = tokio::time::interval(REPORT_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = tick.tick() => metrics.report(&mut sent),
+            () = shutdown.ending() => break,
+        }
+    }
+    metrics.report(&mut sent);
+}
