Add feeds that open elsewhere before they leave, and tests of the caller library

A feed whose server announces that it leaves opens a second stream, resumes after the last event delivered, drops what comes twice and only then closes the first.

--- a/marigoldway-client/src/client.rs
+++ b/marigoldway-client/src/client.rs
@@ -120,6 +120,10 @@
         self.shared.endpoint.wait_idle().await;
     }
 
+    pub(crate) fn options(&self) -> &ClientOptions {
+        &self.shared.options
+    }
+
     /// The open connection, or a new one where there is none.
     pub(crate) async fn link(&self) -> Result<Link> {
         let mut slot = self.shared.link.lock().await;
@@ -160,7 +164,7 @@
         }
 
         let options = &self.shared.options;
-        let head = exchange::head(request, options, left)?;
+        let head = exchange::head(request, options, Some(left))?;
         let body = request.body.clone();
         let running = exchange::exchange(&mut link, head, body, options.body_limit);
         let end = timeout_at(deadline + GRACE, running).await;
--- a/marigoldway-client/src/exchange.rs
+++ b/marigoldway-client/src/exchange.rs
@@ -8,6 +8,7 @@
 use h3::client::RequestStream;
 use h3::error::Code;
 use h3::error::StreamError;
+use h3::quic;
 use h3_quinn::RecvStream;
 use h3_quinn::SendStream;
 use http::HeaderMap;
@@ -66,11 +67,11 @@
 }
 
 /// The head of `request` as HTTP/3 sends it. `left` is the time that the
-/// service may take.
+/// service may take, `None` for a feed.
 pub(crate) fn head(
     request: &Request,
     options: &ClientOptions,
-    left: Duration,
+    left: Option<Duration>,
 ) -> Result<http::Request<()>> {
     let mut head = http::Request::builder()
         .method(&request.method)
@@ -82,8 +83,10 @@
 
     let token = format!("Bearer {}", options.token);
     headers.insert(AUTHORIZATION, secret(&token)?);
-    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    headers.insert("marigoldway-deadline-ms", HeaderValue::from(millis));
+    if let Some(left) = left {
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert("marigoldway-deadline-ms", HeaderValue::from(millis));
+    }
     if let Some(key) = &request.key {
         headers.insert("idempotency-key", secret(key.as_str())?);
     }
@@ -182,8 +185,9 @@
     }
 }
 
-async fn receive_body(
-    stream: &mut RequestStream<RecvStream, Bytes>,
+/// Reads a body to its end, up to `limit` octets.
+pub(crate) async fn receive_body<S: quic::RecvStream>(
+    stream: &mut RequestStream<S, Bytes>,
     limit: usize,
 ) -> std::result::Result<Bytes, Try> {
     let mut body = BytesMut::new();
--- /dev/null
+++ b/marigoldway-client/src/feed/source.rs
@@ -0,0 +1,121 @@
+//! One stream of events over one connection.
+
+use std::collections::VecDeque;
+
+use bytes::Buf;
+use bytes::Bytes;
+use h3::client::RequestStream;
+use h3_quinn::BidiStream;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::ACCEPT;
+use tokio::time::timeout;
+
+use crate::answer::Answer;
+use crate::client::Client;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::exchange;
+use crate::link::Link;
+use crate::link::LinkState;
+use crate::request::Request;
+use crate::sse::Event;
+use crate::sse::Parser;
+
+/// Longest body that is read with a refusal, in octets.
+const REFUSAL_LIMIT: usize = 64 << 10;
+
+/// `Input` is what a source tells its feed.
+pub(crate) enum Input {
+    /// An event arrived.
+    Event(Event),
+    /// The server leaves, told once. Events go on.
+    Leaving,
+    /// The stream is over.
+    Ended,
+}
+
+/// `Source` is one stream of events.
+pub(crate) struct Source {
+    link: Link,
+    stream: RequestStream<BidiStream<Bytes>, Bytes>,
+    parser: Parser,
+    ready: VecDeque<Event>,
+    told: bool,
+}
+
+impl Source {
+    /// Opens a stream that resumes after the event `last`.
+    pub(crate) async fn open(
+        client: &Client,
+        path: &str,
+        last: Option<u64>,
+    ) -> Result<Box<Source>> {
+        let opening = Source::start(client, path, last);
+        match timeout(client.options().deadline, opening).await {
+            Ok(source) => source.map(Box::new),
+            Err(_) => Err(Error::no_connection("no answer in time")),
+        }
+    }
+
+    async fn start(client: &Client, path: &str, last: Option<u64>) -> Result<Source> {
+        let mut request = Request::get(path);
+        let accept = HeaderValue::from_static("text/event-stream");
+        request.headers.insert(ACCEPT, accept);
+        if let Some(last) = last {
+            request.headers.insert("last-event-id", last.into());
+        }
+        let head = exchange::head(&request, client.options(), None)?;
+
+        let mut link = client.link().await?;
+        let mut stream = link.sender.send_request(head).await.map_err(broken)?;
+        stream.finish().await.map_err(broken)?;
+        let (parts, ()) = stream.recv_response().await.map_err(broken)?.into_parts();
+        if parts.status != StatusCode::OK {
+            let body = exchange::receive_body(&mut stream, REFUSAL_LIMIT).await;
+            let body = body.unwrap_or_default();
+            let answer = Answer::whole(parts.status, parts.headers, body);
+            return Err(Error::refused(answer));
+        }
+        Ok(Source {
+            link,
+            stream,
+            parser: Parser::default(),
+            ready: VecDeque::new(),
+            told: false,
+        })
+    }
+
+    /// Whether the server has said that it leaves, or is gone.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.link.state() != LinkState::Open
+    }
+
+    /// Waits for what the source tells next. Safe to cancel.
+    pub(crate) async fn next(&mut self) -> Input {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Input::Event(event);
+            }
+            tokio::select! {
+                chunk = self.stream.recv_data() => {
+                    let Ok(Some(mut chunk)) = chunk else {
+                        return Input::Ended;
+                    };
+                    let chunk = chunk.copy_to_bytes(chunk.remaining());
+                    if self.parser.push(&chunk, &mut self.ready).is_err() {
+                        return Input::Ended;
+                    }
+                }
+                () = self.link.left(), if !self.told => {
+                    self.told = true;
+                    return Input::Leaving;
+                }
+            }
+        }
+    }
+}
+
+fn broken(error: h3::error::StreamError) -> Error {
+    Error::no_connection(error.to_string())
+}
--- a/marigoldway-client/src/link.rs
+++ b/marigoldway-client/src/link.rs
@@ -92,6 +92,12 @@
         }
         *self.state.borrow()
     }
+
+    /// Waits until the server announces that it leaves, or is gone.
+    pub(crate) async fn left(&mut self) {
+        // A driver that is gone has reported the end of the connection.
+        let _ = self.state.wait_for(|state| *state > LinkState::Open).await;
+    }
 }
 
 /// Drives a connection to its end and reports each change of its state.
--- /dev/null
+++ b/marigoldway-client/tests/support/mod.rs
@@ -0,0 +1,267 @@
+//! A small HTTP/3 server whose paths misbehave on purpose.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use h3::error::Code;
+use h3::server::Connection;
+use h3::server::RequestStream;
+use h3_quinn::BidiStream;
+use http::Request;
+use http::Response;
+use quinn::Endpoint;
+use quinn::ServerConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use rcgen::CertifiedKey;
+use rustls::crypto::ring;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivatePkcs8KeyDer;
+use tokio::sync::watch;
+
+use marigoldway_client::options::ClientOptions;
+
+type Stream = RequestStream<BidiStream<Bytes>, Bytes>;
+
+/// Time between two events of a feed.
+const TICK: Duration = Duration::from_millis(2);
+
+/// What servers of one service share.
+pub struct Service {
+    certificate: CertificateDer<'static>,
+    key: Vec<u8>,
+    /// Number of the last event of the feed.
+    tick: Arc<AtomicU64>,
+    /// Requests whose head a server has read, but for feeds.
+    pub calls: Arc<AtomicU64>,
+}
+
+/// One server. Dropping it closes its connections.
+pub struct Server {
+    pub addr: SocketAddr,
+    endpoint: Endpoint,
+    leave: watch::Sender<bool>,
+    open: Arc<AtomicBool>,
+}
+
+impl Service {
+    /// Makes a service and starts its clock. Runs in a tokio runtime.
+    pub fn start() -> Service {
+        let CertifiedKey { cert, signing_key } =
+            rcgen::generate_simple_self_signed(["service.test".to_owned()]).expect("certificate");
+        let tick = Arc::new(AtomicU64::new(0));
+        let clock = tick.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                clock.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+        Service {
+            certificate: cert.der().clone(),
+            key: signing_key.serialize_der(),
+            tick,
+            calls: Arc::default(),
+        }
+    }
+
+    /// Starts a server of the service.
+    pub fn server(&self) -> Server {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let endpoint = Endpoint::server(self.config(), any).expect("socket");
+        let addr = endpoint.local_addr().expect("address");
+        let (leave, leaving) = watch::channel(false);
+        let open = Arc::new(AtomicBool::new(true));
+        let door = open.clone();
+        let (tick, calls) = (self.tick.clone(), self.calls.clone());
+        let accepting = endpoint.clone();
+        tokio::spawn(async move {
+            while let Some(incoming) = accepting.accept().await {
+                if !door.load(Ordering::Relaxed) {
+                    incoming.refuse();
+                    continue;
+                }
+                let (tick, calls, leaving) = (tick.clone(), calls.clone(), leaving.clone());
+                tokio::spawn(async move {
+                    if let Ok(quic) = incoming.await {
+                        serve(quic, leaving, tick, calls).await;
+                    }
+                });
+            }
+        });
+        Server {
+            addr,
+            endpoint,
+            leave,
+            open,
+        }
+    }
+
+    /// Options of a client that knows `servers`.
+    pub fn options(&self, servers: &[&Server]) -> ClientOptions {
+        ClientOptions {
+            servers: servers.iter().map(|server| server.addr).collect(),
+            name: "service.test".to_owned(),
+            roots: vec![self.certificate.clone()],
+            ..ClientOptions::default()
+        }
+    }
+
+    fn config(&self) -> ServerConfig {
+        let key = PrivatePkcs8KeyDer::from(self.key.clone()).into();
+        let mut tls = rustls::ServerConfig::builder_with_provider(ring::default_provider().into())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .expect("versions")
+            .with_no_client_auth()
+            .with_single_cert(vec![self.certificate.clone()], key)
+            .expect("certificate");
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let quic = QuicServerConfig::try_from(tls).expect("cipher suites");
+        ServerConfig::with_crypto(Arc::new(quic))
+    }
+}
+
+impl Server {
+    /// Says whether the server takes new connections.
+    pub fn open(&self, open: bool) {
+        self.open.store(open, Ordering::Relaxed);
+    }
+
+    /// Announces that the server leaves and refuses new connections.
+    pub fn leave(&self) {
+        self.open(false);
+        self.leave.send_replace(true);
+    }
+
+    /// Cuts all connections without a word before.
+    pub fn cut(&self) {
+        self.open(false);
+        self.endpoint.close(1_u32.into(), b"");
+    }
+}
+
+async fn serve(
+    quic: quinn::Connection,
+    mut leaving: watch::Receiver<bool>,
+    tick: Arc<AtomicU64>,
+    calls: Arc<AtomicU64>,
+) {
+    let mut http = Connection::new(h3_quinn::Connection::new(quic.clone()))
+        .await
+        .expect("HTTP/3");
+    let mut told = false;
+    loop {
+        tokio::select! {
+            request = http.accept() => {
+                let Ok(Some(resolver)) = request else { return };
+                let (quic, tick, calls) = (quic.clone(), tick.clone(), calls.clone());
+                tokio::spawn(async move {
+                    if let Ok((request, stream)) = resolver.resolve_request().await {
+                        answer(quic, request, stream, tick, calls).await;
+                    }
+                });
+            }
+            () = left(&mut leaving), if !told => {
+                told = true;
+                let _ = http.shutdown(0).await;
+            }
+        }
+    }
+}
+
+async fn left(leaving: &mut watch::Receiver<bool>) {
+    let _ = leaving.wait_for(|leaving| *leaving).await;
+}
+
+async fn answer(
+    quic: quinn::Connection,
+    request: Request<()>,
+    mut stream: Stream,
+    tick: Arc<AtomicU64>,
+    calls: Arc<AtomicU64>,
+) {
+    if request.uri().path() == "/feed" {
+        return feed(request, stream, tick).await;
+    }
+    let call = calls.fetch_add(1, Ordering::Relaxed);
+    match (request.uri().path(), call) {
+        ("/half", _) => {
+            let head = Response::builder().header("content-length", 10);
+            send_part(&mut stream, head.body(()).expect("head"), "half").await;
+            stream.stop_stream(Code::H3_INTERNAL_ERROR);
+        }
+        ("/short", _) => {
+            let head = Response::builder().header("content-length", 10);
+            send_part(&mut stream, head.body(()).expect("head"), "half").await;
+            let _ = stream.finish().await;
+        }
+        ("/cut", _) | ("/cut-once" | "/cut-then-refuse", 0) => quic.close(1_u32.into(), b""),
+        ("/refuse", _) | ("/refuse-once", 0) | ("/cut-then-refuse", _) => {
+            refuse(&mut stream, "queue-full").await;
+        }
+        ("/missing", _) => {
+            let head = Response::builder().status(404);
+            send_part(&mut stream, head.body(()).expect("head"), "missing").await;
+            let _ = stream.finish().await;
+        }
+        ("/hang", _) => std::future::pending().await,
+        ("/.marigoldway/keys", _) => whole(&mut stream, "key-a\nkey-b\n").await,
+        _ => echo(&mut stream).await,
+    }
+}
+
+async fn send_part(stream: &mut Stream, head: Response<()>, body: &'static str) {
+    let _ = stream.send_response(head).await;
+    let _ = stream.send_data(body.into()).await;
+}
+
+async fn whole(stream: &mut Stream, body: &'static str) {
+    send_part(stream, Response::new(()), body).await;
+    let _ = stream.finish().await;
+}
+
+async fn refuse(stream: &mut Stream, reason: &str) {
+    let head = Response::builder()
+        .status(503)
+        .header("marigoldway-outcome", "not-run")
+        .header("marigoldway-reason", reason);
+    send_part(stream, head.body(()).expect("head"), "refused").await;
+    let _ = stream.finish().await;
+}
+
+async fn echo(stream: &mut Stream) {
+    let mut body = Vec::new();
+    while let Ok(Some(mut chunk)) = stream.recv_data().await {
+        body.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+    }
+    let head = Response::builder()
+        .header("marigoldway-outcome", "done")
+        .header("marigoldway-target", "127.0.1.1:7000");
+    let _ = stream.send_response(head.body(()).expect("head")).await;
+    let _ = stream.send_data(body.into()).await;
+    let _ = stream.finish().await;
+}
+
+/// Sends every event from the one after `last-event-id` to the end.
+async fn feed(request: Request<()>, mut stream: Stream, tick: Arc<AtomicU64>) {
+    let last = request.headers().get("last-event-id");
+    let last = last.map(|last| last.to_str().expect("text").parse::<u64>().expect("number"));
+    let mut sent = last.unwrap_or_else(|| tick.load(Ordering::Relaxed));
+    let _ = stream.send_response(Response::new(())).await;
+    loop {
+        while sent < tick.load(Ordering::Relaxed) {
+            sent += 1;
+            let event = format!("id: {sent}\ndata: event {sent}\n\n");
+            if stream.send_data(event.into()).await.is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
