--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,8 +8,21 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod admission;
+pub mod duplicates;
 pub mod errors;
+pub mod forward;
+pub mod idempotency;
 pub mod ids;
+pub mod lists;
+pub mod message;
+pub mod packet;
+pub mod placement;
+pub mod relay;
+pub mod reply;
 pub mod request;
+pub mod reset;
+pub mod retry;
+pub mod roster;
 pub mod route;
 pub mod time;
--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -1,1 +1,11 @@
 //! Sockets, codecs and protocols of the marigoldway load balancer.
+
+pub mod clock;
+pub mod counters;
+pub mod envelope;
+pub mod errors;
+pub mod forward;
+pub mod gate;
+pub mod quic;
+pub mod udp;
+pub mod wire;
