--- a/marigoldway-standin/src/platform/mod.rs
+++ b/marigoldway-standin/src/platform/mod.rs
@@ -42,6 +42,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::announce;
 use crate::platform::faults::Faults;
 use crate::platform::store::Store;
 
@@ -60,7 +61,9 @@
 ///
 /// The error of the socket if the address can't be taken.
 pub async fn run(options: PlatformOptions) -> io::Result<()> {
-    serve(TcpListener::bind(options.listen).await?).await
+    let listener = TcpListener::bind(options.listen).await?;
+    announce(listener.local_addr()?)?;
+    serve(listener).await
 }
 
 /// Serves connections of `listener`.
--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -9,26 +9,24 @@
 use quinn::Endpoint;
 use quinn::Incoming;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 
 use crate::agent::proxy::Proxy;
-use crate::shutdown::Phase;
-use crate::shutdown::reached;
+use crate::shutdown::Shutdown;
 
 /// `Flows` accepts connections and serves their requests.
 pub(super) struct Flows {
     proxy: Arc<Proxy>,
-    phase: watch::Receiver<Phase>,
+    shutdown: Shutdown,
     open: AtomicUsize,
     ended: Notify,
 }
 
 impl Flows {
     /// Makes an empty set of flows.
-    pub(super) fn new(proxy: Proxy, phase: watch::Receiver<Phase>) -> Flows {
+    pub(super) fn new(proxy: Proxy, shutdown: Shutdown) -> Flows {
         Flows {
             proxy: Arc::new(proxy),
-            phase,
+            shutdown,
             open: AtomicUsize::new(0),
             ended: Notify::new(),
         }
@@ -79,12 +77,11 @@
     /// Serves the requests of one flow. When the agent leaves, the caller is
     /// told so, and the flow ends with the last request that it has open.
     async fn requests(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
-        let mut phase = self.phase.clone();
         let mut told = false;
         loop {
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
-                () = reached(&mut phase, Phase::Leaving), if !told => {
+                () = self.shutdown.leaving(), if !told => {
                     told = true;
                     if connection.shutdown(0).await.is_err() {
                         return;
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -30,8 +30,7 @@
 use crate::entry::half;
 use crate::errors::RunError;
 use crate::settings::AgentSettings;
-use crate::shutdown::Phase;
-use crate::shutdown::reached;
+use crate::shutdown::Shutdown;
 
 /// Time that the last packets to callers may take at the end.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
@@ -52,7 +51,7 @@
         incarnation: Incarnation,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
-        phase: watch::Receiver<Phase>,
+        shutdown: Shutdown,
     ) -> Result<Agent, Report<RunError>> {
         let own = Route {
             agent: settings.network.data,
@@ -70,7 +69,7 @@
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| RunError::start("QUIC endpoint"))?;
         let proxy = Proxy::new(&settings.target, settings.network.data);
-        let flows = Arc::new(Flows::new(proxy, phase));
+        let flows = Arc::new(Flows::new(proxy, shutdown));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
             endpoint,
@@ -87,11 +86,11 @@
     /// Waits until the process was told to leave and its flows have ended, or
     /// `limit` has passed, and closes what is left. Gives back how many flows
     /// were cut.
-    pub async fn drain(&self, mut phase: watch::Receiver<Phase>, limit: Duration) -> usize {
-        reached(&mut phase, Phase::Leaving).await;
+    pub async fn drain(&self, shutdown: Shutdown, limit: Duration) -> usize {
+        shutdown.leaving().await;
         tokio::select! {
             () = self.flows.ended() => (),
-            _ = timeout(limit, reached(&mut phase, Phase::Ending)) => (),
+            _ = timeout(limit, shutdown.ending()) => (),
         }
         let cut = self.flows.open();
         self.endpoint.close(0_u32.into(), b"leaving");
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -24,8 +24,7 @@
 use crate::errors::RunError;
 use crate::scope::AgentNetworks;
 use crate::settings::EntrySettings;
-use crate::shutdown::Phase;
-use crate::shutdown::reached;
+use crate::shutdown::Shutdown;
 
 /// Time for which a leaving entry still forwards: agents learn within it that
 /// replies shall take another way, and packets on their way arrive.
@@ -74,11 +73,11 @@
 }
 
 /// Waits until the process was told to leave and has lingered.
-pub async fn drain(mut phase: watch::Receiver<Phase>) {
-    reached(&mut phase, Phase::Leaving).await;
+pub async fn drain(shutdown: Shutdown) {
+    shutdown.leaving().await;
     tokio::select! {
         () = sleep(LINGER) => (),
-        () = reached(&mut phase, Phase::Ending) => (),
+        () = shutdown.ending() => (),
     }
 }
 
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -16,7 +16,7 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 
-use marigoldway_core::forward::Drop;
+use marigoldway_core::forward::DropReason;
 use marigoldway_core::request::Refusal;
 
 use crate::shutdown::Shutdown;
@@ -80,7 +80,7 @@
     /// Things that were tried again or elsewhere.
     Retry(Retry),
     /// Datagrams that were dropped.
-    Drop(Drop),
+    Drop(DropReason),
     /// Any other event.
     Event(&'static str),
 }
@@ -121,7 +121,7 @@
 
         let refusals = Refusal::ALL.into_iter().map(Counter::Refusal);
         let retries = Retry::ALL.into_iter().map(Counter::Retry);
-        let drops = Drop::ALL.into_iter().map(Counter::Drop);
+        let drops = DropReason::ALL.into_iter().map(Counter::Drop);
         let known = refusals.chain(retries).chain(drops);
         Ok(Metrics {
             client,
