--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -2,7 +2,12 @@
 
 pub mod clock;
 pub mod control;
+pub mod counters;
 pub mod envelope;
 pub mod errors;
+pub mod forward;
+pub mod gate;
+pub mod platform;
+pub mod quic;
 pub mod udp;
 pub mod wire;
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -3,4 +3,12 @@
 //!
 //! Start with [`settings`], which lists all that a process is told.
 
+pub mod agent;
+pub mod entry;
+pub mod errors;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod scope;
 pub mod settings;
+pub mod shutdown;
