--- /dev/null
+++ b/marigoldway-core/src/acceptance.rs
@@ -0,0 +1,180 @@
+//! Acceptance: whether an agent keeps a new flow or passes it on.
+//!
+//! An entry names two candidates from the roster alone. The first one knows
+//! its own load exactly and that of its peers as of a second ago, and may pass
+//! the flow once. A decision stands for the retransmissions of the packet that
+//! opened the flow, so that no flow begins at two agents.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ids::InstanceId;
+use crate::message::Load;
+use crate::time::Timestamp;
+
+/// `AcceptanceOptions` bounds the flows of an agent.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptanceOptions {
+    /// Flows that the target holds at most.
+    pub limit: u32,
+    /// Flows above the second candidate's that are kept all the same.
+    pub slack: u32,
+    /// Age at which a peer's load no longer counts.
+    pub stale: Duration,
+    /// Time for which a decision stands: longer than a caller retransmits.
+    pub expiry: Duration,
+    /// Decisions that are remembered at most.
+    pub decisions: usize,
+}
+
+impl Default for AcceptanceOptions {
+    fn default() -> AcceptanceOptions {
+        AcceptanceOptions {
+            limit: 2_000,
+            slack: 0,
+            stale: Duration::from_secs(5),
+            expiry: Duration::from_secs(15),
+            decisions: 65_536,
+        }
+    }
+}
+
+/// `Verdict` is what becomes of a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The flow begins here.
+    Keep,
+    /// The second candidate gets the flow.
+    Pass(InstanceId),
+    /// The flow is refused: the caller may try again.
+    Refuse,
+}
+
+/// `Acceptance` decides on the new flows of one agent.
+#[derive(Clone, Debug)]
+pub struct Acceptance {
+    options: AcceptanceOptions,
+    flows: u32,
+    leaving: bool,
+    peers: IndexMap<InstanceId, (Timestamp, u32)>,
+    decisions: IndexMap<u64, Verdict>,
+    ages: VecDeque<(Timestamp, u64)>,
+}
+
+impl Acceptance {
+    /// Makes the state of an agent without flows.
+    pub fn new(options: AcceptanceOptions) -> Acceptance {
+        Acceptance {
+            options,
+            flows: 0,
+            leaving: false,
+            peers: IndexMap::new(),
+            decisions: IndexMap::new(),
+            ages: VecDeque::new(),
+        }
+    }
+
+    /// Sets the number of flows that the agent holds. Flows that were kept
+    /// since the last call count in addition until then.
+    pub fn set_flows(&mut self, flows: u32) {
+        self.flows = flows;
+    }
+
+    /// Number of flows that the agent holds.
+    pub fn flows(&self) -> u32 {
+        self.flows
+    }
+
+    /// Keeps no new flow from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes note of a peer's load.
+    pub fn observe(&mut self, now: Timestamp, load: Load) {
+        self.peers.insert(load.id, (now, load.flows));
+        let stale = self.options.stale;
+        self.peers
+            .retain(|_, (since, _)| now.since(*since) <= stale);
+    }
+
+    /// Decides on a flow. `key` is the hash of the connection ID that the
+    /// caller chose, `hop` tells that another agent passed the flow here, and
+    /// `second` is the other candidate.
+    pub fn decide(
+        &mut self,
+        now: Timestamp,
+        key: u64,
+        hop: bool,
+        second: Option<InstanceId>,
+    ) -> Verdict {
+        self.expire(now);
+        if let Some(verdict) = self.decisions.get(&key) {
+            return *verdict;
+        }
+        let verdict = self.judge(now, second.filter(|_| !hop));
+        if verdict == Verdict::Keep {
+            self.flows = self.flows.saturating_add(1);
+        }
+        self.remember(now, key, verdict);
+        verdict
+    }
+
+    fn judge(&self, now: Timestamp, second: Option<InstanceId>) -> Verdict {
+        let full = self.leaving || self.flows >= self.options.limit;
+        match second {
+            None if full => Verdict::Refuse,
+            None => Verdict::Keep,
+            Some(second) if full || self.is_above(now, second) => Verdict::Pass(second),
+            Some(_) => Verdict::Keep,
+        }
+    }
+
+    /// Tells whether this agent is more loaded than the second candidate, or
+    /// than the mean of its peers if that one hasn't told its load lately.
+    fn is_above(&self, now: Timestamp, second: InstanceId) -> bool {
+        let fresh = |since: &Timestamp| now.since(*since) <= self.options.stale;
+        let other = match self.peers.get(&second) {
+            Some((since, flows)) if fresh(since) => Some(*flows),
+            _ => self.mean(now),
+        };
+        other.is_some_and(|other| self.flows > other.saturating_add(self.options.slack))
+    }
+
+    /// Mean number of flows over the peers that told it lately, rounded up.
+    fn mean(&self, now: Timestamp) -> Option<u32> {
+        let stale = self.options.stale;
+        let fresh = self.peers.values().filter(|it| now.since(it.0) <= stale);
+        let (count, sum) = fresh.fold((0_u64, 0_u64), |(count, sum), (_, flows)| {
+            (count + 1, sum + u64::from(*flows))
+        });
+        let mean = sum.checked_add(count.checked_sub(1)?)? / count;
+        u32::try_from(mean).ok()
+    }
+
+    fn remember(&mut self, now: Timestamp, key: u64, verdict: Verdict) {
+        // A flood of openings shortens how long decisions stand, so that it
+        // can't make this process hold more.
+        while self.ages.len() >= self.options.decisions {
+            self.drop_oldest();
+        }
+        self.decisions.insert(key, verdict);
+        self.ages.push_back((now, key));
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let expiry = self.options.expiry;
+        let old = |it: &(Timestamp, u64)| now.since(it.0) > expiry;
+        while self.ages.front().is_some_and(old) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((_, key)) = self.ages.pop_front() {
+            self.decisions.swap_remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/tests/acceptance.rs
@@ -0,0 +1,156 @@
+//! An agent keeps, passes or refuses a new flow once and for all.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use marigoldway_core::acceptance::Acceptance;
+use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::acceptance::Verdict;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::message::Load;
+use marigoldway_core::time::Timestamp;
+
+const NOW: Timestamp = Timestamp::from_millis(1_000);
+
+fn peer(n: u16) -> InstanceId {
+    InstanceId::new(Ipv4Addr::LOCALHOST, n)
+}
+
+fn agent(flows: u32, limit: u32) -> Acceptance {
+    let mut acceptance = Acceptance::new(AcceptanceOptions {
+        limit,
+        ..AcceptanceOptions::default()
+    });
+    acceptance.set_flows(flows);
+    acceptance
+}
+
+#[test]
+fn decide_passes_to_a_less_loaded_second() {
+    let mut acceptance = agent(10, 2_000);
+    acceptance.observe(
+        NOW,
+        Load {
+            id: peer(2),
+            flows: 5,
+        },
+    );
+    assert_eq!(
+        acceptance.decide(NOW, 1, false, Some(peer(2))),
+        Verdict::Pass(peer(2))
+    );
+    acceptance.observe(
+        NOW,
+        Load {
+            id: peer(2),
+            flows: 50,
+        },
+    );
+    assert_eq!(
+        acceptance.decide(NOW, 2, false, Some(peer(2))),
+        Verdict::Keep
+    );
+}
+
+#[test]
+fn decide_keeps_while_no_load_is_known() {
+    let mut acceptance = agent(10, 2_000);
+    assert_eq!(
+        acceptance.decide(NOW, 1, false, Some(peer(2))),
+        Verdict::Keep
+    );
+}
+
+#[test]
+fn decide_ignores_a_stale_load() {
+    let mut acceptance = agent(10, 2_000);
+    acceptance.observe(
+        NOW,
+        Load {
+            id: peer(2),
+            flows: 0,
+        },
+    );
+    let later = NOW + Duration::from_secs(6);
+    assert_eq!(
+        acceptance.decide(later, 1, false, Some(peer(2))),
+        Verdict::Keep
+    );
+}
+
+#[test]
+fn decide_keeps_what_was_passed_here_however_loaded() {
+    let mut acceptance = agent(10, 2_000);
+    acceptance.observe(
+        NOW,
+        Load {
+            id: peer(2),
+            flows: 0,
+        },
+    );
+    assert_eq!(
+        acceptance.decide(NOW, 1, true, Some(peer(2))),
+        Verdict::Keep
+    );
+}
+
+#[test]
+fn decide_counts_what_it_kept() {
+    let mut acceptance = agent(0, 2);
+    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 2, false, None), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 3, false, None), Verdict::Refuse);
+    assert_eq!(
+        acceptance.decide(NOW, 4, false, Some(peer(2))),
+        Verdict::Pass(peer(2))
+    );
+}
+
+#[test]
+fn decide_keeps_nothing_new_once_leaving() {
+    let mut acceptance = agent(0, 2_000);
+    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
+    acceptance.leave();
+    assert_eq!(
+        acceptance.decide(NOW, 2, false, Some(peer(2))),
+        Verdict::Pass(peer(2))
+    );
+    assert_eq!(
+        acceptance.decide(NOW, 3, true, Some(peer(2))),
+        Verdict::Refuse
+    );
+    // The flow that began before stays.
+    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
+}
+
+#[test]
+fn decide_remembers_no_more_than_its_bound() {
+    let mut acceptance = Acceptance::new(AcceptanceOptions {
+        decisions: 4,
+        ..AcceptanceOptions::default()
+    });
+    for key in 0..5 {
+        acceptance.decide(NOW, key, true, None);
+    }
+    acceptance.leave();
+    assert_eq!(acceptance.decide(NOW, 0, true, None), Verdict::Refuse);
+    assert_eq!(acceptance.decide(NOW, 4, true, None), Verdict::Keep);
+}
+
+proptest! {
+    #[test]
+    fn decide_gives_retransmissions_the_same_verdict(
+        loads in prop::collection::vec((0..3_u16, 0..20_u32, any::<bool>()), 1..50),
+    ) {
+        let mut acceptance = agent(0, 15);
+        let first = acceptance.decide(NOW, u64::MAX, false, Some(peer(1)));
+        for (at, (n, flows, hop)) in (0..).zip(loads) {
+            let now = NOW + Duration::from_millis(at * 200);
+            acceptance.observe(now, Load { id: peer(n), flows });
+            acceptance.decide(now, at, hop, Some(peer(n)));
+            prop_assert_eq!(acceptance.decide(now, u64::MAX, false, Some(peer(1))), first);
+        }
+    }
+}
--- a/marigoldway-net/src/control/mod.rs
+++ b/marigoldway-net/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! encrypted.
 
 mod accept;
+mod channels;
 mod counters;
 mod handshake;
 mod link;
@@ -33,6 +34,8 @@
 use crate::errors::Result;
 use crate::wire::Frame;
 
+pub use crate::control::channels::Channels;
+pub use crate::control::channels::Received;
 pub use crate::control::counters::ControlCounts;
 
 use crate::control::counters::Counters;
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod errors;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod scope;
