--- /dev/null
+++ b/marigoldway/tests/membership.rs
@@ -0,0 +1,151 @@
+//! Processes find each other over real control channels.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use log::LevelFilter;
+use tokio::time;
+
+use marigoldway::membership;
+use marigoldway::membership::Membership;
+use marigoldway::membership::Queues;
+use marigoldway::membership::Seat;
+use marigoldway::settings::Document;
+use marigoldway::settings::FleetKeys;
+use marigoldway::settings::KeySource;
+use marigoldway::settings::NetworkSettings;
+use marigoldway::settings::ProcessSettings;
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::RegionId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::roster::RosterView;
+use marigoldway_core::roster::State;
+use marigoldway_net::clock::Clock;
+use marigoldway_net::wire::Frame;
+use marigoldway_net::wire::lists::ListsWire;
+
+const LIMIT: Duration = Duration::from_secs(30);
+const SERVICE: ServiceId = ServiceId(1);
+
+fn keys() -> FleetKeys {
+    let secret = "07".repeat(32);
+    let route = "09".repeat(16);
+    let text = format!(
+        "[keys]\nroute-epoch = 1\nroute-cipher = {route}\nroute-tag = {route}\n\
+         envelope = {secret}\nreset = {secret}\nidempotency = {secret}\ncontrol = {secret}\n"
+    );
+    let document = Document::parse(Path::new("keys.ini"), &text).unwrap();
+    FleetKeys::try_from(&document).unwrap()
+}
+
+fn process(domain: u8) -> ProcessSettings {
+    ProcessSettings {
+        domain: DomainId(domain),
+        region: RegionId(1),
+        log_level: LevelFilter::Off,
+        keys: KeySource::Variable("NONE".to_owned()),
+        operator: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
+        statsd: None,
+        drain_limit: LIMIT,
+    }
+}
+
+/// An address that the system had free a moment ago.
+fn free() -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, listener.local_addr().unwrap().port())
+}
+
+fn network(contacts: &[SocketAddrV4]) -> NetworkSettings {
+    let control = free();
+    NetworkSettings {
+        data: InstanceId(control),
+        control,
+        contacts: contacts.to_vec(),
+        agent_networks: Vec::new(),
+    }
+}
+
+async fn start(network: &NetworkSettings, seat: Seat, domain: u8) -> (Membership, Queues) {
+    let incarnation = membership::incarnation(SystemTime::now());
+    let process = process(domain);
+    let clock = Clock::start();
+    let keys = keys();
+    let started = membership::start(&process, network, &keys, seat, incarnation, clock);
+    let (membership, queues) = started.await.unwrap();
+    membership.serve().await;
+    (membership, queues)
+}
+
+async fn wait_for(membership: &Membership, condition: impl FnMut(&RosterView) -> bool) {
+    let mut condition = condition;
+    let mut views = membership.views();
+    let changed = views.wait_for(|view| condition(view));
+    time::timeout(LIMIT, changed).await.unwrap().unwrap();
+}
+
+fn state(view: &RosterView, id: InstanceId) -> Option<State> {
+    view.record(id).map(|record| record.state)
+}
+
+#[tokio::test]
+async fn processes_join_leave_and_die() {
+    let first = network(&[]);
+    let contacts = [first.control];
+    let networks: Vec<_> = (0..5).map(|_| network(&contacts)).collect();
+    let mut all = vec![start(&first, Seat::Entry, 1).await];
+    for (network, domain) in networks.iter().zip([1, 2, 1, 2, 2]) {
+        let seat = match all.len() {
+            1 | 2 => Seat::Entry,
+            _ => Seat::Agent(SERVICE),
+        };
+        all.push(start(network, seat, domain).await);
+    }
+    for (membership, _) in &all {
+        wait_for(membership, |it| {
+            it.records().filter(|it| it.state == State::Serving).count() == 6
+        })
+        .await;
+    }
+
+    let leaver = networks[2].data;
+    all[3].0.leave().await;
+    for (membership, _) in &all {
+        wait_for(membership, |it| state(it, leaver) == Some(State::Leaving)).await;
+        assert!(
+            membership
+                .views()
+                .borrow()
+                .candidates(SERVICE, 1)
+                .unwrap()
+                .first
+                != leaver
+        );
+    }
+
+    // One agent ends in silence, one says so.
+    all[4].0.control().close();
+    all[5].0.stop().await;
+    let (silent, stopped) = (networks[3].data, networks[4].data);
+    for (membership, _) in &all[..3] {
+        wait_for(membership, |it| state(it, stopped) == Some(State::Down)).await;
+        wait_for(membership, |it| state(it, silent) >= Some(State::Suspect)).await;
+    }
+}
+
+#[tokio::test]
+async fn queues_take_the_frames_of_other_parts() {
+    let first = network(&[]);
+    let (one, _queues) = start(&first, Seat::Entry, 1).await;
+    let second = network(&[first.control]);
+    let (_two, mut queues) = start(&second, Seat::Entry, 1).await;
+    one.control()
+        .send(second.control, Frame::Lists(ListsWire::Revision(7)));
+    let received = time::timeout(LIMIT, queues.lists.recv()).await.unwrap();
+    assert_eq!(received, Some((first.control, ListsWire::Revision(7))));
+}
