Choose candidates without branches, and measure placement

Cause: choosing among 7 targets took 186 ns, mostly mispredicted comparisons. Ruled out: the logarithm, which is unchanged. Imbalance measured by measure_imbalance; own domain first is not better, so it stays out.

--- /dev/null
+++ b/marigoldway-core/examples/measure_imbalance.rs
@@ -0,0 +1,407 @@
+//! Measures how evenly new flows spread over seven targets.
+//!
+//! `cargo run --release --example measure_imbalance -- FILE.csv`
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::fs;
+use std::net::Ipv4Addr;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::acceptance::Acceptance;
+use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::acceptance::Verdict;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::message::Load;
+use marigoldway_core::placement::Member;
+use marigoldway_core::placement::PlacementTable;
+use marigoldway_core::time::Timestamp;
+
+const TARGETS: usize = 7;
+/// Failure domain of each target.
+const DOMAINS: [usize; TARGETS] = [0, 0, 0, 1, 1, 2, 2];
+/// Share of the capacity that is in use on average.
+const USE: f64 = 0.7;
+/// Age of every load report, in seconds.
+const REPORT_AGE: f64 = 2.0;
+/// Time between two samples of the loads, in seconds.
+const SAMPLE: f64 = 0.2;
+/// Length of a window over which loads are averaged, in seconds.
+const WINDOW: f64 = 60.0;
+const SEEDS: u64 = 10;
+
+/// What a flow takes from its target.
+#[derive(Clone, Copy)]
+struct Workload {
+    name: &'static str,
+    /// Flows that a target works on at a time; the others wait.
+    slots: usize,
+    /// Mean time that a flow is worked on, in seconds.
+    mean: f64,
+    /// Share of flows that take ten times as long.
+    stragglers: f64,
+    /// Length of a run after the start, in seconds.
+    length: f64,
+}
+
+const WORKLOADS: [Workload; 3] = [
+    Workload {
+        name: "slots-short",
+        slots: 4,
+        mean: 1.0,
+        stragglers: 0.0,
+        length: 1_800.0,
+    },
+    Workload {
+        name: "slots-stragglers",
+        slots: 4,
+        mean: 1.0,
+        stragglers: 0.05,
+        length: 1_800.0,
+    },
+    Workload {
+        name: "connections",
+        slots: 2_000,
+        mean: 600.0,
+        stragglers: 0.0,
+        length: 1_800.0,
+    },
+];
+
+#[derive(Clone, Copy, PartialEq)]
+enum Policy {
+    Random,
+    Hashing,
+    LeastReported,
+    /// Knows every load at once: a bound, which no policy reaches.
+    Perfect,
+    Ours {
+        slack: u32,
+    },
+    OwnDomainFirst {
+        slack: u32,
+    },
+}
+
+const POLICIES: [(&str, Policy); 7] = [
+    ("random", Policy::Random),
+    ("hashing", Policy::Hashing),
+    ("least-reported", Policy::LeastReported),
+    ("perfect-knowledge", Policy::Perfect),
+    ("ours", Policy::Ours { slack: 0 }),
+    ("ours-slack-1", Policy::Ours { slack: 1 }),
+    ("own-domain-first", Policy::OwnDomainFirst { slack: 0 }),
+];
+
+/// The load of a target over time.
+struct Target {
+    running: usize,
+    waiting: VecDeque<f64>,
+    history: VecDeque<(f64, u32)>,
+    acceptance: Acceptance,
+}
+
+impl Target {
+    fn load(&self) -> u32 {
+        (self.running + self.waiting.len()) as u32
+    }
+
+    /// Notes the load, and drops what no report needs any more.
+    fn note(&mut self, now: f64) {
+        self.history.push_back((now, self.load()));
+        while self.history.len() > 1 && self.history[1].0 <= now - REPORT_AGE {
+            self.history.pop_front();
+        }
+    }
+
+    /// The load as of a report's age ago.
+    fn reported(&self, now: f64) -> u32 {
+        let seen = self.history.iter().rev();
+        let mut seen = seen.skip_while(|(at, _)| *at > now - REPORT_AGE);
+        seen.next().map_or(0, |(_, load)| *load)
+    }
+}
+
+struct Run {
+    workload: Workload,
+    targets: Vec<Target>,
+    ids: Vec<InstanceId>,
+    table: PlacementTable,
+    domains: Vec<PlacementTable>,
+    ends: BinaryHeap<Reverse<(u64, usize)>>,
+    rng: StdRng,
+    passed: u64,
+    flows: u64,
+}
+
+fn members(ids: &[InstanceId], keep: impl Fn(usize) -> bool) -> PlacementTable {
+    let kept = ids.iter().enumerate().filter(|(index, _)| keep(*index));
+    PlacementTable::new(kept.map(|(_, id)| Member {
+        id: *id,
+        weight: 100,
+    }))
+}
+
+impl Run {
+    fn new(workload: Workload, policy: Policy, seed: u64) -> Run {
+        let slack = match policy {
+            Policy::Ours { slack } | Policy::OwnDomainFirst { slack } => slack,
+            _ => 0,
+        };
+        let options = AcceptanceOptions {
+            limit: u32::MAX,
+            slack,
+            ..AcceptanceOptions::default()
+        };
+        let ids: Vec<_> = (1..=TARGETS as u16)
+            .map(|n| InstanceId::new(Ipv4Addr::new(10, 0, 0, n as u8), 7000))
+            .collect();
+        Run {
+            workload,
+            targets: (0..TARGETS)
+                .map(|_| Target {
+                    running: 0,
+                    waiting: VecDeque::new(),
+                    history: VecDeque::new(),
+                    acceptance: Acceptance::new(options),
+                })
+                .collect(),
+            table: members(&ids, |_| true),
+            domains: (0..3)
+                .map(|domain| members(&ids, |index| DOMAINS[index] == domain))
+                .collect(),
+            ids,
+            ends: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            passed: 0,
+            flows: 0,
+        }
+    }
+
+    fn index(&self, id: InstanceId) -> usize {
+        usize::from(id.0.ip().octets()[3]) - 1
+    }
+
+    /// An exponentially distributed time.
+    fn draw(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn choose(&mut self, now: f64, policy: Policy) -> usize {
+        let key: u64 = self.rng.random();
+        let candidates = self.table.choose(key).expect("targets");
+        match policy {
+            Policy::Random => self.rng.random_range(0..TARGETS),
+            Policy::Hashing => self.index(candidates.first),
+            Policy::LeastReported => {
+                let turn = key as usize % TARGETS;
+                let least =
+                    |index: &usize| (self.targets[*index].reported(now), (index + turn) % TARGETS);
+                (0..TARGETS).min_by_key(least).expect("targets")
+            }
+            Policy::Perfect => {
+                let turn = key as usize % TARGETS;
+                let least = |index: &usize| (self.targets[*index].load(), (index + turn) % TARGETS);
+                (0..TARGETS).min_by_key(least).expect("targets")
+            }
+            Policy::Ours { .. } => self.accept(now, key, candidates.first, candidates.second),
+            Policy::OwnDomainFirst { .. } => {
+                // The fabric hands the flow to an entry of any domain.
+                let domain = self.rng.random_range(0..3);
+                let near = self.domains[domain].choose(key).expect("targets").first;
+                let second = match candidates.first == near {
+                    true => candidates.second,
+                    false => Some(candidates.first),
+                };
+                self.accept(now, key, near, second)
+            }
+        }
+    }
+
+    fn accept(
+        &mut self,
+        now: f64,
+        key: u64,
+        first: InstanceId,
+        second: Option<InstanceId>,
+    ) -> usize {
+        let at = Timestamp::from_micros((now * 1e6) as u64);
+        let index = self.index(first);
+        let loads: Vec<Load> = self
+            .targets
+            .iter()
+            .zip(&self.ids)
+            .map(|(target, id)| Load {
+                id: *id,
+                flows: target.reported(now),
+            })
+            .filter(|load| load.id != first)
+            .collect();
+        let target = &mut self.targets[index];
+        target.acceptance.set_flows(target.load());
+        for load in loads {
+            target.acceptance.observe(at, load);
+        }
+        match target.acceptance.decide(at, key, false, second) {
+            Verdict::Pass(second) => {
+                self.passed += 1;
+                self.index(second)
+            }
+            Verdict::Keep | Verdict::Refuse => index,
+        }
+    }
+
+    fn start(&mut self, now: f64, index: usize, work: f64) {
+        let target = &mut self.targets[index];
+        if target.running == self.workload.slots {
+            target.waiting.push_back(work);
+            return;
+        }
+        target.running += 1;
+        let end = ((now + work) * 1e6) as u64;
+        self.ends.push(Reverse((end, index)));
+    }
+
+    fn finish(&mut self, now: f64, index: usize) {
+        let target = &mut self.targets[index];
+        target.running -= 1;
+        if let Some(work) = target.waiting.pop_front() {
+            target.running += 1;
+            let end = ((now + work) * 1e6) as u64;
+            self.ends.push(Reverse((end, index)));
+        }
+        target.note(now);
+    }
+
+    fn run(&mut self, policy: Policy) -> Result {
+        let workload = self.workload;
+        let mean = workload.mean * (1.0 + 9.0 * workload.stragglers);
+        let rate = USE * (workload.slots * TARGETS) as f64 / mean;
+        let warm = 5.0 * workload.mean + WINDOW;
+        let mut result = Result::default();
+        let mut next = self.draw(1.0 / rate);
+        let mut sample = warm;
+        while sample < warm + workload.length {
+            let end = self.ends.peek().map(|it| it.0.0 as f64 / 1e6);
+            let end = end.unwrap_or(f64::INFINITY);
+            if sample <= next && sample <= end {
+                result.sample(self.targets.iter().map(Target::load));
+                let waiting = self
+                    .targets
+                    .iter()
+                    .map(|it| it.waiting.len())
+                    .sum::<usize>();
+                result.waiting += waiting as f64;
+                sample += SAMPLE;
+            } else if end <= next {
+                let Reverse((_, index)) = self.ends.pop().expect("an end");
+                self.finish(end, index);
+            } else {
+                let long = self.rng.random_bool(workload.stragglers);
+                let work = self.draw(workload.mean * if long { 10.0 } else { 1.0 });
+                let index = self.choose(next, policy);
+                self.start(next, index, work);
+                self.targets[index].note(next);
+                self.flows += 1;
+                next += self.draw(1.0 / rate);
+            }
+        }
+        result.passed = self.passed as f64 / self.flows as f64;
+        result
+    }
+}
+
+/// Sums over the samples of a run.
+#[derive(Default)]
+struct Result {
+    window: [f64; TARGETS],
+    windows: f64,
+    count: usize,
+    window_peak: f64,
+    window_variation: f64,
+    peak: f64,
+    variation: f64,
+    samples: f64,
+    waiting: f64,
+    passed: f64,
+}
+
+/// Largest over mean, and standard deviation over mean.
+fn spread(loads: &[f64; TARGETS]) -> (f64, f64) {
+    let mean = loads.iter().sum::<f64>() / TARGETS as f64;
+    let largest = loads.iter().copied().fold(0.0, f64::max);
+    let square = loads.iter().map(|it| (it - mean).powi(2)).sum::<f64>();
+    (largest / mean, (square / TARGETS as f64).sqrt() / mean)
+}
+
+impl Result {
+    fn sample(&mut self, loads: impl Iterator<Item = u32>) {
+        let mut now = [0.0; TARGETS];
+        for (index, load) in loads.enumerate() {
+            now[index] = f64::from(load);
+            self.window[index] += f64::from(load);
+        }
+        if now.iter().sum::<f64>() > 0.0 {
+            let (peak, variation) = spread(&now);
+            self.peak += peak;
+            self.variation += variation;
+            self.samples += 1.0;
+        }
+        self.count += 1;
+        if self.count == (WINDOW / SAMPLE) as usize {
+            let (peak, variation) = spread(&self.window);
+            self.window_peak += peak;
+            self.window_variation += variation;
+            self.windows += 1.0;
+            self.window = [0.0; TARGETS];
+            self.count = 0;
+        }
+    }
+}
+
+fn main() {
+    let mut csv = String::from(
+        "workload,policy,window_peak,window_variation,peak,variation,waiting,passed\n",
+    );
+    println!("{TARGETS} targets at {USE} of capacity, reports {REPORT_AGE} s late, {SEEDS} seeds");
+    println!(
+        "workload          policy            60s max/mean  60s var  now max/mean  now var  waiting  passed"
+    );
+    for workload in WORKLOADS {
+        for (name, policy) in POLICIES {
+            let mut sums = [0.0; 6];
+            for seed in 1..=SEEDS {
+                let result = Run::new(workload, policy, seed).run(policy);
+                let values = [
+                    result.window_peak / result.windows,
+                    result.window_variation / result.windows,
+                    result.peak / result.samples,
+                    result.variation / result.samples,
+                    result.waiting / result.samples,
+                    result.passed,
+                ];
+                for (sum, value) in sums.iter_mut().zip(values) {
+                    *sum += value / SEEDS as f64;
+                }
+            }
+            let [a, b, c, d, e, f] = sums;
+            println!(
+                "{:<17} {name:<18} {a:>11.3} {b:>8.3} {c:>13.3} {d:>8.3} {e:>8.2} {f:>7.3}",
+                workload.name
+            );
+            let _ = writeln!(
+                csv,
+                "{},{name},{a:.4},{b:.4},{c:.4},{d:.4},{e:.4},{f:.4}",
+                workload.name
+            );
+        }
+    }
+    if let Some(file) = std::env::args().nth(1) {
+        fs::write(&file, csv).expect("the CSV file can be written");
+    }
+}
--- a/marigoldway-core/src/placement.rs
+++ b/marigoldway-core/src/placement.rs
@@ -8,6 +8,12 @@
 
 use crate::ids::InstanceId;
 
+/// Bits of a ranked cost that hold the index of its member.
+const INDEX_MASK: u64 = 0xffff;
+
+/// Most members of a table.
+const MEMBERS_MAX: usize = INDEX_MASK as usize;
+
 /// `Candidates` names the agents that a new flow may go to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Candidates {
@@ -42,7 +48,8 @@
 }
 
 impl PlacementTable {
-    /// Makes a table. The order of the members doesn't matter.
+    /// Makes a table. The order of the members doesn't matter. Of more than
+    /// 65,535 members those with the highest ids are left out.
     pub fn new(members: impl IntoIterator<Item = Member>) -> PlacementTable {
         let mut slots: Vec<Slot> = members
             .into_iter()
@@ -54,28 +61,35 @@
             })
             .collect();
         slots.sort_by_key(|slot| slot.id);
+        slots.truncate(MEMBERS_MAX);
         PlacementTable { slots }
     }
 
     /// Chooses two candidates for `key`, or `None` if the table is empty.
     pub fn choose(&self, key: u64) -> Option<Candidates> {
-        let mut first: Option<(f64, InstanceId)> = None;
-        let mut second: Option<(f64, InstanceId)> = None;
-        for slot in &self.slots {
-            let cost = slot.cost(key);
-            if first.is_none_or(|(least, _)| cost < least) {
-                second = first;
-                first = Some((cost, slot.id));
-            } else if second.is_none_or(|(least, _)| cost < least) {
-                second = Some((cost, slot.id));
-            }
+        let (mut first, mut second) = (u64::MAX, u64::MAX);
+        for (index, slot) in (0..).zip(&self.slots) {
+            // Positive floats are ordered like their bits. With the index in
+            // the lowest ones the two least costs are found without a branch,
+            // which a processor would mispredict half of the time.
+            let ranked = (slot.cost(key).to_bits() & !INDEX_MASK) | index;
+            second = second.min(first.max(ranked));
+            first = first.min(ranked);
         }
         Some(Candidates {
-            first: first?.1,
-            second: second.map(|(_, id)| id),
+            first: self.member(first)?,
+            second: self.member(second),
         })
     }
 
+    fn member(&self, ranked: u64) -> Option<InstanceId> {
+        if ranked == u64::MAX {
+            return None;
+        }
+        let index = (ranked & INDEX_MASK) as usize;
+        self.slots.get(index).map(|slot| slot.id)
+    }
+
     /// Number of members.
     pub fn len(&self) -> usize {
         self.slots.len()
