--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -1,10 +1,20 @@
 //! The marigoldway load balancer as a process: command line, settings, logs,
 //! counters, operator endpoints, and the wiring of the other crates.
 //!
-//! Start with [`settings`], which lists all that a process is told.
+//! Start with [`settings`], which lists all that a process is told, then read
+//! [`process`], which starts the two roles [`entry`] and [`agent`].
 
+pub mod agent;
+pub mod check;
+pub mod cli;
+pub mod entry;
+pub mod errors;
+pub mod keys;
+pub mod lists;
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod process;
 pub mod settings;
 pub mod shutdown;
+pub mod status;
--- a/marigoldway/src/main.rs
+++ b/marigoldway/src/main.rs
@@ -1,3 +1,7 @@
 //! The marigoldway binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    marigoldway::cli::main()
+}
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -16,7 +16,8 @@
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 
-use marigoldway_core::forward::Drop;
+use marigoldway_core::forward::DropReason;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
 
 use crate::shutdown::Shutdown;
@@ -77,10 +78,12 @@
 pub enum Counter {
     /// Requests that were refused.
     Refusal(Refusal),
+    /// Requests whose outcome is unknown.
+    Doubt(Doubt),
     /// Things that were tried again or elsewhere.
     Retry(Retry),
     /// Datagrams that were dropped.
-    Drop(Drop),
+    Drop(DropReason),
     /// Any other event.
     Event(&'static str),
 }
@@ -90,6 +93,7 @@
     pub fn name(self) -> String {
         match self {
             Counter::Refusal(reason) => format!("refusal.{}", reason.as_str()),
+            Counter::Doubt(reason) => format!("doubt.{}", reason.as_str()),
             Counter::Retry(reason) => format!("retry.{}", reason.as_str()),
             Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
             Counter::Event(name) => format!("event.{name}"),
@@ -105,7 +109,7 @@
 
 impl Metrics {
     /// Makes counters that go to `statsd`, or stay in the process. Every
-    /// refusal, retry and drop reason is there from the start, at zero.
+    /// refusal, doubt, retry and drop reason is there from the start, at zero.
     ///
     /// Errors are the system's, where it gives no socket.
     pub fn new(statsd: Option<SocketAddrV4>) -> io::Result<Metrics> {
@@ -120,9 +124,10 @@
         };
 
         let refusals = Refusal::ALL.into_iter().map(Counter::Refusal);
+        let doubts = Doubt::ALL.into_iter().map(Counter::Doubt);
         let retries = Retry::ALL.into_iter().map(Counter::Retry);
-        let drops = Drop::ALL.into_iter().map(Counter::Drop);
-        let known = refusals.chain(retries).chain(drops);
+        let drops = DropReason::ALL.into_iter().map(Counter::Drop);
+        let known = refusals.chain(doubts).chain(retries).chain(drops);
         Ok(Metrics {
             client,
             counters: RwLock::new(known.map(|counter| (counter, Arc::default())).collect()),
--- a/marigoldway/src/settings/document.rs
+++ b/marigoldway/src/settings/document.rs
@@ -71,6 +71,17 @@
         self.sections.contains_key(name)
     }
 
+    /// A value word for word.
+    pub fn value(&self, section: &str, key: &str) -> Option<&str> {
+        self.sections.get(section)?.get(key).map(String::as_str)
+    }
+
+    /// Every key and value of a section, in the order of the file.
+    pub fn values(&self, section: &str) -> impl Iterator<Item = (&str, &str)> {
+        let values = self.sections.get(section).into_iter().flatten();
+        values.map(|(key, value)| (key.as_str(), value.as_str()))
+    }
+
     fn insert(&mut self, section: &str, key: &str, value: &str) {
         let values = self.sections.entry(section.to_owned()).or_default();
         if values.contains_key(key) {
@@ -208,6 +219,12 @@
         }
     }
 
+    /// Faults a value that was read before.
+    pub(crate) fn refuse(&mut self, key: &str, expected: &str) {
+        let read = self.values.and_then(|values| values.get(key)).cloned();
+        self.fault(key, read.as_deref(), Expected::new(expected));
+    }
+
     fn value(&mut self, key: &'static str) -> Option<String> {
         self.asked.push(key);
         self.values.and_then(|values| values.get(key)).cloned()
--- a/marigoldway/src/settings/keys.rs
+++ b/marigoldway/src/settings/keys.rs
@@ -121,7 +121,7 @@
     let cipher = section.required("route-cipher", hex::<ROUTE_KEY_LEN>);
     let tag = section.required("route-tag", hex::<ROUTE_KEY_LEN>);
     let current = || Some(RouteKey::new(epoch?, &cipher?, &tag?));
-    let previous = read_previous(section, epoch);
+    let other = read_other(section, epoch);
     let mut secret = |key| section.required(key, hex::<SECRET_LEN>).map(Secret);
     let envelope = secret("envelope");
     let reset = secret("reset");
@@ -129,7 +129,7 @@
     let control = secret("control");
 
     Some(FleetKeys {
-        route: RouteKeys::new(current()?, previous?),
+        route: RouteKeys::new(current()?, other?),
         envelope: envelope?,
         reset: reset?,
         idempotency: idempotency?,
@@ -137,25 +137,61 @@
     })
 }
 
-/// Reads the previous route key: all three values of it, or none.
-fn read_previous(section: &mut Section<'_>, current: Option<u8>) -> Option<Option<RouteKey>> {
+/// Names of the values of one route key.
+struct RouteNames {
+    epoch: &'static str,
+    cipher: &'static str,
+    tag: &'static str,
+}
+
+const PREVIOUS: RouteNames = RouteNames {
+    epoch: "previous-epoch",
+    cipher: "previous-cipher",
+    tag: "previous-tag",
+};
+
+const NEXT: RouteNames = RouteNames {
+    epoch: "next-epoch",
+    cipher: "next-cipher",
+    tag: "next-tag",
+};
+
+/// Reads the second route key: the previous or the next one, not both.
+fn read_other(section: &mut Section<'_>, current: Option<u8>) -> Option<Option<RouteKey>> {
+    let previous = read_second(section, &PREVIOUS, current);
+    let next = read_second(section, &NEXT, current);
+    match (previous?, next?) {
+        (Some(_), Some(_)) => {
+            section.refuse(NEXT.epoch, "either the previous key or the next one");
+            None
+        }
+        (previous, next) => Some(previous.or(next)),
+    }
+}
+
+/// Reads a route key that may be left out: all three values of it, or none.
+fn read_second(
+    section: &mut Section<'_>,
+    names: &RouteNames,
+    current: Option<u8>,
+) -> Option<Option<RouteKey>> {
     let other = |text: &str| match epoch(text) {
         Ok(epoch) if Some(epoch) == current => {
             Err(Expected::new("an epoch other than route-epoch"))
         }
         result => result,
     };
-    let epoch = section.optional("previous-epoch", other)?;
-    if epoch.is_none() {
+    let epoch = section.optional(names.epoch, other);
+    if epoch == Some(None) {
         // Values without their epoch would be dropped in silence.
-        let none = |_: &str| Err::<(), _>(Expected::new("previous-epoch beside it"));
-        let cipher = section.optional("previous-cipher", none);
-        let tag = section.optional("previous-tag", none);
+        let none = |_: &str| Err::<(), _>(Expected::new(format!("{} beside it", names.epoch)));
+        let cipher = section.optional(names.cipher, none);
+        let tag = section.optional(names.tag, none);
         return cipher.and(tag).map(|_| None);
     }
-    let cipher = section.required("previous-cipher", hex::<ROUTE_KEY_LEN>);
-    let tag = section.required("previous-tag", hex::<ROUTE_KEY_LEN>);
-    Some(Some(RouteKey::new(epoch?, &cipher?, &tag?)))
+    let cipher = section.required(names.cipher, hex::<ROUTE_KEY_LEN>);
+    let tag = section.required(names.tag, hex::<ROUTE_KEY_LEN>);
+    Some(Some(RouteKey::new(epoch??, &cipher?, &tag?)))
 }
 
 fn epoch(text: &str) -> Result<u8, Expected> {
