--- a/marigoldway/src/cli.rs
+++ b/marigoldway/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::check;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::errors::describe;
 use crate::keys;
 use crate::lists;
 use crate::lists::ListsArgs;
@@ -253,13 +254,13 @@
     }
 }
 
-/// Tells of a failure: settings as one line a fault, others with their causes.
+/// Tells of a failure: settings as one line a fault, others as one line.
 fn fail(report: &Report<Error>) -> ExitCode {
     if let Some(faults) = report.downcast_ref::<Faults>() {
         eprintln!("{faults}");
         return ExitCode::from(EXIT_SETTINGS);
     }
-    eprintln!("marigoldway: {report:?}");
+    eprintln!("marigoldway: {}", describe(report));
     ExitCode::from(EXIT_FAILURE)
 }
 
--- a/marigoldway/src/errors.rs
+++ b/marigoldway/src/errors.rs
@@ -3,8 +3,12 @@
 use std::error::Error as StdError;
 use std::fmt;
 
+use error_stack::AttachmentKind;
+use error_stack::FrameKind;
+use error_stack::Report;
+
 /// `Result` with a report on this crate's [`Error`].
-pub type Result<T> = std::result::Result<T, error_stack::Report<Error>>;
+pub type Result<T> = std::result::Result<T, Report<Error>>;
 
 /// `Error` says which part of a process failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,3 +38,15 @@
 }
 
 impl StdError for Error {}
+
+/// A report on one line: what failed, then each cause and attachment.
+pub fn describe(report: &Report<Error>) -> String {
+    let parts = report.frames().filter_map(|frame| match frame.kind() {
+        FrameKind::Context(context) => Some(context.to_string()),
+        FrameKind::Attachment(AttachmentKind::Printable(attachment)) => {
+            Some(attachment.to_string())
+        }
+        FrameKind::Attachment(_) => None,
+    });
+    parts.collect::<Vec<_>>().join(": ")
+}
--- a/marigoldway/src/process.rs
+++ b/marigoldway/src/process.rs
@@ -15,6 +15,7 @@
 use crate::entry;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::errors::describe;
 use crate::logging;
 use crate::metrics;
 use crate::metrics::Metrics;
@@ -87,7 +88,10 @@
 
     match &result {
         Ok(()) => log::info!("event=stop role={role} instance={data}"),
-        Err(report) => log::error!("event=stop role={role} instance={data} error=\"{report}\""),
+        Err(report) => {
+            let error = describe(report);
+            log::error!("event=stop role={role} instance={data} error={error:?}");
+        }
     }
     result
 }
@@ -102,17 +106,18 @@
     F: Future<Output = Result<()>>,
 {
     let (trigger, shutdown) = shutdown::channel();
+    let trigger = Arc::new(trigger);
     let metrics = Metrics::new(settings.statsd).change_context(Error::Start("metrics"))?;
     let metrics = Arc::new(metrics);
     let status = Status::new(role, data.to_string(), metrics.clone(), shutdown.clone());
     let status = Arc::new(status);
     let operator = Operator::bind(settings.operator, status.clone());
     let operator = operator.change_context(Error::Start("operator endpoints"))?;
-    let signals = shutdown::listen(trigger, settings.drain_limit);
+    let signals = shutdown::listen(trigger.clone(), settings.drain_limit);
     let signals = signals.change_context(Error::Start("signal handlers"))?;
 
     tokio::spawn(signals);
-    tokio::spawn(metrics::run(metrics.clone(), shutdown.clone()));
+    let reports = tokio::spawn(metrics::run(metrics.clone(), shutdown.clone()));
     let endpoints = tokio::spawn(operator.run(shutdown.clone()));
 
     let process = Process {
@@ -124,7 +129,13 @@
         result = run(process) => result,
         () = cut(&shutdown) => Ok(()),
     };
-    endpoints.abort();
+
+    // The last counters go out, and the endpoints close their threads.
+    trigger.advance(Phase::Ending);
+    let rest = async { tokio::join!(reports, endpoints) };
+    if tokio::time::timeout(END_GRACE, rest).await.is_err() {
+        log::warn!("event=end-grace-over role={role}");
+    }
     result
 }
 
@@ -132,5 +143,4 @@
 async fn cut(shutdown: &Shutdown) {
     shutdown.ending().await;
     tokio::time::sleep(END_GRACE).await;
-    debug_assert_eq!(shutdown.phase(), Phase::Ending);
 }
--- a/marigoldway/src/settings/document.rs
+++ b/marigoldway/src/settings/document.rs
@@ -115,11 +115,7 @@
     }
 
     /// Reads one section with `read`, then faults every key it didn't ask for.
-    pub(crate) fn section<T>(
-        &mut self,
-        name: &str,
-        read: impl FnOnce(&mut Section<'_>) -> Option<T>,
-    ) -> Option<T> {
+    pub(crate) fn section<T>(&mut self, name: &str, read: impl FnOnce(&mut Section<'_>) -> T) -> T {
         let mut section = Section {
             file: &self.document.file,
             name,
@@ -189,6 +185,11 @@
 }
 
 impl Section<'_> {
+    /// The directory that relative paths start at.
+    pub(crate) fn dir(&self) -> PathBuf {
+        self.file.parent().unwrap_or(Path::new("")).to_path_buf()
+    }
+
     /// Reads a value that must be there.
     pub(crate) fn required<T>(
         &mut self,
--- a/marigoldway/src/settings/mod.rs
+++ b/marigoldway/src/settings/mod.rs
@@ -10,9 +10,7 @@
 mod parts;
 mod values;
 
-use std::fs::File;
 use std::path::Path;
-use std::path::PathBuf;
 
 pub use crate::settings::document::Document;
 pub use crate::settings::faults::Expected;
@@ -68,11 +66,11 @@
         const SECTIONS: &str = "one of [process], [network], [platform], [service NAME]";
 
         let mut reader = Reader::new(document);
-        let process = reader.section("process", ProcessSettings::read);
+        let (process, source) = reader.section("process", ProcessSettings::read);
         let network = reader.section("network", NetworkSettings::read_entry);
         let platform = reader.section("platform", PlatformSettings::read);
         let services = read_services(&mut reader);
-        let keys = load_keys(&mut reader, process.as_ref());
+        let keys = load_keys(&mut reader, source);
 
         let settings = || {
             Some(EntrySettings {
@@ -118,13 +116,12 @@
         const SECTIONS: &str = "one of [process], [network], [platform], [target], [tls]";
 
         let mut reader = Reader::new(document);
-        let process = reader.section("process", ProcessSettings::read);
+        let (process, source) = reader.section("process", ProcessSettings::read);
         let network = reader.section("network", NetworkSettings::read_agent);
         let platform = reader.section("platform", PlatformSettings::read);
         let target = reader.section("target", TargetSettings::read);
         let tls = reader.section("tls", TlsSettings::read);
-        let tls = tls.map(|tls| locate_tls(&mut reader, &tls));
-        let keys = load_keys(&mut reader, process.as_ref());
+        let keys = load_keys(&mut reader, source);
 
         let settings = || {
             Some(AgentSettings {
@@ -184,8 +181,9 @@
     services
 }
 
-fn load_keys(reader: &mut Reader<'_>, process: Option<&ProcessSettings>) -> Option<FleetKeys> {
-    match FleetKeys::load(&process?.keys, directory(reader.file())) {
+fn load_keys(reader: &mut Reader<'_>, source: Option<KeySource>) -> Option<FleetKeys> {
+    let dir = reader.file().parent().unwrap_or(Path::new(""));
+    match FleetKeys::load(&source?, dir) {
         Ok(keys) => Some(keys),
         Err(faults) => {
             reader.append(faults);
@@ -193,24 +191,3 @@
         }
     }
 }
-
-/// Makes both paths start at the settings file, and faults those that can't be
-/// opened.
-fn locate_tls(reader: &mut Reader<'_>, tls: &TlsSettings) -> TlsSettings {
-    let mut locate = |key, path: &PathBuf| {
-        let path = directory(reader.file()).join(path);
-        if let Err(err) = File::open(&path) {
-            let read = format!("{}: {err}", path.display());
-            reader.fault("tls", key, Some(&read), "a readable PEM file");
-        }
-        path
-    };
-    TlsSettings {
-        certificate: locate("certificate", &tls.certificate),
-        key: locate("key", &tls.key),
-    }
-}
-
-fn directory(file: &Path) -> &Path {
-    file.parent().unwrap_or(Path::new(""))
-}
--- a/marigoldway/src/settings/parts.rs
+++ b/marigoldway/src/settings/parts.rs
@@ -1,7 +1,9 @@
 //! The sections of a settings file as checked types.
 
+use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -59,7 +61,9 @@
 }
 
 impl ProcessSettings {
-    pub(crate) fn read(section: &mut Section<'_>) -> Option<ProcessSettings> {
+    /// Reads the section. The source of the keys comes beside it, so that keys
+    /// are checked even where another value is faulty.
+    pub(crate) fn read(section: &mut Section<'_>) -> (Option<ProcessSettings>, Option<KeySource>) {
         let id = |text: &str| values::number(text, 0..=u32::from(u8::MAX)).map(|id| id as u8);
         let domain = section.required("domain", id);
         let region = section.required("region", id);
@@ -69,15 +73,18 @@
         let statsd = section.optional("statsd", values::address);
         let drain_limit = section.optional("drain-limit", values::duration);
 
-        Some(ProcessSettings {
-            domain: DomainId(domain?),
-            region: RegionId(region?),
-            log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
-            keys: keys?,
-            operator: operator?.unwrap_or(DEFAULT_OPERATOR),
-            statsd: statsd?,
-            drain_limit: drain_limit?.unwrap_or(DEFAULT_DRAIN_LIMIT),
-        })
+        let settings = || {
+            Some(ProcessSettings {
+                domain: DomainId(domain?),
+                region: RegionId(region?),
+                log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
+                keys: keys.clone()?,
+                operator: operator?.unwrap_or(DEFAULT_OPERATOR),
+                statsd: statsd?,
+                drain_limit: drain_limit?.unwrap_or(DEFAULT_DRAIN_LIMIT),
+            })
+        };
+        (settings(), keys)
     }
 }
 
@@ -215,10 +222,8 @@
 
 impl TlsSettings {
     pub(crate) fn read(section: &mut Section<'_>) -> Option<TlsSettings> {
-        let path = |text: &str| match text {
-            "" => Err(Expected::new("the path of a PEM file")),
-            _ => Ok(PathBuf::from(text)),
-        };
+        let dir = section.dir();
+        let path = |text: &str| readable(&dir, text);
         let certificate = section.required("certificate", path);
         let key = section.required("key", path);
 
@@ -229,6 +234,22 @@
     }
 }
 
+/// Locates a file that this process can open.
+fn readable(dir: &Path, text: &str) -> Result<PathBuf, Expected> {
+    let expected = "the path of a readable PEM file";
+    if text.is_empty() {
+        return Err(Expected::new(expected));
+    }
+    let path = dir.join(text);
+    match File::open(&path) {
+        Ok(_) => Ok(path),
+        Err(err) => Err(Expected::new(format!(
+            "{expected} ({}: {err})",
+            path.display()
+        ))),
+    }
+}
+
 fn service_id(text: &str) -> Result<ServiceId, Expected> {
     values::number(text, 1..=u32::from(u16::MAX)).map(|id| ServiceId(id as u16))
 }
--- a/marigoldway/src/shutdown.rs
+++ b/marigoldway/src/shutdown.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::signal::unix::SignalKind;
@@ -93,7 +94,7 @@
 ///
 /// Errors are the system's, where it refuses a signal handler.
 pub fn listen(
-    trigger: Trigger,
+    trigger: Arc<Trigger>,
     drain_limit: Duration,
 ) -> io::Result<impl Future<Output = ()> + Send> {
     let mut term = signal(SignalKind::terminate())?;
