--- /dev/null
+++ b/marigoldway-core/examples/measure_crest/policy.rs
@@ -0,0 +1,200 @@
+//! The policies that are compared.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::admission::Action;
+use marigoldway_core::admission::Admission;
+use marigoldway_core::admission::AdmissionOptions;
+use marigoldway_core::admission::Arrival;
+use marigoldway_core::admission::Ended;
+use marigoldway_core::admission::RequestId;
+use marigoldway_core::request::Class;
+use marigoldway_core::time::Timestamp;
+
+use crate::demand::Request;
+use crate::demand::SLOTS;
+
+/// Requests that a plain queue holds.
+const PLAIN_QUEUE: usize = 1_000;
+
+/// How long a queue must have held something until the newest goes first.
+const ADAPTIVE_AFTER: Duration = Duration::from_millis(100);
+
+/// `Kind` names a policy of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Admission as it is shipped.
+    Ours,
+    /// The same, with bulk requests treated as short ones.
+    OursNoClasses,
+    /// One queue, oldest first, blind to deadlines.
+    Fifo,
+    /// One queue, newest first while it doesn't run empty; late ones dropped.
+    AdaptiveLifo,
+    /// One queue, earliest deadline first; late ones dropped.
+    EarliestDeadline,
+}
+
+impl Kind {
+    /// Every policy, in the order of the table.
+    pub(crate) const ALL: [Kind; 5] = [
+        Kind::Ours,
+        Kind::Fifo,
+        Kind::AdaptiveLifo,
+        Kind::EarliestDeadline,
+        Kind::OursNoClasses,
+    ];
+
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Kind::Ours => "ours",
+            Kind::OursNoClasses => "ours, no class rule",
+            Kind::Fifo => "FIFO",
+            Kind::AdaptiveLifo => "adaptive LIFO",
+            Kind::EarliestDeadline => "earliest deadline",
+        }
+    }
+}
+
+/// `Policy` decides which requests start.
+pub(crate) enum Policy {
+    /// Admission of the core, blind to classes or not.
+    Core {
+        admission: Box<Admission>,
+        rng: StdRng,
+        classes: bool,
+    },
+    /// A plain queue.
+    Plain(Plain),
+}
+
+impl Policy {
+    pub(crate) fn new(kind: Kind, seed: u64) -> Policy {
+        let classes = match kind {
+            Kind::Ours => true,
+            Kind::OursNoClasses => false,
+            Kind::Fifo | Kind::AdaptiveLifo | Kind::EarliestDeadline => {
+                return Policy::Plain(Plain::new(kind));
+            }
+        };
+        let options = AdmissionOptions {
+            slots: SLOTS,
+            ..AdmissionOptions::default()
+        };
+        Policy::Core {
+            admission: Box::new(Admission::new(options, Timestamp::ZERO).warm()),
+            rng: StdRng::seed_from_u64(seed),
+            classes,
+        }
+    }
+
+    /// Takes in a request and gives those that start now.
+    pub(crate) fn arrive(&mut self, id: usize, request: &Request, now: Timestamp) -> Vec<usize> {
+        match self {
+            Policy::Core {
+                admission,
+                rng,
+                classes,
+            } => {
+                let arrival = Arrival {
+                    id: RequestId(id as u64),
+                    class: if *classes {
+                        request.class
+                    } else {
+                        Class::Short
+                    },
+                    customer: request.customer,
+                    deadline: Some(request.deadline),
+                };
+                starts(&admission.arrive(arrival, now, rng))
+            }
+            Policy::Plain(plain) => plain.arrive(id, request.deadline, now),
+        }
+    }
+
+    /// Takes in an answer and gives the requests that start now.
+    pub(crate) fn finish(&mut self, id: usize, now: Timestamp) -> Vec<usize> {
+        match self {
+            Policy::Core { admission, rng, .. } => {
+                let id = RequestId(id as u64);
+                starts(&admission.finish(id, Ended::Answered, now, rng))
+            }
+            Policy::Plain(plain) => plain.finish(now),
+        }
+    }
+}
+
+fn starts(actions: &[Action]) -> Vec<usize> {
+    let id = |action: &Action| match action {
+        Action::Start(id) => Some(id.0 as usize),
+        Action::Refuse { .. } | Action::Cancel(_) => None,
+    };
+    actions.iter().filter_map(id).collect()
+}
+
+/// `Plain` is one queue for all requests.
+pub(crate) struct Plain {
+    kind: Kind,
+    queue: VecDeque<(usize, Timestamp)>,
+    busy: usize,
+    /// When the queue was empty last.
+    empty: Timestamp,
+}
+
+impl Plain {
+    fn new(kind: Kind) -> Plain {
+        Plain {
+            kind,
+            queue: VecDeque::new(),
+            busy: 0,
+            empty: Timestamp::ZERO,
+        }
+    }
+
+    fn arrive(&mut self, id: usize, deadline: Timestamp, now: Timestamp) -> Vec<usize> {
+        if self.queue.is_empty() {
+            self.empty = now;
+        }
+        if self.queue.len() < PLAIN_QUEUE {
+            self.queue.push_back((id, deadline));
+        }
+        self.dispatch(now)
+    }
+
+    fn finish(&mut self, now: Timestamp) -> Vec<usize> {
+        self.busy -= 1;
+        self.dispatch(now)
+    }
+
+    fn dispatch(&mut self, now: Timestamp) -> Vec<usize> {
+        let mut out = Vec::new();
+        while self.busy < SLOTS {
+            let Some((id, deadline)) = self.take(now) else {
+                self.empty = now;
+                return out;
+            };
+            if self.kind == Kind::Fifo || deadline > now {
+                self.busy += 1;
+                out.push(id);
+            }
+        }
+        out
+    }
+
+    fn take(&mut self, now: Timestamp) -> Option<(usize, Timestamp)> {
+        let newest = now.since(self.empty) > ADAPTIVE_AFTER;
+        match self.kind {
+            Kind::AdaptiveLifo if newest => self.queue.pop_back(),
+            Kind::EarliestDeadline => {
+                let deadlines = self.queue.iter().enumerate();
+                let (at, _) = deadlines.min_by_key(|(_, (_, deadline))| *deadline)?;
+                self.queue.remove(at)
+            }
+            _ => self.queue.pop_front(),
+        }
+    }
+}
