--- a/marigoldway-core/examples/measure_crest/main.rs
+++ b/marigoldway-core/examples/measure_crest/main.rs
@@ -52,6 +52,8 @@
     back: Option<Duration>,
     /// Smallest share answered in time of a customer within its plan.
     least: f64,
+    /// Share answered in time of all customers within their plan.
+    steady: f64,
     /// Bulk requests of the whole run that were answered in time.
     bulk: f64,
 }
@@ -59,7 +61,7 @@
 fn main() -> io::Result<()> {
     let mut csv = String::from(
         "policy,answered,worth,crest_p50_ms,crest_p99_ms,crest_max_ms,\
-         calm_p50_ms,calm_p99_ms,calm_max_ms,lost,back_ms,least,bulk\n",
+         calm_p50_ms,calm_p99_ms,calm_max_ms,lost,back_ms,within_plan,least,bulk\n",
     );
     let mut p99 = Vec::new();
     print_head();
@@ -114,6 +116,7 @@
             lost: 1.0 - useful(&all) / slots,
             back: back(&all, share(&calm), waits(&calm)[1]),
             least: least(runs),
+            steady: share(&steady(&crest)),
             bulk: share(&bulk(&all)),
         }
     }
@@ -129,6 +132,11 @@
     all.iter().filter(inside).copied().collect()
 }
 
+fn steady<'a>(all: &[&'a Fate]) -> Vec<&'a Fate> {
+    let inside = |fate: &&&Fate| fate.request.customer < CustomerKey(STEADY);
+    all.iter().filter(inside).copied().collect()
+}
+
 fn share(fates: &[&Fate]) -> f64 {
     let good = fates.iter().filter(|fate| fate.in_time()).count();
     good as f64 / fates.len().max(1) as f64
@@ -192,9 +200,9 @@
 fn print_head() {
     println!(
         "| policy | in time | of capacity | crest wait p50 / p99 / max ms | \
-         calm wait p50 / p99 / max ms | lost | back after ms | least customer | bulk |"
+         calm wait p50 / p99 / max ms | lost | back after ms | within plan | least of these | bulk |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|");
 }
 
 fn print_row(name: &str, row: &Row) {
@@ -203,12 +211,13 @@
         .back
         .map_or("not".to_owned(), |back| back.as_millis().to_string());
     println!(
-        "| {name} | {:.1}% | {:.1}% | {} | {} | {:.1}% | {back} | {:.1}% | {:.1}% |",
+        "| {name} | {:.1}% | {:.1}% | {} | {} | {:.1}% | {back} | {:.1}% | {:.1}% | {:.1}% |",
         row.answered * 100.0,
         row.worth * 100.0,
         list(row.crest),
         list(row.calm),
         row.lost * 100.0,
+        row.steady * 100.0,
         row.least * 100.0,
         row.bulk * 100.0,
     );
@@ -220,12 +229,13 @@
         .back
         .map_or(String::new(), |back| back.as_millis().to_string());
     format!(
-        "\"{name}\",{:.4},{:.4},{},{},{:.4},{back},{:.4},{:.4}\n",
+        "\"{name}\",{:.4},{:.4},{},{},{:.4},{back},{:.4},{:.4},{:.4}\n",
         row.answered,
         row.worth,
         list(row.crest),
         list(row.calm),
         row.lost,
+        row.steady,
         row.least,
         row.bulk,
     )
--- a/marigoldway-core/examples/measure_crest/policy.rs
+++ b/marigoldway-core/examples/measure_crest/policy.rs
@@ -29,7 +29,9 @@
 pub(crate) enum Kind {
     /// Admission as it is shipped.
     Ours,
-    /// The same, with bulk requests treated as short ones.
+    /// The same, with three of the four slots kept from bulk requests.
+    OursOneBulk,
+    /// Admission with bulk requests treated as short ones.
     OursNoClasses,
     /// One queue, oldest first, blind to deadlines.
     Fifo,
@@ -41,17 +43,19 @@
 
 impl Kind {
     /// Every policy, in the order of the table.
-    pub(crate) const ALL: [Kind; 5] = [
+    pub(crate) const ALL: [Kind; 6] = [
         Kind::Ours,
         Kind::Fifo,
         Kind::AdaptiveLifo,
         Kind::EarliestDeadline,
         Kind::OursNoClasses,
+        Kind::OursOneBulk,
     ];
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Kind::Ours => "ours",
+            Kind::OursOneBulk => "ours, bulk in one slot",
             Kind::OursNoClasses => "ours, no class rule",
             Kind::Fifo => "FIFO",
             Kind::AdaptiveLifo => "adaptive LIFO",
@@ -74,16 +78,19 @@
 
 impl Policy {
     pub(crate) fn new(kind: Kind, seed: u64) -> Policy {
-        let classes = match kind {
-            Kind::Ours => true,
-            Kind::OursNoClasses => false,
+        let shipped = AdmissionOptions::default();
+        let (classes, reserved) = match kind {
+            Kind::Ours => (true, shipped.reserved),
+            Kind::OursOneBulk => (true, SLOTS - 1),
+            Kind::OursNoClasses => (false, shipped.reserved),
             Kind::Fifo | Kind::AdaptiveLifo | Kind::EarliestDeadline => {
                 return Policy::Plain(Plain::new(kind));
             }
         };
         let options = AdmissionOptions {
             slots: SLOTS,
-            ..AdmissionOptions::default()
+            reserved,
+            ..shipped
         };
         Policy::Core {
             admission: Box::new(Admission::new(options, Timestamp::ZERO).warm()),
--- /dev/null
+++ b/marigoldway-core/examples/measure_relay.rs
@@ -0,0 +1,278 @@
+//! Measures the imbalance of requests over seven targets when 200 long flows
+//! are pinned unevenly, with relay and without.
+//!
+//! Run with `cargo run --release -p marigoldway-core --example measure_relay
+//! [CSV]`. Same seeds for both; a relayed request takes a hop each way.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fs;
+use std::io;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::admission::Action;
+use marigoldway_core::admission::Admission;
+use marigoldway_core::admission::AdmissionOptions;
+use marigoldway_core::admission::Arrival;
+use marigoldway_core::admission::CustomerKey;
+use marigoldway_core::admission::Ended;
+use marigoldway_core::admission::RequestId;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::relay::Hops;
+use marigoldway_core::relay::Relay;
+use marigoldway_core::relay::Room;
+use marigoldway_core::request::Class;
+use marigoldway_core::time::Timestamp;
+
+const TARGETS: usize = 7;
+const SLOTS: usize = 4;
+const FLOWS: usize = 200;
+const SEEDS: u64 = 20;
+
+/// Flows of each target: a third of them are at the first.
+const PINNED: [usize; TARGETS] = [66, 40, 30, 24, 18, 12, 10];
+
+/// Demand as a share of the capacity of all targets.
+const DEMAND: f64 = 0.6;
+
+/// Mean service time, the way between two domains, and the length of a run.
+const SERVICE: Duration = Duration::from_millis(20);
+const HOP: Duration = Duration::from_millis(3);
+const RUN: Duration = Duration::from_secs(30);
+const DEADLINE: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A request of a flow that is pinned to a target.
+    Request(usize),
+    /// A request that was relayed to a target.
+    Relayed(usize, usize),
+    /// The answer of a target.
+    End(usize, RequestId),
+    /// What a peer said of itself with an answer.
+    Report(usize, usize),
+}
+
+struct Agent {
+    admission: Admission,
+    relay: Relay,
+    busy: Duration,
+}
+
+/// One row of the table.
+#[derive(Default)]
+struct Figures {
+    /// Slot time used at each target, summed over the seeds.
+    busy: [Duration; TARGETS],
+    waits: Vec<Duration>,
+    refused: usize,
+    relayed: usize,
+}
+
+struct Bench {
+    relaying: bool,
+    rng: StdRng,
+    agents: Vec<Agent>,
+    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    next: u64,
+    arrivals: IndexMap<RequestId, (Timestamp, Option<usize>)>,
+    figures: Figures,
+}
+
+fn main() -> io::Result<()> {
+    let mut csv = String::from("relay,max_over_mean,min_over_mean,refused,p50_ms,p99_ms,relayed\n");
+    println!("| relay | busiest / mean | idlest / mean | refused | wait p50 / p99 ms | relayed |");
+    println!("|---|---|---|---|---|---|");
+    for relaying in [false, true] {
+        let mut figures = Figures::default();
+        for seed in 1..=SEEDS {
+            let run = Bench::new(seed, relaying).run();
+            figures.add(run);
+        }
+        figures.print(relaying, &mut csv);
+    }
+    match std::env::args().nth(1) {
+        Some(path) => fs::write(path, csv),
+        None => Ok(()),
+    }
+}
+
+impl Bench {
+    fn new(seed: u64, relaying: bool) -> Bench {
+        let mut bench = Bench {
+            relaying,
+            rng: StdRng::seed_from_u64(seed),
+            agents: (0..TARGETS).map(agent).collect(),
+            events: BinaryHeap::new(),
+            next: 0,
+            arrivals: IndexMap::new(),
+            figures: Figures::default(),
+        };
+        bench.draw_requests();
+        bench
+    }
+
+    /// Every flow asks at the same mean rate.
+    fn draw_requests(&mut self) {
+        let capacity = (TARGETS * SLOTS) as f64 / SERVICE.as_secs_f64();
+        let gap = Duration::from_secs_f64(FLOWS as f64 / (capacity * DEMAND));
+        let flows = PINNED.iter().enumerate();
+        for target in flows.flat_map(|(target, flows)| (0..*flows).map(move |_| target)) {
+            let mut at = Timestamp::ZERO + exponential(gap, &mut self.rng);
+            while at < Timestamp::ZERO + RUN {
+                self.schedule(at, Event::Request(target));
+                at = at + exponential(gap, &mut self.rng);
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Timestamp, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse((at, self.next, event)));
+    }
+
+    fn run(mut self) -> Figures {
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            match event {
+                Event::Request(target) => self.request(target, now),
+                Event::Relayed(from, to) => {
+                    self.admit(to, now, Some(from), now);
+                }
+                Event::End(target, id) => self.end(target, id, now),
+                Event::Report(at, peer) => {
+                    let room = Room::from(self.agents[peer].admission.load(now));
+                    self.agents[at].relay.report(instance(peer), room, now);
+                }
+            }
+        }
+        for (busy, agent) in self.figures.busy.iter_mut().zip(&self.agents) {
+            *busy += agent.busy;
+        }
+        self.figures
+    }
+
+    fn request(&mut self, target: usize, now: Timestamp) {
+        let agent = &mut self.agents[target];
+        let load = agent.admission.load(now);
+        let peer = match self.relaying {
+            true => agent.relay.choose(&load, Hops::None, now, &mut self.rng),
+            false => None,
+        };
+        let Some(peer) = peer else {
+            return self.admit(target, now, None, now);
+        };
+        self.figures.relayed += 1;
+        let to = usize::from(peer.0.port());
+        self.schedule(now + HOP, Event::Relayed(target, to));
+    }
+
+    fn admit(&mut self, target: usize, arrived: Timestamp, from: Option<usize>, now: Timestamp) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        self.arrivals.insert(id, (arrived, from));
+        let arrival = Arrival {
+            id,
+            class: Class::Short,
+            customer: CustomerKey(0),
+            deadline: Some(now + DEADLINE),
+        };
+        let admission = &mut self.agents[target].admission;
+        let actions = admission.arrive(arrival, now, &mut self.rng);
+        self.act(target, &actions, now);
+    }
+
+    fn end(&mut self, target: usize, id: RequestId, now: Timestamp) {
+        let admission = &mut self.agents[target].admission;
+        let actions = admission.finish(id, Ended::Answered, now, &mut self.rng);
+        self.act(target, &actions, now);
+        if let Some((_, Some(from))) = self.arrivals.get(&id).copied() {
+            self.schedule(now + HOP, Event::Report(from, target));
+        }
+    }
+
+    fn act(&mut self, target: usize, actions: &[Action], now: Timestamp) {
+        for action in actions {
+            match *action {
+                Action::Start(id) => {
+                    let (arrived, from) = self.arrivals[&id];
+                    let hops = from.map_or(Duration::ZERO, |_| HOP * 2);
+                    let service = SERVICE.mul_f64(self.rng.random_range(0.5..1.5));
+                    self.figures.waits.push(now.since(arrived) + hops);
+                    self.agents[target].busy += service;
+                    self.schedule(now + service, Event::End(target, id));
+                }
+                Action::Refuse { id, .. } => {
+                    self.figures.refused += 1;
+                    if let Some((_, Some(from))) = self.arrivals.get(&id).copied() {
+                        self.schedule(now + HOP, Event::Report(from, target));
+                    }
+                }
+                Action::Cancel(_) => {}
+            }
+        }
+    }
+}
+
+impl Figures {
+    fn add(&mut self, run: Figures) {
+        for (sum, busy) in self.busy.iter_mut().zip(run.busy) {
+            *sum += busy;
+        }
+        self.waits.extend(run.waits);
+        self.refused += run.refused;
+        self.relayed += run.relayed;
+    }
+
+    fn print(&mut self, relaying: bool, csv: &mut String) {
+        self.waits.sort();
+        let waits: &[Duration] = &self.waits;
+        let wait = |permille: usize| {
+            let at = (waits.len() - 1) * permille / 1_000;
+            waits[at].as_secs_f64() * 1_000.0
+        };
+        let busy = self.busy.map(|busy| busy.as_secs_f64());
+        let mean = busy.iter().sum::<f64>() / TARGETS as f64;
+        let most = busy.iter().copied().fold(0.0, f64::max) / mean;
+        let least = busy.iter().copied().fold(f64::MAX, f64::min) / mean;
+        let all = (self.waits.len() + self.refused) as f64;
+        let refused = self.refused as f64 / all * 100.0;
+        let relayed = self.relayed as f64 / all * 100.0;
+        let (p50, p99) = (wait(500), wait(990));
+        println!(
+            "| {relaying} | {most:.2} | {least:.2} | {refused:.2}% | \
+             {p50:.1} / {p99:.1} | {relayed:.1}% |"
+        );
+        csv.push_str(&format!(
+            "{relaying},{most:.4},{least:.4},{refused:.4},{p50:.3},{p99:.3},{relayed:.3}\n"
+        ));
+    }
+}
+
+fn agent(at: usize) -> Agent {
+    let options = AdmissionOptions {
+        slots: SLOTS,
+        ..AdmissionOptions::default()
+    };
+    let mut relay = Relay::default();
+    relay.update((0..TARGETS).filter(|peer| *peer != at).map(instance));
+    Agent {
+        admission: Admission::new(options, Timestamp::ZERO).warm(),
+        relay,
+        busy: Duration::ZERO,
+    }
+}
+
+/// The port of an instance is the index of its target.
+fn instance(at: usize) -> InstanceId {
+    InstanceId::new([127, 0, 0, 1].into(), at as u16)
+}
+
+fn exponential(mean: Duration, rng: &mut impl Rng) -> Duration {
+    mean.mul_f64(-(1.0 - rng.random::<f64>()).ln())
+}
--- a/marigoldway-core/src/admission.rs
+++ b/marigoldway-core/src/admission.rs
@@ -100,7 +100,7 @@
             return actions;
         }
 
-        if let Some(displaced) = self.make_room(&arrival) {
+        if let Some(displaced) = self.make_room(&arrival, now) {
             self.places.swap_remove(&displaced.id);
             actions.push(self.refuse(displaced.id, Refusal::QueueFull, now, rng));
         }
@@ -225,10 +225,10 @@
         }
     }
 
-    /// Makes room in a full short queue, at the cost of the customer that has
-    /// most requests in it.
-    fn make_room(&mut self, arrival: &Arrival) -> Option<Waiting> {
-        if arrival.class != Class::Short || self.short.len() < self.options.short_queue {
+    /// Makes room in a full short queue, at the cost of the customer that is
+    /// furthest beyond its share.
+    fn make_room(&mut self, arrival: &Arrival, now: Timestamp) -> Option<Waiting> {
+        if arrival.class != Class::Short || self.short.len() < self.short_room(now) {
             return None;
         }
         self.short.displace(arrival.customer)
--- a/marigoldway-core/src/admission/checks.rs
+++ b/marigoldway-core/src/admission/checks.rs
@@ -38,12 +38,24 @@
         let ahead = self.short.ahead(arrival.customer);
         let wait = self.short_wait(ahead, now);
         self.check_deadline(arrival, wait, now)?;
-        if wait > self.options.short_wait || ahead >= self.options.short_queue {
+        if ahead >= self.short_room(now) {
             return Err(Refusal::QueueFull);
         }
         Ok(())
     }
 
+    /// Short requests that may wait, so that the last one is expected to wait
+    /// for the longest time allowed.
+    pub(super) fn short_room(&self, now: Timestamp) -> usize {
+        let slots = self.limit(now).saturating_sub(self.counts.bulk).max(1);
+        let service = self.estimate.service(Class::Short).as_micros().max(1);
+        let turns = self.options.short_wait.as_micros() / service;
+        let room = usize::try_from(turns)
+            .unwrap_or(usize::MAX)
+            .saturating_mul(slots);
+        room.clamp(1, self.options.short_queue)
+    }
+
     fn check_bulk(&self, arrival: &Arrival, now: Timestamp) -> Result<(), Refusal> {
         if self.bulk.len() >= self.options.bulk_queue {
             return Err(Refusal::QueueFull);
