--- a/marigoldway-core/examples/measure_crest/policy.rs
+++ b/marigoldway-core/examples/measure_crest/policy.rs
@@ -69,7 +69,7 @@
     /// Admission of the core, blind to classes or not.
     Core {
         admission: Box<Admission>,
-        rng: StdRng,
+        rng: Box<StdRng>,
         classes: bool,
     },
     /// A plain queue.
@@ -94,7 +94,7 @@
         };
         Policy::Core {
             admission: Box::new(Admission::new(options, Timestamp::ZERO).warm()),
-            rng: StdRng::seed_from_u64(seed),
+            rng: Box::new(StdRng::seed_from_u64(seed)),
             classes,
         }
     }
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -6,9 +6,9 @@
 pub mod agent;
 pub mod entry;
 pub mod errors;
-pub mod scope;
 pub mod logging;
 pub mod metrics;
 pub mod operator;
+pub mod scope;
 pub mod settings;
 pub mod shutdown;
