--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -1,13 +1,13 @@
 //! Sockets, codecs and protocols of the marigoldway load balancer.
 
 pub mod clock;
-pub mod counters;
 pub mod control;
+pub mod counters;
 pub mod envelope;
-pub mod platform;
 pub mod errors;
 pub mod forward;
 pub mod gate;
+pub mod platform;
 pub mod quic;
 pub mod udp;
 pub mod wire;
--- a/marigoldway-standin/src/lib.rs
+++ b/marigoldway-standin/src/lib.rs
@@ -1,6 +1,4 @@
 //! Stand-ins for the fabric, the platform and the targets; never shipped.
-
-pub mod platform;
 //!
 //! Every stand-in prints one line `listening=ADDR` for each address that it
 //! listens at, in the order of its options, so that a test may ask for port 0.
--- a/marigoldway-standin/src/platform/mod.rs
+++ b/marigoldway-standin/src/platform/mod.rs
@@ -19,7 +19,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -42,6 +42,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::announce;
 use crate::platform::faults::Faults;
 use crate::platform::store::Store;
 
@@ -51,7 +52,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlatformOptions {
     /// TCP address; port 0 lets the system choose.
-    pub listen: SocketAddr,
+    pub listen: SocketAddrV4,
 }
 
 /// Runs the stand-in until its task is dropped.
@@ -60,7 +61,9 @@
 ///
 /// The error of the socket if the address can't be taken.
 pub async fn run(options: PlatformOptions) -> io::Result<()> {
-    serve(TcpListener::bind(options.listen).await?).await
+    let listener = TcpListener::bind(options.listen).await?;
+    announce(listener.local_addr()?)?;
+    serve(listener).await
 }
 
 /// Serves connections of `listener`.
