Decide which revisions are in force, how they spread, and what became of a write

Only higher revisions are taken, as pairs that agree, so any order, loss and doubling ends at the highest one and a restored platform lowers nothing. A lost answer is resolved by sending the same compare-and-swap again and reading back the change id.

--- /dev/null
+++ b/marigoldway-core/src/lists/change.rs
@@ -0,0 +1,107 @@
+//! One change of a list: a compare-and-swap whose answer may be lost.
+//!
+//! A write that ended without an answer may have taken effect, may still do so,
+//! or may never. [`Put`] sends the same compare-and-swap again: it can't take
+//! effect twice, and once it is refused no earlier copy can take effect either.
+//! Reading back the change id then tells what happened.
+
+use crate::lists::document::ChangeId;
+use crate::lists::document::Revision;
+
+/// `SwapAnswer` is what is known after one try of the write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SwapAnswer {
+    /// The write took effect.
+    Applied,
+    /// The write was refused, since somebody else wrote first.
+    Refused,
+    /// No answer came.
+    Lost,
+}
+
+/// `ReadBack` is what the platform holds after a refused write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadBack {
+    /// Revision of the list.
+    pub current: Revision,
+    /// The change in the history at the generation that this change wanted.
+    pub history: Option<ChangeId>,
+}
+
+/// `Step` is what to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send the compare-and-swap, after a pause if it was sent before.
+    Swap,
+    /// Read the list and the history.
+    Read,
+    /// Stop.
+    End(Verdict),
+}
+
+/// `Verdict` tells what became of the change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The change is the newest state of the list.
+    Applied,
+    /// The change was applied, and another one was made upon it since.
+    Overtaken {
+        /// The newest state.
+        current: Revision,
+    },
+    /// The change did not take effect and never will.
+    NotApplied {
+        /// The state that stands instead.
+        current: Revision,
+    },
+    /// The platform gave no answer in all tries. The change may take effect.
+    Unknown,
+}
+
+/// `Put` drives one change to its verdict.
+#[derive(Clone, Copy, Debug)]
+pub struct Put {
+    revision: Revision,
+    tries: u32,
+}
+
+impl Put {
+    /// Starts a change that wants to make `revision`. It makes at most `tries`
+    /// calls that stay without answer.
+    pub fn new(revision: Revision, tries: u32) -> Put {
+        Put { revision, tries }
+    }
+
+    /// Takes the answer to [`Step::Swap`].
+    pub fn swapped(&mut self, answer: SwapAnswer) -> Step {
+        match answer {
+            SwapAnswer::Applied => Step::End(Verdict::Applied),
+            SwapAnswer::Refused => Step::Read,
+            SwapAnswer::Lost => self.again(Step::Swap),
+        }
+    }
+
+    /// Takes the answer to [`Step::Read`], `None` if none came.
+    pub fn read(&mut self, answer: Option<ReadBack>) -> Step {
+        let Some(answer) = answer else {
+            return self.again(Step::Read);
+        };
+        let current = answer.current;
+        let ours = Some(self.revision.change);
+        Step::End(if current == self.revision {
+            Verdict::Applied
+        } else if answer.history == ours {
+            Verdict::Overtaken { current }
+        } else {
+            Verdict::NotApplied { current }
+        })
+    }
+
+    fn again(&mut self, step: Step) -> Step {
+        self.tries = self.tries.saturating_sub(1);
+        if self.tries == 0 {
+            return Step::End(Verdict::Unknown);
+        }
+        step
+    }
+}
--- a/marigoldway-core/src/lists/mod.rs
+++ b/marigoldway-core/src/lists/mod.rs
@@ -3,12 +3,17 @@
 //! [`plans`] says which customer has which plan, [`allowances`] what each plan
 //! may use. Both are text, one item a line, described in [`document`], and are
 //! checked as a whole: a [`catalog::Catalog`] exists only for a pair of lists
-//! that agree.
+//! that agree. [`change`] makes a change, [`revisions`] decides what is in
+//! force, [`spread`] and [`watchers`] bring it to every process.
 
 pub mod allowances;
 pub mod catalog;
+pub mod change;
 pub mod document;
 pub mod plans;
+pub mod revisions;
+pub mod spread;
+pub mod watchers;
 
 use std::fmt;
 use std::str::FromStr;
--- /dev/null
+++ b/marigoldway-core/src/lists/spread.rs
@@ -0,0 +1,222 @@
+//! How revisions reach every process.
+//!
+//! A process that puts a new revision in force tells a few random peers. Every
+//! heartbeat carries the revisions in force, so whoever missed that notice
+//! learns of the gap from the next heartbeat. The process that lags asks one
+//! peer at a time; nobody is sent a list unasked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ids::InstanceId;
+use crate::lists::ListKind;
+use crate::lists::revisions::Holdings;
+use crate::lists::revisions::Offered;
+use crate::lists::revisions::Revisions;
+use crate::time::Timestamp;
+
+/// `Message` travels between two processes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// The sender has these revisions in force.
+    Have(Revisions),
+    /// The sender holds these revisions and asks for higher ones.
+    Ask(Revisions),
+    /// One list.
+    List {
+        /// Which list.
+        kind: ListKind,
+        /// Its text.
+        text: Arc<str>,
+    },
+}
+
+/// `Output` is what the process does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message to a peer.
+    Send {
+        /// The peer.
+        to: InstanceId,
+        /// The message.
+        message: Message,
+    },
+    /// Publish the catalog, which has changed.
+    Publish,
+    /// Write the list held here to the platform, which holds an older state.
+    Repair(ListKind),
+    /// Log what became of a list that was offered and not accepted.
+    Report {
+        /// Which list.
+        kind: ListKind,
+        /// What became of it.
+        offered: Offered,
+    },
+}
+
+/// `SpreadOptions` sets the pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpreadOptions {
+    /// Peers that are told of a new revision.
+    pub fanout: usize,
+    /// Time after which a peer that was asked is given up.
+    pub patience: Duration,
+}
+
+impl Default for SpreadOptions {
+    fn default() -> SpreadOptions {
+        SpreadOptions {
+            fanout: 3,
+            patience: Duration::from_millis(500),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    at: Timestamp,
+    wanted: Revisions,
+}
+
+/// `Spread` holds the lists of one process and decides what it sends.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    options: SpreadOptions,
+    holdings: Holdings,
+    asked: Option<Asked>,
+}
+
+impl Spread {
+    /// Makes a process that holds no lists.
+    pub fn new(options: SpreadOptions) -> Spread {
+        Spread {
+            options,
+            ..Spread::default()
+        }
+    }
+
+    /// The lists held here.
+    pub fn holdings(&self) -> &Holdings {
+        &self.holdings
+    }
+
+    /// Takes the revisions that `peer` has in force, from a heartbeat or from
+    /// [`Message::Have`].
+    pub fn heard(&mut self, now: Timestamp, peer: InstanceId, theirs: Revisions) -> Option<Output> {
+        let held = self.holdings.held();
+        let message = if theirs.above(held).next().is_some() {
+            if !self.may_ask(now, theirs) {
+                return None;
+            }
+            self.asked = Some(Asked {
+                at: now,
+                wanted: theirs,
+            });
+            Message::Ask(held)
+        } else {
+            let ours = self.holdings.in_force();
+            ours.above(theirs).next()?;
+            Message::Have(ours)
+        };
+        Some(Output::Send { to: peer, message })
+    }
+
+    /// Takes a message of `from`. `peers` are those that a new revision may be
+    /// passed on to.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        message: &Message,
+        peers: &[InstanceId],
+        rng: &mut impl Rng,
+    ) -> Vec<Output> {
+        match message {
+            Message::Have(theirs) => self.heard(now, from, *theirs).into_iter().collect(),
+            Message::Ask(theirs) => self.lists_above(from, *theirs),
+            Message::List { kind, text } => {
+                let peers: Vec<InstanceId> =
+                    peers.iter().copied().filter(|id| *id != from).collect();
+                self.offer(*kind, text, &peers, rng)
+            }
+        }
+    }
+
+    /// Takes a list as it stands in the platform.
+    pub fn read(
+        &mut self,
+        kind: ListKind,
+        text: &str,
+        peers: &[InstanceId],
+        rng: &mut impl Rng,
+    ) -> Vec<Output> {
+        let outputs = self.offer(kind, text, peers, rng);
+        let [Output::Report { offered, .. }] = outputs.as_slice() else {
+            return outputs;
+        };
+        match offered {
+            Offered::Stale { .. } if self.differs(kind, text) => vec![Output::Repair(kind)],
+            Offered::Stale { .. } => Vec::new(),
+            _ => outputs,
+        }
+    }
+
+    fn differs(&self, kind: ListKind, text: &str) -> bool {
+        self.holdings.text(kind).is_some_and(|held| **held != *text)
+    }
+
+    fn may_ask(&self, now: Timestamp, theirs: Revisions) -> bool {
+        let Some(asked) = self.asked else {
+            return true;
+        };
+        now.since(asked.at) >= self.options.patience || theirs.above(asked.wanted).next().is_some()
+    }
+
+    fn lists_above(&self, to: InstanceId, theirs: Revisions) -> Vec<Output> {
+        self.holdings
+            .held()
+            .above(theirs)
+            .filter_map(|kind| {
+                let text = self.holdings.text(kind)?.clone();
+                let message = Message::List { kind, text };
+                Some(Output::Send { to, message })
+            })
+            .collect()
+    }
+
+    fn offer(
+        &mut self,
+        kind: ListKind,
+        text: &str,
+        peers: &[InstanceId],
+        rng: &mut impl Rng,
+    ) -> Vec<Output> {
+        match self.holdings.offer(kind, text) {
+            Offered::Accepted => {
+                let ours = self.holdings.in_force();
+                let told = choose(peers, self.options.fanout, rng);
+                let tell = told.into_iter().map(|to| Output::Send {
+                    to,
+                    message: Message::Have(ours),
+                });
+                std::iter::once(Output::Publish).chain(tell).collect()
+            }
+            offered => vec![Output::Report { kind, offered }],
+        }
+    }
+}
+
+/// Chooses `count` different peers, or all if there are fewer.
+fn choose(peers: &[InstanceId], count: usize, rng: &mut impl Rng) -> Vec<InstanceId> {
+    let mut pool = peers.to_vec();
+    let count = count.min(pool.len());
+    for n in 0..count {
+        let other = rng.random_range(n..pool.len());
+        pool.swap(n, other);
+    }
+    pool.truncate(count);
+    pool
+}
--- /dev/null
+++ b/marigoldway-core/tests/revisions.rs
@@ -0,0 +1,254 @@
+//! States of the lists in any order, lost, doubled and spread by peers.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::lists::ListKind;
+use marigoldway_core::lists::document;
+use marigoldway_core::lists::document::ChangeId;
+use marigoldway_core::lists::document::Revision;
+use marigoldway_core::lists::revisions::Holdings;
+use marigoldway_core::lists::revisions::Offered;
+use marigoldway_core::lists::revisions::Revisions;
+use marigoldway_core::lists::spread::Message;
+use marigoldway_core::lists::spread::Output;
+use marigoldway_core::lists::spread::Spread;
+use marigoldway_core::time::Timestamp;
+
+/// Changes of the history that the tests offer.
+const CHANGES: u64 = 12;
+
+/// One state of a list. Every third change of the allowances adds a plan, which
+/// the next state of the plans uses, so that the lists depend on each other.
+fn state(kind: ListKind, generation: u64) -> Arc<str> {
+    let header = format!("list {kind}\ngeneration {generation}\nchange {generation:016x}\n");
+    let plan = generation / 3;
+    Arc::from(match kind {
+        ListKind::Plans => format!("{header}customer a plan=p{plan}\n"),
+        ListKind::Allowances => format!(
+            "{header}service s id=1\n\
+             plan p{plan} services=s connections=1 rate=1 burst=1 bulk=1\n\
+             plan p{} services=s connections=1 rate=1 burst=1 bulk=1\n",
+            plan + 1
+        ),
+    })
+}
+
+fn number(generation: u64) -> u64 {
+    let change = ChangeId(generation);
+    Revision { generation, change }.number()
+}
+
+fn highest(generation: u64) -> Revisions {
+    Revisions {
+        plans: number(generation),
+        allowances: number(generation),
+    }
+}
+
+fn arb_arrivals() -> impl Strategy<Value = Vec<(bool, u64)>> {
+    prop::collection::vec((any::<bool>(), 1..=CHANGES), 0..60)
+}
+
+fn kind(plans: bool) -> ListKind {
+    if plans {
+        ListKind::Plans
+    } else {
+        ListKind::Allowances
+    }
+}
+
+/// Takes whatever comes, as a process without revisions would.
+fn last_one_wins(arrivals: &[(bool, u64)]) -> Vec<u64> {
+    let plans = arrivals.iter().filter(|(plans, _)| *plans);
+    plans.map(|(_, generation)| *generation).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn offer_ends_at_the_highest_in_any_order(arrivals in arb_arrivals(), place: prop::sample::Index) {
+        let mut arrivals = arrivals;
+        // The highest states arrive at any point, the others may be lost.
+        for plans in [true, false] {
+            arrivals.insert(place.index(arrivals.len() + 1), (plans, CHANGES));
+        }
+        let mut holdings = Holdings::default();
+        let mut before = Revisions::default();
+        for (plans, generation) in arrivals {
+            holdings.offer(kind(plans), &state(kind(plans), generation));
+            let now = holdings.in_force();
+            prop_assert_eq!(now.max(before), now, "a revision went back");
+            before = now;
+        }
+        prop_assert_eq!(before, highest(CHANGES));
+    }
+}
+
+#[test]
+fn offer_reverts_without_revisions() {
+    let arrivals = [(true, 2), (true, 3), (true, 2)];
+    assert_eq!(last_one_wins(&arrivals).last(), Some(&2));
+
+    let mut holdings = Holdings::default();
+    holdings.offer(ListKind::Allowances, &state(ListKind::Allowances, 3));
+    for (plans, generation) in arrivals {
+        holdings.offer(kind(plans), &state(kind(plans), generation));
+    }
+    assert_eq!(holdings.in_force(), highest(3));
+}
+
+#[test]
+fn offer_refuses_a_bad_list_and_keeps_the_former() {
+    let mut holdings = Holdings::default();
+    holdings.offer(ListKind::Allowances, &state(ListKind::Allowances, 1));
+    holdings.offer(ListKind::Plans, &state(ListKind::Plans, 1));
+    let bad = state(ListKind::Plans, 2).replace("plan=", "plan=UPPER");
+    let offered = holdings.offer(ListKind::Plans, &bad);
+    assert!(matches!(offered, Offered::Refused { .. }), "{offered:?}");
+
+    // A plan that no state of the allowances names waits, and changes nothing.
+    let unknown = state(ListKind::Plans, 3).replace("plan=p1", "plan=nowhere");
+    let offered = holdings.offer(ListKind::Plans, &unknown);
+    assert!(matches!(offered, Offered::Waiting { .. }), "{offered:?}");
+    assert_eq!(holdings.in_force(), highest(1));
+}
+
+/// Processes that pass revisions on over a network that loses messages.
+struct Fleet {
+    members: Vec<Spread>,
+    loss: f64,
+    rng: StdRng,
+    sent: u64,
+}
+
+impl Fleet {
+    fn new(size: usize, loss: f64, seed: u64) -> Fleet {
+        Fleet {
+            members: vec![Spread::default(); size],
+            loss,
+            rng: StdRng::seed_from_u64(seed),
+            sent: 0,
+        }
+    }
+
+    fn id(n: usize) -> InstanceId {
+        InstanceId::new(Ipv4Addr::LOCALHOST, u16::try_from(n).unwrap())
+    }
+
+    fn index(id: InstanceId) -> usize {
+        usize::from(id.0.port())
+    }
+
+    /// Hands out `outputs` of member `from` and all that follows from them.
+    fn deliver(&mut self, now: Timestamp, from: usize, outputs: Vec<Output>) {
+        let mut queue: Vec<(usize, usize, Message)> = Vec::new();
+        let sends = |from: usize, outputs: Vec<Output>| {
+            outputs.into_iter().filter_map(move |output| match output {
+                Output::Send { to, message } => Some((from, Fleet::index(to), message)),
+                _ => None,
+            })
+        };
+        queue.extend(sends(from, outputs));
+        while let Some((from, to, message)) = queue.pop() {
+            self.sent += 1;
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let peers: Vec<InstanceId> = (0..self.members.len())
+                .filter(|n| *n != to)
+                .map(Fleet::id)
+                .collect();
+            let member = &mut self.members[to];
+            let outputs = member.receive(now, Fleet::id(from), &message, &peers, &mut self.rng);
+            queue.extend(sends(to, outputs));
+        }
+    }
+
+    /// Every member hears the heartbeat of one random other member.
+    fn heartbeat(&mut self, now: Timestamp) {
+        for n in 0..self.members.len() {
+            let peer = self.rng.random_range(0..self.members.len());
+            let theirs = self.members[peer].holdings().in_force();
+            let output = self.members[n].heard(now, Fleet::id(peer), theirs);
+            self.deliver(now, n, output.into_iter().collect());
+        }
+    }
+
+    fn publish(&mut self, now: Timestamp, generation: u64) {
+        for kind in ListKind::ALL {
+            let peers: Vec<InstanceId> = (1..self.members.len()).map(Fleet::id).collect();
+            let text = state(kind, generation);
+            let outputs = self.members[0].read(kind, &text, &peers, &mut self.rng);
+            self.deliver(now, 0, outputs);
+        }
+    }
+
+    fn lagging(&self, generation: u64) -> usize {
+        let held = self.members.iter().map(|m| m.holdings().in_force());
+        held.filter(|held| *held != highest(generation)).count()
+    }
+}
+
+/// Seconds until no member lags, with heartbeats each second or without.
+fn spread_time(heartbeats: bool, seed: u64) -> Option<u64> {
+    let mut fleet = Fleet::new(60, 0.3, seed);
+    for generation in 1..=3 {
+        fleet.publish(Timestamp::ZERO, generation);
+    }
+    (0..30).find(|second| {
+        let now = Timestamp::ZERO + Duration::from_secs(*second);
+        if heartbeats {
+            fleet.heartbeat(now);
+        }
+        fleet.lagging(3) == 0
+    })
+}
+
+#[test]
+fn spread_leaves_gaps_without_heartbeats() {
+    for seed in 0..8 {
+        assert_eq!(spread_time(false, seed), None, "seed {seed}");
+        let seconds = spread_time(true, seed);
+        assert!(seconds.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn read_repairs_a_restored_platform() {
+    let mut spread = Spread::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    for generation in [2, 3] {
+        for kind in ListKind::ALL {
+            spread.read(kind, &state(kind, generation), &[], &mut rng);
+        }
+    }
+    let older = state(ListKind::Plans, 2);
+    let outputs = spread.read(ListKind::Plans, &older, &[], &mut rng);
+    assert_eq!(outputs, [Output::Repair(ListKind::Plans)]);
+    assert_eq!(spread.holdings().in_force(), highest(3));
+
+    let same = state(ListKind::Plans, 3);
+    assert_eq!(spread.read(ListKind::Plans, &same, &[], &mut rng), []);
+}
+
+#[test]
+fn number_grows_with_the_revision() {
+    let revision = |generation, change| Revision {
+        generation,
+        change: ChangeId(change),
+    };
+    let low = revision(1, u64::MAX);
+    let high = revision(2, 0);
+    assert!(low < high && low.number() < high.number());
+    let text = document::with_revision(&state(ListKind::Plans, 1), high);
+    assert_eq!(document::revision(ListKind::Plans, &text), Ok(high));
+}
