--- /dev/null
+++ b/marigoldway-client/examples/demo.rs
@@ -0,0 +1,130 @@
+//! Sends one request of each class and prints what was answered by which
+//! target. Ends with a code other than 0 where an answer is missing or wrong.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gumdrop::Options;
+use http::StatusCode;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+
+use marigoldway_client::answer::Answer;
+use marigoldway_client::client::Client;
+use marigoldway_client::options::ClientOptions;
+use marigoldway_client::request::Request;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// Events that the demo reads from the price board.
+const EVENTS: usize = 20;
+
+/// Length of the upload in octets.
+const UPLOAD_LEN: usize = 256 << 10;
+
+#[derive(Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, meta = "ADDRESS", help = "address of the ordering service")]
+    ordering: Vec<SocketAddr>,
+    #[options(required, meta = "ADDRESS", help = "address of the intake service")]
+    intake: Vec<SocketAddr>,
+    #[options(
+        required,
+        meta = "PATH",
+        help = "certificate of the service or its CA, PEM"
+    )]
+    ca: String,
+    #[options(meta = "NAME", help = "name in the certificate", default = "localhost")]
+    name: String,
+    #[options(meta = "TOKEN", help = "token of the customer", default = "")]
+    token: String,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    match run(&args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("demo failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: &Args) -> Result<()> {
+    let ordering = Client::connect(options(args, &args.ordering)?).await?;
+    let intake = Client::connect(options(args, &args.intake)?).await?;
+    order(&ordering).await?;
+    board(&ordering).await?;
+    upload(&intake).await?;
+    ordering.close().await;
+    intake.close().await;
+    Ok(())
+}
+
+fn options(args: &Args, servers: &[SocketAddr]) -> Result<ClientOptions> {
+    let roots: std::result::Result<Vec<_>, _> = CertificateDer::pem_file_iter(&args.ca)?.collect();
+    Ok(ClientOptions {
+        servers: servers.to_vec(),
+        name: args.name.clone(),
+        token: args.token.clone(),
+        roots: roots?,
+        ..ClientOptions::default()
+    })
+}
+
+/// Sends an order under an idempotency key.
+async fn order(client: &Client) -> Result<()> {
+    let key = client.keys(1).await?.pop();
+    let request = Request {
+        key,
+        ..Request::post("/order", "demo-order")
+    };
+    let answer = client.request(request).await?;
+    println!("order {answer}");
+    expect_success(&answer)
+}
+
+/// Reads the first events of the price board.
+async fn board(client: &Client) -> Result<()> {
+    let mut feed = client.feed("/feed").await?;
+    let mut last = None;
+    for _ in 0..EVENTS {
+        last = feed.next().await?.id;
+    }
+    let stats = feed.stats();
+    println!(
+        "board events={} last={} gaps={}",
+        stats.events,
+        last.unwrap_or_default(),
+        stats.gaps
+    );
+    if stats.gaps > 0 {
+        return Err("the price board left events out".into());
+    }
+    Ok(())
+}
+
+/// Uploads a delivery slip.
+async fn upload(client: &Client) -> Result<()> {
+    let request = Request {
+        deadline: Some(Duration::from_secs(20)),
+        ..Request::post("/upload?ms=300", vec![b'x'; UPLOAD_LEN])
+    };
+    let answer = client.request(request).await?;
+    println!("upload {answer}");
+    expect_success(&answer)
+}
+
+fn expect_success(answer: &Answer) -> Result<()> {
+    if answer.is_success() {
+        return Ok(());
+    }
+    let status = answer.status.as_ref().map_or("none", StatusCode::as_str);
+    Err(format!("outcome {}, status {status}", answer.outcome).into())
+}
--- a/marigoldway-client/src/answer.rs
+++ b/marigoldway-client/src/answer.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use http::header::RETRY_AFTER;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Outcome;
 use marigoldway_core::request::Refusal;
 
@@ -17,6 +18,8 @@
 pub enum Reason {
     /// The service refused the request.
     Refused(Refusal),
+    /// The service can't tell whether the request ran.
+    Doubt(Doubt),
     /// No server could be reached, so nothing was sent.
     NoConnection,
     /// The server closed the flow to new requests before it took this one.
@@ -34,6 +37,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Reason::Refused(refusal) => refusal.as_str(),
+            Reason::Doubt(doubt) => doubt.as_str(),
             Reason::NoConnection => "no-connection",
             Reason::Rejected => "rejected",
             Reason::Broken => "broken",
@@ -136,8 +140,9 @@
 
 fn reason(headers: &HeaderMap) -> Option<Reason> {
     let raw = text(headers, "marigoldway-reason")?;
-    let refusal = Refusal::ALL.into_iter().find(|r| r.as_str() == raw)?;
-    Some(Reason::Refused(refusal))
+    let refusal = Refusal::ALL.into_iter().find(|it| it.as_str() == raw);
+    let doubt = Doubt::ALL.into_iter().find(|it| it.as_str() == raw);
+    refusal.map(Reason::Refused).or(doubt.map(Reason::Doubt))
 }
 
 fn target(headers: &HeaderMap) -> Option<InstanceId> {
--- a/marigoldway-client/src/client.rs
+++ b/marigoldway-client/src/client.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http::Method;
+use marigoldway_core::retry::RetryBudget;
 use quinn::Endpoint;
 use rand::RngExt;
 use tokio::time::Instant;
@@ -25,9 +26,7 @@
 use crate::options::ClientOptions;
 use crate::request::Key;
 use crate::request::Request;
-use crate::retry;
-use crate::retry::Budget;
-use crate::retry::Repeat;
+use crate::retry::Course;
 
 /// Time that a client waits past a deadline, for the server's word on it.
 const GRACE: Duration = Duration::from_millis(500);
@@ -46,7 +45,7 @@
     options: ClientOptions,
     endpoint: Endpoint,
     link: tokio::sync::Mutex<Option<Link>>,
-    budget: Mutex<Budget>,
+    budget: Mutex<RetryBudget>,
 }
 
 impl Client {
@@ -69,30 +68,26 @@
 
     /// Sends a request and waits for the whole answer or a truthful outcome.
     ///
-    /// Fails only on a malformed request. A request that may be repeated, or
-    /// that carries a key, is sent again within the retry budget and its
-    /// deadline; any other is never sent again after its first octet.
+    /// Fails only on a malformed request. A request that may be repeated is sent
+    /// again within the retry budget and its deadline. Any other is not sent
+    /// again after its first octet; with an idempotency key it is, under the
+    /// same key, to learn what became of a try that broke off.
     pub async fn request(&self, request: Request) -> Result<Answer> {
         let limit = request.deadline.unwrap_or(self.shared.options.deadline);
         let deadline = Instant::now() + limit;
-        let repeat = repeat(&request);
-        self.budget().earn();
+        let mut course = Course::new(&request);
+        self.budget().deposit();
 
-        let mut retries = 0;
-        let mut doubt = false;
         loop {
             let mut end = self.attempt(&request, deadline).await?;
-            let again = retry::may_retry(repeat, end.sent, &end.answer);
-            retry::settle(&mut doubt, &mut end.answer);
-            if !again {
+            if !course.judge(end.sent, &mut end.answer) {
                 return Ok(end.answer);
             }
-            let pause = retry::pause(retries, end.answer.retry_after, &mut rand::rng());
-            if Instant::now() + pause >= deadline || !self.budget().spend() {
+            let pause = course.pause(end.answer.retry_after, &mut rand::rng());
+            if Instant::now() + pause >= deadline || !self.budget().withdraw() {
                 return Ok(end.answer);
             }
             sleep(pause).await;
-            retries += 1;
         }
     }
 
@@ -171,18 +166,8 @@
         Ok(end.unwrap_or_else(|_| Try::broken(Reason::Timeout)))
     }
 
-    fn budget(&self) -> MutexGuard<'_, Budget> {
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         let budget = &self.shared.budget;
         budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn repeat(request: &Request) -> Repeat {
-    if request.repeatable {
-        return Repeat::Free;
-    }
-    match request.key {
-        Some(_) => Repeat::Keyed,
-        None => Repeat::Never,
-    }
-}
--- a/marigoldway-client/src/exchange.rs
+++ b/marigoldway-client/src/exchange.rs
@@ -17,6 +17,7 @@
 use http::header::AUTHORIZATION;
 use http::header::CONTENT_LENGTH;
 use marigoldway_core::request::Outcome;
+use marigoldway_core::retry::Sent;
 
 use crate::answer::Answer;
 use crate::answer::Reason;
@@ -29,8 +30,8 @@
 
 /// `Try` is how one try ended.
 pub(crate) struct Try {
-    /// Whether an octet of the request may have left this process.
-    pub(crate) sent: bool,
+    /// How far the request got.
+    pub(crate) sent: Sent,
     /// What is known of the request after this try.
     pub(crate) answer: Answer,
 }
@@ -39,7 +40,7 @@
     /// A try that ended before its first octet.
     pub(crate) fn unsent(reason: Reason) -> Try {
         Try {
-            sent: false,
+            sent: Sent::Nothing,
             answer: Answer::unanswered(Outcome::NotRun, reason),
         }
     }
@@ -47,7 +48,7 @@
     /// A try that broke off after its first octet may have gone out.
     pub(crate) fn broken(reason: Reason) -> Try {
         Try {
-            sent: true,
+            sent: Sent::Octets,
             answer: Answer::unanswered(Outcome::Unknown, reason),
         }
     }
@@ -58,7 +59,7 @@
             // A server gives this code only to a request that it didn't begin
             // to process (RFC 9114, section 4.1.1).
             StreamError::RemoteTerminate { code } if *code == Code::H3_REQUEST_REJECTED => Try {
-                sent: true,
+                sent: Sent::Octets,
                 answer: Answer::unanswered(Outcome::NotRun, Reason::Rejected),
             },
             _ => Try::broken(Reason::Broken),
@@ -180,7 +181,7 @@
 
 fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Try {
     Try {
-        sent: true,
+        sent: Sent::Octets,
         answer: Answer::whole(status, headers, body),
     }
 }
--- a/marigoldway-client/src/feed/worker.rs
+++ b/marigoldway-client/src/feed/worker.rs
@@ -18,7 +18,6 @@
 use crate::feed::source::Input;
 use crate::feed::source::Source;
 use crate::retry;
-use crate::retry::Repeat;
 use crate::sequence::Sequence;
 use crate::sse::Event;
 
@@ -225,7 +224,7 @@
         Error::NoConnection { .. } => false,
         Error::Refused(answer) => {
             let fault = answer.status.is_some_and(|status| status.is_server_error());
-            !fault && !retry::may_retry(Repeat::Free, true, answer)
+            !fault && !retry::may_pass(answer)
         }
     }
 }
--- a/marigoldway-client/src/request.rs
+++ b/marigoldway-client/src/request.rs
@@ -64,8 +64,8 @@
     pub deadline: Option<Duration>,
     /// Whether the target may run the request more than once.
     pub repeatable: bool,
-    /// Idempotency key, which lets the library send the request again while the
-    /// service sees to it that it runs at most once.
+    /// Idempotency key, under which the service runs the request at most once.
+    /// A key is for one request and its first outcome stays.
     pub key: Option<Key>,
 }
 
--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -4,17 +4,16 @@
 
 use marigoldway_core::request::Outcome;
 use marigoldway_core::request::Refusal;
+use marigoldway_core::retry;
+use marigoldway_core::retry::Advice;
+use marigoldway_core::retry::Repeat;
+use marigoldway_core::retry::Sent;
 use rand::Rng;
 use rand::RngExt;
 
 use crate::answer::Answer;
 use crate::answer::Reason;
-
-/// Share of the requests that may be retries.
-const BUDGET_SHARE: f64 = 0.1;
-
-/// Most retries that may follow each other at once.
-const BUDGET_LIMIT: f64 = 10.0;
+use crate::request::Request;
 
 /// Pause before the first retry.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
@@ -22,77 +21,71 @@
 /// Longest pause that grows out of retries.
 const PAUSE_LIMIT: Duration = Duration::from_secs(2);
 
-/// `Budget` bounds retries by a share of the requests, so that retries can't
-/// multiply the load of an overloaded service.
-#[derive(Clone, Debug)]
-pub struct Budget {
-    tokens: f64,
+/// `Course` follows one request from its first try to its last.
+#[derive(Clone, Copy, Debug)]
+pub struct Course {
+    repeat: Repeat,
+    /// Whether the request carries an idempotency key, which stays the same in
+    /// every try.
+    keyed: bool,
+    /// Whether an earlier try may have run.
+    doubt: bool,
+    retries: u32,
 }
 
-impl Default for Budget {
-    fn default() -> Budget {
-        Budget {
-            tokens: BUDGET_LIMIT,
+impl Course {
+    /// Starts the course of `request`.
+    pub fn new(request: &Request) -> Course {
+        let repeat = match request.repeatable {
+            true => Repeat::Idempotent,
+            false => Repeat::Once,
+        };
+        Course {
+            repeat,
+            keyed: request.key.is_some(),
+            doubt: false,
+            retries: 0,
         }
     }
-}
 
-impl Budget {
-    /// Notes a first try.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + BUDGET_SHARE).min(BUDGET_LIMIT);
+    /// Takes the end of a try, corrects its answer by what is known of the
+    /// earlier ones, and says whether the request may be sent again.
+    ///
+    /// Once a try has ended in doubt, no refusal of a later one proves that the
+    /// request did not run.
+    pub fn judge(&mut self, sent: Sent, answer: &mut Answer) -> bool {
+        let again = self.may_retry(sent, answer);
+        if self.doubt && answer.outcome == Outcome::NotRun {
+            answer.outcome = Outcome::Unknown;
+        }
+        self.doubt |= answer.outcome == Outcome::Unknown;
+        again
     }
 
-    /// Takes one retry, or says that the budget is used up.
-    pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
+    fn may_retry(&self, sent: Sent, answer: &Answer) -> bool {
+        let told = answer.status.is_some() || answer.outcome != Outcome::Unknown;
+        let outcome = told.then_some(answer.outcome);
+        match retry::advise(self.repeat, sent, outcome) {
+            Advice::Stop => false,
+            Advice::SameKey => self.keyed,
+            Advice::Again if sent == Sent::Nothing => true,
+            Advice::Again if self.repeat == Repeat::Idempotent => answer.reason.is_none_or(passes),
+            // A refusal settles the key, and a new one is the caller's to take.
+            // Only where an earlier try is in doubt, the same key may tell more.
+            Advice::Again => self.keyed && self.doubt && answer.reason.is_none_or(passes),
         }
-        self.tokens -= 1.0;
-        true
     }
-}
-
-/// `Repeat` says how far a request may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
-    /// The target may run the request more than once.
-    Free,
-    /// The request carries an idempotency key, and the agent that issued it
-    /// keeps the request from running twice.
-    Keyed,
-    /// The request may not leave this process twice.
-    Never,
-}
 
-/// Whether a request whose last try ended with `answer` may be sent again.
-///
-/// `sent` says whether an octet of the request may have left this process.
-pub fn may_retry(repeat: Repeat, sent: bool, answer: &Answer) -> bool {
-    if answer.outcome == Outcome::Done {
-        return false;
-    }
-    if !sent {
-        return true;
-    }
-    match repeat {
-        Repeat::Never => false,
-        // A server that says unknown to a keyed request has lost the agent that
-        // issued the key, and no further try can tell more.
-        Repeat::Keyed if answer.outcome == Outcome::Unknown && answer.status.is_some() => false,
-        Repeat::Keyed | Repeat::Free => answer.reason.is_none_or(passes),
+    /// The pause before the next try. See [`pause`].
+    pub fn pause(&mut self, asked: Option<Duration>, rng: &mut impl Rng) -> Duration {
+        self.retries += 1;
+        pause(self.retries - 1, asked, rng)
     }
 }
 
-/// Corrects the answer to a later try by what is known of the earlier ones.
-///
-/// Once a try has ended in doubt, no refusal of a later try proves that the
-/// request did not run. `doubt` holds this between the tries of one request.
-pub fn settle(doubt: &mut bool, answer: &mut Answer) {
-    if *doubt && answer.outcome == Outcome::NotRun {
-        answer.outcome = Outcome::Unknown;
-    }
-    *doubt |= answer.outcome == Outcome::Unknown;
+/// Whether a refusal may have passed when a repeatable request comes again.
+pub fn may_pass(answer: &Answer) -> bool {
+    answer.outcome != Outcome::Done && answer.reason.is_none_or(passes)
 }
 
 /// Whether what stood in the way may have passed when the request comes again.
@@ -100,7 +93,7 @@
     let refusal = match reason {
         Reason::Refused(refusal) => refusal,
         Reason::NoConnection | Reason::Rejected | Reason::Broken => return true,
-        Reason::Timeout | Reason::TooLong => return false,
+        Reason::Doubt(_) | Reason::Timeout | Reason::TooLong => return false,
     };
     match refusal {
         Refusal::Leaving
--- a/marigoldway-client/tests/request.rs
+++ b/marigoldway-client/tests/request.rs
@@ -118,9 +118,13 @@
     server.leave();
 
     // The server refuses new connections, and the old one takes no request.
-    let mut answer = client.request(Request::post("/echo", "order")).await;
+    let mut answer = client.request(Request::get("/echo")).await;
     while answer.as_ref().is_ok_and(Answer::is_success) {
-        answer = client.request(Request::post("/echo", "order")).await;
+        let request = Request {
+            deadline: Some(Duration::from_millis(500)),
+            ..Request::post("/echo", "order")
+        };
+        answer = client.request(request).await;
     }
     let answer = answer.expect("answer");
     assert_eq!(answer.outcome, Outcome::NotRun);
--- a/marigoldway-client/tests/retry.rs
+++ b/marigoldway-client/tests/retry.rs
@@ -4,11 +4,14 @@
 
 use marigoldway_client::answer::Answer;
 use marigoldway_client::answer::Reason;
+use marigoldway_client::request::Key;
+use marigoldway_client::request::Request;
 use marigoldway_client::retry;
-use marigoldway_client::retry::Budget;
-use marigoldway_client::retry::Repeat;
+use marigoldway_client::retry::Course;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Outcome;
 use marigoldway_core::request::Refusal;
+use marigoldway_core::retry::Sent;
 use proptest::prelude::any;
 use proptest::prelude::prop_assert;
 use proptest::proptest;
@@ -27,66 +30,64 @@
     }
 }
 
+fn judge(request: &Request, sent: Sent, answer: &Answer) -> bool {
+    Course::new(request).judge(sent, &mut answer.clone())
+}
+
+fn keyed() -> Request {
+    Request {
+        key: Some(Key::try_from("key").expect("key")),
+        ..Request::post("/order", "")
+    }
+}
+
 #[test]
-fn may_retry_never_after_first_octet() {
+fn judge_never_after_first_octet() {
+    let order = Request::post("/order", "");
     for outcome in [Outcome::Done, Outcome::NotRun, Outcome::Unknown] {
         for refusal in Refusal::ALL {
-            let answer = answer(outcome, Reason::Refused(refusal));
-            assert!(!retry::may_retry(Repeat::Never, true, &answer));
+            let refused = answer(outcome, Reason::Refused(refusal));
+            assert!(!judge(&order, Sent::Octets, &refused));
         }
     }
     let unsent = answer(Outcome::NotRun, Reason::NoConnection);
-    assert!(retry::may_retry(Repeat::Never, false, &unsent));
+    assert!(judge(&order, Sent::Nothing, &unsent));
 }
 
 #[test]
-fn may_retry_by_reason() {
+fn judge_by_reason() {
     let broken = answer(Outcome::Unknown, Reason::Broken);
-    assert!(retry::may_retry(Repeat::Free, true, &broken));
-    assert!(retry::may_retry(Repeat::Keyed, true, &broken));
+    assert!(judge(&Request::get("/"), Sent::Octets, &broken));
+    assert!(judge(&keyed(), Sent::Octets, &broken));
 
     let gone = Answer {
         status: Some(http::StatusCode::SERVICE_UNAVAILABLE),
-        ..broken
+        ..answer(Outcome::Unknown, Reason::Doubt(Doubt::IssuerGone))
     };
-    assert!(!retry::may_retry(Repeat::Keyed, true, &gone));
+    assert!(!judge(&keyed(), Sent::Octets, &gone));
 
     let stranger = answer(Outcome::NotRun, Reason::Refused(Refusal::UnknownCustomer));
-    assert!(!retry::may_retry(Repeat::Free, true, &stranger));
+    assert!(!judge(&Request::get("/"), Sent::Octets, &stranger));
 }
 
 #[test]
-fn settle_doubt() {
-    let mut doubt = false;
-    let mut refused = answer(Outcome::NotRun, Reason::Refused(Refusal::Leaving));
-    retry::settle(&mut doubt, &mut refused);
-    assert_eq!(refused.outcome, Outcome::NotRun);
+fn judge_after_doubt() {
+    let refused = answer(Outcome::NotRun, Reason::Refused(Refusal::Leaving));
+    let mut course = Course::new(&keyed());
+    assert!(!course.judge(Sent::Octets, &mut refused.clone()));
+    assert!(course.judge(Sent::Octets, &mut answer(Outcome::Unknown, Reason::Broken)));
 
-    retry::settle(&mut doubt, &mut answer(Outcome::Unknown, Reason::Broken));
-    retry::settle(&mut doubt, &mut refused);
-    assert_eq!(refused.outcome, Outcome::Unknown);
+    // The refusal of the second try does not prove that the first did not run.
+    let mut second = refused.clone();
+    assert!(course.judge(Sent::Octets, &mut second));
+    assert_eq!(second.outcome, Outcome::Unknown);
 
     let mut done = answer(Outcome::Done, Reason::Broken);
-    retry::settle(&mut doubt, &mut done);
+    assert!(!course.judge(Sent::Octets, &mut done));
     assert_eq!(done.outcome, Outcome::Done);
 }
 
 proptest! {
-    #[test]
-    fn budget_any_order(wants in proptest::collection::vec(any::<bool>(), 0..500)) {
-        let mut budget = Budget::default();
-        let (mut firsts, mut retries) = (0_u32, 0_u32);
-        for retry in wants {
-            if retry {
-                retries += u32::from(budget.spend());
-            } else {
-                budget.earn();
-                firsts += 1;
-            }
-            prop_assert!(f64::from(retries) <= 10.0 + 0.1 * f64::from(firsts) + 1e-6);
-        }
-    }
-
     #[test]
     fn pause_any_retry(retry in any::<u32>(), asked in proptest::option::of(0_u64..100), seed in any::<u64>()) {
         let mut rng = StdRng::seed_from_u64(seed);
