--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod clock;
 pub mod counters;
+pub mod control;
 pub mod envelope;
+pub mod platform;
 pub mod errors;
 pub mod forward;
 pub mod gate;
