--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,20 +8,17 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod admission;
 pub mod beats;
 pub mod digest;
-pub mod errors;
-pub mod forward;
-pub mod gossip;
-pub mod ids;
-pub mod membership;
-pub mod admission;
 pub mod duplicates;
 pub mod errors;
 pub mod forward;
+pub mod gossip;
 pub mod idempotency;
 pub mod ids;
 pub mod lists;
+pub mod membership;
 pub mod message;
 pub mod monitor;
 pub mod packet;
--- a/marigoldway-standin/src/cli.rs
+++ b/marigoldway-standin/src/cli.rs
@@ -1,7 +1,6 @@
 //! Command line of the stand-ins.
 
 use std::io;
-use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 
 use gumdrop::Options;
@@ -107,7 +106,7 @@
 
 /// Runs the platform until the process is ended.
 pub async fn platform(args: PlatformArgs) -> io::Result<()> {
-    let listen = SocketAddr::V4(required(args.listen)?);
+    let listen = required(args.listen)?;
     platform::run(PlatformOptions { listen }).await
 }
 
