--- /dev/null
+++ b/marigoldway/tests/common/mod.rs
@@ -0,0 +1,435 @@
+//! A deployment of real processes on loopback addresses, for tests.
+//!
+//! Every process has an address of its own, and its ports come from the
+//! system. Dropping the deployment ends each process that it started.
+
+#![allow(dead_code)]
+
+mod node;
+mod settings;
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+use serde_json::Value;
+
+use marigoldway_client::options::ClientOptions;
+
+pub use crate::common::node::Node;
+pub use crate::common::settings::AgentPlan;
+pub use crate::common::settings::EntryPlan;
+
+/// Longest wait for a condition. Generous, since the machine may be busy.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// `ServicePlan` says how many targets a service has.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    pub name: &'static str,
+    pub id: u16,
+    pub targets: usize,
+    pub slots: u32,
+}
+
+/// `Plan` says what a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub domains: u8,
+    pub entries: usize,
+    pub services: Vec<ServicePlan>,
+    /// Directory of `plans.txt` and `allowances.txt`, put before the start.
+    pub lists: Option<PathBuf>,
+}
+
+impl Plan {
+    /// Three entries, one a domain, and the ordering service with three targets.
+    pub fn small() -> Plan {
+        Plan {
+            domains: 3,
+            entries: 3,
+            services: vec![ServicePlan {
+                name: "ordering",
+                id: 1,
+                targets: 3,
+                slots: 4,
+            }],
+            lists: None,
+        }
+    }
+
+    /// [`Plan::small`] with the intake service beside.
+    pub fn two_services() -> Plan {
+        let mut plan = Plan::small();
+        plan.services.push(ServicePlan {
+            name: "intake",
+            id: 2,
+            targets: 2,
+            slots: 4,
+        });
+        plan
+    }
+}
+
+/// `Service` is a running service: its address at the fabric.
+pub struct Service {
+    pub plan: ServicePlan,
+    pub addr: SocketAddr,
+}
+
+/// `Target` is a running target with its agent.
+pub struct Target {
+    pub plan: AgentPlan,
+    pub service: &'static str,
+    pub target: Node,
+    pub agent: Node,
+}
+
+/// `Entry` is a running entry.
+pub struct Entry {
+    pub plan: EntryPlan,
+    pub node: Node,
+}
+
+/// `Deployment` is a set of running processes.
+pub struct Deployment {
+    pub dir: PathBuf,
+    pub platform: Node,
+    pub platform_addr: SocketAddrV4,
+    pub fabric: Node,
+    pub fabric_control: SocketAddrV4,
+    pub services: Vec<Service>,
+    pub targets: Vec<Target>,
+    pub entries: Vec<Entry>,
+    contacts: Vec<SocketAddrV4>,
+    next: u32,
+    base: u32,
+}
+
+static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
+
+impl Deployment {
+    /// Starts every process of `plan` and waits until each is ready.
+    pub fn start(plan: &Plan) -> Deployment {
+        let serial = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let dir = std::env::temp_dir().join(format!("marigoldway-{pid}-{serial}"));
+        fs::create_dir_all(&dir).unwrap();
+        make_keys(&dir);
+
+        // Loopback networks of tests that run side by side differ.
+        let base = Ipv4Addr::new(127, 1 + (pid % 250) as u8, (serial % 250) as u8, 0).to_bits();
+        let platform = Node::standin(
+            &dir,
+            "platform",
+            &["platform", "--listen", &addr_of(base + 1, 0)],
+        );
+        let platform_addr = platform.listening(0);
+        let mut deployment = Deployment {
+            platform,
+            platform_addr,
+            // Replaced as soon as the entries' addresses are known.
+            fabric: Node::none(),
+            fabric_control: platform_addr,
+            services: Vec::new(),
+            targets: Vec::new(),
+            entries: Vec::new(),
+            contacts: Vec::new(),
+            next: 2,
+            base,
+            dir,
+        };
+        if let Some(lists) = &plan.lists {
+            deployment.put_lists(lists);
+        }
+        deployment.start_entries(plan);
+        deployment.start_fabric(plan);
+        for service in &plan.services {
+            for index in 0..service.targets {
+                let domain = (index % usize::from(plan.domains)) as u8;
+                deployment.add_target(service, domain);
+            }
+        }
+        deployment.wait_ready();
+        deployment
+    }
+
+    fn start_entries(&mut self, plan: &Plan) {
+        let plans: Vec<EntryPlan> = (0..plan.entries)
+            .map(|index| {
+                let domain = (index % usize::from(plan.domains)) as u8;
+                self.entry_plan(plan, domain)
+            })
+            .collect();
+        self.contacts = plans.iter().map(|it| it.control).collect();
+        for plan in plans {
+            self.add_entry(plan);
+        }
+    }
+
+    fn start_fabric(&mut self, plan: &Plan) {
+        let ip = self.ip();
+        let mut args = vec![
+            "fabric".to_owned(),
+            "--control".to_owned(),
+            format!("{ip}:0"),
+        ];
+        for service in &plan.services {
+            let listen = SocketAddrV4::new(ip, free_port(ip));
+            args.push("--service".to_owned());
+            args.push(format!("{listen}={}", self.entry_list(service.id)));
+            self.services.push(Service {
+                plan: service.clone(),
+                addr: SocketAddr::V4(listen),
+            });
+        }
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        self.fabric = Node::standin(&self.dir, "fabric", &args);
+        self.fabric_control = self.fabric.listening(plan.services.len());
+    }
+
+    /// The plan of an entry that is not started yet.
+    pub fn entry_plan(&mut self, plan: &Plan, domain: u8) -> EntryPlan {
+        let ip = self.ip();
+        let services = plan
+            .services
+            .iter()
+            .map(|it| (it.name, it.id, free_port(ip)))
+            .collect();
+        EntryPlan {
+            ip,
+            domain,
+            data: free_port(ip),
+            control: SocketAddrV4::new(ip, free_port(ip)),
+            operator: SocketAddrV4::new(ip, free_port(ip)),
+            services,
+        }
+    }
+
+    /// Starts an entry and gives its index.
+    pub fn add_entry(&mut self, plan: EntryPlan) -> usize {
+        let index = self.entries.len();
+        let name = format!("entry-{index}");
+        let text = plan.render(&self.contacts, self.platform_addr);
+        let node = Node::system(&self.dir, &name, "entry", &text);
+        self.entries.push(Entry { plan, node });
+        index
+    }
+
+    /// Starts a target with its agent and gives its index.
+    pub fn add_target(&mut self, service: &ServicePlan, domain: u8) -> usize {
+        let index = self.targets.len();
+        let ip = self.ip();
+        let slots = service.slots.to_string();
+        let listen = format!("{ip}:0");
+        let args = [
+            "target",
+            "--listen",
+            &listen,
+            "--service",
+            service.name,
+            "--slots",
+            &slots,
+        ];
+        let target = Node::standin(&self.dir, &format!("target-{index}"), &args);
+        let plan = AgentPlan {
+            ip,
+            domain,
+            service: service.id,
+            name: service.name,
+            slots: service.slots,
+            data: free_port(ip),
+            control: SocketAddrV4::new(ip, free_port(ip)),
+            operator: SocketAddrV4::new(ip, free_port(ip)),
+            target: target.listening(0),
+        };
+        let text = plan.render(&self.contacts, self.platform_addr, &self.dir);
+        let agent = Node::system(&self.dir, &format!("agent-{index}"), "agent", &text);
+        self.targets.push(Target {
+            plan,
+            service: service.name,
+            target,
+            agent,
+        });
+        index
+    }
+
+    /// Waits until every process is ready and each entry knows every process.
+    pub fn wait_ready(&self) {
+        let all = self.entries.len() + self.targets.len();
+        for entry in &self.entries {
+            let ip = entry.plan.operator;
+            wait_for("an entry that knows every process", || {
+                fact(ip, "serving").is_some_and(|serving| serving >= all as u64)
+            });
+        }
+        for target in &self.targets {
+            wait_for("a ready agent", || ready(target.plan.operator));
+        }
+    }
+
+    /// The addresses of the live entries for one service, as the fabric takes them.
+    fn entry_list(&self, service: u16) -> String {
+        let live = self.entries.iter().filter(|it| it.node.is_live());
+        let addrs: Vec<String> = live
+            .map(|it| it.plan.service(service).to_string())
+            .collect();
+        addrs.join(",")
+    }
+
+    /// Tells the fabric which entries are live.
+    pub fn update_fabric(&self) {
+        for service in &self.services {
+            let entries = self.entry_list(service.plan.id);
+            let path = format!("/entries?service={}&entries={entries}", service.addr);
+            let (status, body) = http(self.fabric_control, "POST", &path, "");
+            assert_eq!(status, 200, "{body}");
+        }
+    }
+
+    /// Options of a client of `service`.
+    pub fn client(&self, service: &str) -> ClientOptions {
+        let service = self.services.iter().find(|it| it.plan.name == service);
+        let pem = self.dir.join("certificate.pem");
+        ClientOptions {
+            servers: vec![service.unwrap().addr],
+            roots: vec![CertificateDer::from_pem_file(pem).unwrap()],
+            token: "demo-token".to_owned(),
+            ..ClientOptions::default()
+        }
+    }
+
+    fn put_lists(&self, lists: &Path) {
+        for kind in ["allowances", "plans"] {
+            let file = lists.join(format!("{kind}.txt"));
+            let platform = self.platform_addr.to_string();
+            let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
+                .args(["lists", "put", "--platform", &platform, kind])
+                .arg(&file)
+                .output()
+                .unwrap();
+            assert!(output.status.success(), "{output:?}");
+        }
+    }
+
+    fn ip(&mut self) -> Ipv4Addr {
+        let ip = Ipv4Addr::from_bits(self.base + self.next);
+        self.next += 1;
+        ip
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for target in &mut self.targets {
+            target.agent.kill();
+            target.target.kill();
+        }
+        for entry in &mut self.entries {
+            entry.node.kill();
+        }
+        self.fabric.kill();
+        self.platform.kill();
+        if thread::panicking() {
+            eprintln!("logs are kept in {}", self.dir.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+fn make_keys(dir: &Path) {
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
+            .args(args)
+            .output()
+            .unwrap();
+        assert!(output.status.success(), "{output:?}");
+    };
+    let keys = dir.join("keys.ini");
+    run(&["keys", "new", &keys.to_string_lossy()]);
+    run(&["keys", "certificate", "--dir", &dir.to_string_lossy()]);
+}
+
+/// A port that is free for both UDP and TCP at `ip`.
+fn free_port(ip: Ipv4Addr) -> u16 {
+    loop {
+        let tcp = TcpListener::bind((ip, 0)).unwrap();
+        let port = tcp.local_addr().unwrap().port();
+        if UdpSocket::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+fn addr_of(ip: u32, port: u16) -> String {
+    SocketAddrV4::new(Ipv4Addr::from_bits(ip), port).to_string()
+}
+
+/// Polls `condition` until it holds.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One HTTP/1.1 exchange: the status and the body, status 0 where none came.
+pub fn http(addr: SocketAddrV4, method: &str, path: &str, body: &str) -> (u16, String) {
+    exchange(addr, method, path, body).unwrap_or_default()
+}
+
+fn exchange(addr: SocketAddrV4, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let len = body.len();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}"
+    )
+    .ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, body.to_owned()))
+}
+
+/// The `/status` page of a process.
+pub fn status(operator: SocketAddrV4) -> Option<Value> {
+    let (_, body) = http(operator, "GET", "/status", "");
+    serde_json::from_str(&body).ok()
+}
+
+/// Whether a process says that it is ready.
+pub fn ready(operator: SocketAddrV4) -> bool {
+    http(operator, "GET", "/ready", "").0 == 200
+}
+
+/// A number among the facts of a process.
+pub fn fact(operator: SocketAddrV4, name: &str) -> Option<u64> {
+    status(operator)?["facts"][name].as_u64()
+}
+
+/// A counter of a process.
+pub fn counter(operator: SocketAddrV4, name: &str) -> u64 {
+    let count = status(operator).map(|it| it["counters"][name].as_u64().unwrap_or(0));
+    count.unwrap_or(0)
+}
