--- a/marigoldway/src/settings/faults.rs
+++ b/marigoldway/src/settings/faults.rs
@@ -46,9 +46,9 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:", self.file.display())?;
+        write!(f, "{}", self.file.display())?;
         if !self.section.is_empty() {
-            write!(f, " [{}]", self.section)?;
+            write!(f, ": [{}]", self.section)?;
         }
         if !self.key.is_empty() {
             write!(f, " {}", self.key)?;
--- /dev/null
+++ b/marigoldway/tests/cli.rs
@@ -0,0 +1,164 @@
+//! The command line's words and exit codes, as a shell sees them.
+
+mod scratch;
+
+use std::fs;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+
+use marigoldway::cli::EXIT_FAILURE;
+use marigoldway::cli::EXIT_OK;
+use marigoldway::cli::EXIT_SETTINGS;
+use marigoldway::cli::EXIT_USAGE;
+use marigoldway::logging::pairs;
+use scratch::AGENT;
+use scratch::ENTRY;
+use scratch::Scratch;
+
+fn run(args: &[&str]) -> Output {
+    let binary = env!("CARGO_BIN_EXE_marigoldway");
+    Command::new(binary)
+        .args(args)
+        .output()
+        .expect("the binary runs")
+}
+
+fn code(output: &Output) -> u8 {
+    let code = output.status.code().expect("an exit code");
+    u8::try_from(code).expect("an exit code of the command line")
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().expect("a path of text")
+}
+
+#[test]
+fn help_and_version_on_each_command() {
+    let commands: [&[&str]; 11] = [
+        &[],
+        &["entry"],
+        &["agent"],
+        &["lists"],
+        &["check"],
+        &["status"],
+        &["keys"],
+        &["keys", "new"],
+        &["keys", "stage"],
+        &["keys", "rotate"],
+        &["keys", "certificate"],
+    ];
+    for command in commands {
+        let help = run(&[command, &["--help"]].concat());
+        assert_eq!(code(&help), EXIT_OK, "{command:?}");
+        assert!(
+            String::from_utf8_lossy(&help.stdout).contains("Exit codes: 0"),
+            "{command:?}"
+        );
+        let version = run(&[command, &["--version"]].concat());
+        assert_eq!(code(&version), EXIT_OK, "{command:?}");
+        assert!(version.stdout.starts_with(b"marigoldway "), "{command:?}");
+    }
+}
+
+#[test]
+fn usage_refuses_wrong_words() {
+    let wrong: [&[&str]; 7] = [
+        &[],
+        &["bogus"],
+        &["entry"],
+        &["check", "a", "b"],
+        &["status", "nowhere"],
+        &["keys"],
+        &["keys", "certificate"],
+    ];
+    for args in wrong {
+        let output = run(args);
+        assert_eq!(code(&output), EXIT_USAGE, "{args:?}");
+        assert!(!output.stderr.is_empty(), "{args:?}");
+    }
+}
+
+#[test]
+fn check_accepts_both_roles() {
+    let scratch = Scratch::new("check");
+    for (settings, role) in [(ENTRY, "role=entry"), (AGENT, "role=agent")] {
+        let output = run(&["check", text(&scratch.write(settings))]);
+        assert_eq!(code(&output), EXIT_OK);
+        assert!(String::from_utf8_lossy(&output.stdout).contains(role));
+    }
+}
+
+#[test]
+fn faulty_settings_start_nothing() {
+    let scratch = Scratch::new("refuse");
+    let file = scratch.write(&ENTRY.replace("domain = 1", "domain = 999"));
+    for command in ["entry", "check"] {
+        let output = run(&[command, text(&file)]);
+        assert_eq!(code(&output), EXIT_SETTINGS, "{command}");
+        let fault = "[process] domain: read \"999\", expected a whole number from 0 to 255\n";
+        assert!(
+            String::from_utf8_lossy(&output.stderr).ends_with(fault),
+            "{command}"
+        );
+    }
+}
+
+#[test]
+fn keys_new_keeps_an_old_file() {
+    let scratch = Scratch::new("keys");
+    let file = scratch.path("more.ini");
+    assert_eq!(code(&run(&["keys", "new", text(&file)])), EXIT_OK);
+    let mode = fs::metadata(&file).expect("the file").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+
+    let before = fs::read(&file).expect("the file");
+    assert_eq!(code(&run(&["keys", "new", text(&file)])), EXIT_FAILURE);
+    assert_eq!(fs::read(&file).expect("the file"), before);
+}
+
+#[test]
+fn status_fails_without_a_process() {
+    // The listener is closed before the command runs.
+    let addr: SocketAddr = {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.local_addr().expect("an address")
+    };
+    assert_eq!(code(&run(&["status", &addr.to_string()])), EXIT_FAILURE);
+}
+
+#[test]
+fn entry_fails_where_operator_address_is_taken() {
+    let scratch = Scratch::new("taken");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = taken.local_addr().expect("an address").to_string();
+    let output = run(&[
+        "entry",
+        text(&scratch.write(&ENTRY.replace("127.0.1.1:9001", &addr))),
+    ]);
+    assert_eq!(code(&output), EXIT_FAILURE);
+    let mut told = String::new();
+    output
+        .stderr
+        .as_slice()
+        .read_to_string(&mut told)
+        .expect("text");
+    assert!(
+        told.contains("operator endpoints could not start"),
+        "{told}"
+    );
+}
+
+#[test]
+fn pairs_quotes_what_libraries_say() {
+    assert_eq!(
+        pairs("event=start role=entry", "marigoldway::process"),
+        "event=start role=entry"
+    );
+    let line = pairs("lost \"it\"\nagain", "quinn::endpoint");
+    assert_eq!(line, "event=library message=\"lost \\\"it\\\" again\"");
+}
--- /dev/null
+++ b/marigoldway/tests/settings.rs
@@ -0,0 +1,224 @@
+//! Settings become checked types, or every fault is told.
+
+mod scratch;
+
+use std::fs;
+use std::fs::Permissions;
+use std::net::Ipv4Addr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::time::Duration;
+
+use log::LevelFilter;
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::Incarnation;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::route::Route;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+
+use marigoldway::keys;
+use marigoldway::settings::AgentSettings;
+use marigoldway::settings::DEFAULT_HEALTH;
+use marigoldway::settings::DEFAULT_LEVEL;
+use marigoldway::settings::DEFAULT_PLATFORM_TIMEOUT;
+use marigoldway::settings::Document;
+use marigoldway::settings::EntrySettings;
+use marigoldway::settings::FleetKeys;
+use marigoldway::settings::KeySource;
+use scratch::AGENT;
+use scratch::ENTRY;
+use scratch::Scratch;
+
+/// The faults of an entry's settings, one line each, without the directory.
+fn entry_faults(scratch: &Scratch, text: &str) -> Vec<String> {
+    let faults = EntrySettings::load(&scratch.write(text)).expect_err("faults");
+    let dir = format!("{}/", scratch.path("").display()).replace("//", "/");
+    faults
+        .0
+        .iter()
+        .map(|fault| fault.to_string().replace(&dir, ""))
+        .collect()
+}
+
+#[test]
+fn entry_accepts_whole_settings() {
+    let scratch = Scratch::new("entry");
+    let settings = EntrySettings::load(&scratch.write(ENTRY)).expect("settings");
+    assert_eq!(settings.process.domain, DomainId(1));
+    assert_eq!(settings.process.log_level, DEFAULT_LEVEL);
+    assert_eq!(settings.process.drain_limit, Duration::from_secs(3));
+    assert_eq!(
+        settings.network.data,
+        InstanceId::new(Ipv4Addr::new(127, 0, 1, 1), 7000)
+    );
+    assert_eq!(settings.network.contacts.len(), 2);
+    assert!(settings.network.agent_networks[0].contains(Ipv4Addr::new(127, 9, 9, 9)));
+    assert!(!settings.network.agent_networks[0].contains(Ipv4Addr::new(128, 0, 0, 1)));
+    assert_eq!(settings.platform.timeout, DEFAULT_PLATFORM_TIMEOUT);
+    let services: Vec<_> = settings
+        .services
+        .iter()
+        .map(|s| (s.name.as_str(), s.id))
+        .collect();
+    assert_eq!(
+        services,
+        [("ordering", ServiceId(1)), ("intake", ServiceId(2))]
+    );
+}
+
+#[test]
+fn agent_accepts_whole_settings() {
+    let scratch = Scratch::new("agent");
+    let settings = AgentSettings::load(&scratch.write(AGENT)).expect("settings");
+    assert_eq!(settings.process.log_level, LevelFilter::Debug);
+    assert_eq!(settings.platform.timeout, Duration::from_millis(250));
+    assert_eq!(settings.target.health, DEFAULT_HEALTH);
+    assert_eq!(
+        (settings.target.slots, settings.target.connections),
+        (4, 2000)
+    );
+    assert_eq!(settings.tls.certificate, scratch.path("certificate.pem"));
+}
+
+#[test]
+fn entry_tells_every_fault() {
+    let scratch = Scratch::new("faults");
+    let text = ENTRY
+        .replace("region = 1", "regoin = 1")
+        .replace("data = 127.0.1.1:7000", "data = [::1]:7000")
+        .replace("127.0.0.1:2379", "localhost")
+        .replace("drain-limit = 3s", "drain-limit = 3")
+        .replace("127.0.1.1:4434", "127.0.1.1:0")
+        .replace("127.0.0.0/8", "127.0.0.1/8")
+        + "[tls]\nkey = key.pem\n";
+    let faults = entry_faults(&scratch, &text);
+
+    let wanted = [
+        "settings.ini: [process] region: missing, expected a whole number from 0 to 255",
+        "settings.ini: [process] drain-limit: read \"3\", expected a time span",
+        "settings.ini: [process] regoin: read \"1\", expected one of the keys domain,",
+        "settings.ini: [network] data: read \"[::1]:7000\", expected an IPv4 address, not IPv6",
+        "settings.ini: [network] agent-networks: read \"127.0.0.1/8\", expected IPv4 subnets",
+        "settings.ini: [platform] address: read \"localhost\", expected an IPv4 address",
+        "settings.ini: [service intake] listen: read \"127.0.1.1:0\", expected a port from 1",
+        "settings.ini: [tls]: read \"tls\", expected one of [process], [network], [platform],",
+    ];
+    assert_eq!(faults.len(), wanted.len(), "{faults:#?}");
+    for (fault, wanted) in faults.iter().zip(wanted) {
+        assert!(fault.starts_with(wanted), "{fault}\nis not\n{wanted}");
+    }
+}
+
+#[test]
+fn entry_refuses_same_service_twice() {
+    let scratch = Scratch::new("twice");
+    let text = ENTRY.replace("id = 2", "id = 1").replace("4434", "4433");
+    let faults = entry_faults(&scratch, &text);
+    assert_eq!(faults.len(), 2, "{faults:#?}");
+    assert!(
+        faults[0].contains("[service intake] id: read \"1\""),
+        "{faults:#?}"
+    );
+    assert!(
+        faults[1].contains("[service intake] listen: read"),
+        "{faults:#?}"
+    );
+}
+
+#[test]
+fn entry_refuses_key_given_twice() {
+    let scratch = Scratch::new("repeated");
+    let faults = entry_faults(&scratch, &ENTRY.replace("id = 2", "id = 2\nid = 3"));
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(faults[0].ends_with("[service intake] id: read \"3\", expected each key once"));
+}
+
+#[test]
+fn entry_needs_a_service() {
+    let scratch = Scratch::new("none");
+    let text = &ENTRY[..ENTRY.find("[service ordering]").expect("a service")];
+    let faults = entry_faults(&scratch, text);
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(faults[0].contains("[service NAME]: missing"), "{faults:#?}");
+}
+
+#[test]
+fn agent_refuses_missing_certificate() {
+    let scratch = Scratch::new("certificate");
+    let text = AGENT
+        .replace("certificate.pem", "gone.pem")
+        .replace("slots = 4", "slots = 0");
+    let faults = AgentSettings::load(&scratch.write(&text)).expect_err("faults");
+    let keys: Vec<_> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    assert_eq!(keys, ["slots", "certificate"]);
+}
+
+#[test]
+fn keys_refuse_open_mode() {
+    let scratch = Scratch::new("mode");
+    let file = scratch.path("keys.ini");
+    fs::set_permissions(&file, Permissions::from_mode(0o640)).expect("a mode");
+    let faults = entry_faults(&scratch, ENTRY);
+    assert_eq!(faults, ["keys.ini: read \"mode 0640\", expected mode 0600"]);
+}
+
+#[test]
+fn keys_faults_show_no_key() {
+    let scratch = Scratch::new("secret");
+    let file = scratch.path("keys.ini");
+    let text = fs::read_to_string(&file).expect("keys");
+    let secret = text
+        .lines()
+        .find_map(|line| line.strip_prefix("control = "))
+        .expect("a key");
+    fs::write(&file, text.replace(secret, &format!("{secret}0"))).expect("written");
+    let faults = entry_faults(&scratch, ENTRY);
+    assert_eq!(faults.len(), 1, "{faults:#?}");
+    assert!(
+        faults[0].contains("control: read \"(not shown)\", expected 64"),
+        "{faults:#?}"
+    );
+    assert!(!faults[0].contains(secret));
+}
+
+#[test]
+fn keys_rotate_without_a_gap() {
+    let scratch = Scratch::new("rotate");
+    let file = scratch.path("keys.ini");
+    let load = || {
+        let source = KeySource::File(file.clone());
+        FleetKeys::load(&source, Path::new("")).expect("keys").route
+    };
+    assert!(keys::rotate(&file).is_err(), "nothing is staged");
+
+    let route = Route {
+        agent: InstanceId::new(Ipv4Addr::LOCALHOST, 7000),
+        service: ServiceId(1),
+        incarnation: Incarnation(7),
+    };
+    let old = load();
+    keys::stage(&file).expect("staged");
+    let staged = load();
+    keys::rotate(&file).expect("rotated");
+    let rotated = load();
+
+    // In each step a process with the newer file and one with the older file
+    // read each other's route IDs.
+    assert_eq!(staged.decode(&old.encode(&route, 1)), Some(route));
+    assert_eq!(old.decode(&staged.encode(&route, 1)), Some(route));
+    assert_eq!(rotated.decode(&staged.encode(&route, 1)), Some(route));
+    assert_eq!(staged.decode(&rotated.encode(&route, 1)), Some(route));
+    assert_eq!(old.decode(&rotated.encode(&route, 1)), None);
+}
+
+proptest! {
+    #[test]
+    fn document_survives_any_text(text in any::<String>()) {
+        if let Ok(document) = Document::parse(Path::new("any"), &text) {
+            assert!(EntrySettings::try_from(&document).is_err());
+            assert!(AgentSettings::try_from(&document).is_err());
+        }
+    }
+}
