--- a/marigoldway/src/errors.rs
+++ b/marigoldway/src/errors.rs
@@ -2,6 +2,9 @@
 
 use std::error::Error as StdError;
 use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 
 use error_stack::AttachmentKind;
 use error_stack::FrameKind;
@@ -17,6 +20,10 @@
     Settings,
     /// A part of the process could not start.
     Start(&'static str),
+    /// An address could not be bound.
+    Bind(SocketAddr),
+    /// A certificate or its key could not be used.
+    Certificate(PathBuf),
     /// A part of the process failed while it ran.
     Run(&'static str),
     /// A file could not be written.
@@ -25,11 +32,20 @@
     Ask(String),
 }
 
+impl Error {
+    /// Makes an [`Error::Certificate`].
+    pub fn certificate(file: &Path) -> Error {
+        Error::Certificate(file.to_owned())
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Settings => f.write_str("the settings are refused"),
             Error::Start(part) => write!(f, "{part} could not start"),
+            Error::Bind(addr) => write!(f, "{addr} could not be bound"),
+            Error::Certificate(file) => write!(f, "{} could not be used", file.display()),
             Error::Run(part) => write!(f, "{part} failed"),
             Error::Write(file) => write!(f, "{file} could not be written"),
             Error::Ask(addr) => write!(f, "{addr} could not be asked"),
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod process;
+pub mod scope;
 pub mod settings;
 pub mod shutdown;
 pub mod status;
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -19,6 +19,8 @@
 use marigoldway_core::forward::DropReason;
 use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
+use marigoldway_net::counters::PacketCounters;
+use marigoldway_net::counters::Passage;
 
 use crate::shutdown::Shutdown;
 
@@ -84,6 +86,8 @@
     Retry(Retry),
     /// Datagrams that were dropped.
     Drop(DropReason),
+    /// Datagrams that went on.
+    Passage(Passage),
     /// Any other event.
     Event(&'static str),
 }
@@ -96,6 +100,7 @@
             Counter::Doubt(reason) => format!("doubt.{}", reason.as_str()),
             Counter::Retry(reason) => format!("retry.{}", reason.as_str()),
             Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
+            Counter::Passage(passage) => format!("packet.{}", passage.as_str()),
             Counter::Event(name) => format!("event.{name}"),
         }
     }
@@ -105,6 +110,7 @@
 pub struct Metrics {
     client: StatsdClient,
     counters: RwLock<IndexMap<Counter, Arc<AtomicU64>>>,
+    packets: RwLock<Vec<Arc<PacketCounters>>>,
 }
 
 impl Metrics {
@@ -131,6 +137,7 @@
         Ok(Metrics {
             client,
             counters: RwLock::new(known.map(|counter| (counter, Arc::default())).collect()),
+            packets: RwLock::default(),
         })
     }
 
@@ -160,8 +167,30 @@
         counters.entry(counter).or_default().clone()
     }
 
+    /// Reports the counters of the packet path with the others.
+    pub fn mirror(&self, packets: Arc<PacketCounters>) {
+        let mut mirrored = self.packets.write().unwrap_or_else(PoisonError::into_inner);
+        mirrored.push(packets);
+    }
+
+    /// Takes over what the packet path counted.
+    fn refresh(&self) {
+        let mirrored = self.packets.read().unwrap_or_else(PoisonError::into_inner);
+        for packets in mirrored.iter() {
+            for (passage, count) in packets.passages() {
+                let cell = self.cell(Counter::Passage(passage));
+                cell.store(count, Ordering::Relaxed);
+            }
+            for (reason, count) in packets.drops() {
+                self.cell(Counter::Drop(reason))
+                    .store(count, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Every counter by name.
     pub fn snapshot(&self) -> IndexMap<String, u64> {
+        self.refresh();
         let counters = self.counters.read().unwrap_or_else(PoisonError::into_inner);
         counters
             .iter()
