--- a/marigoldway-core/src/lists/document.rs
+++ b/marigoldway-core/src/lists/document.rs
@@ -30,7 +30,10 @@
 pub const MAX_NAME_LEN: usize = 64;
 
 /// Bits of the change id that a [`Revision`]'s number carries.
-const CHANGE_BITS: u32 = 16;
+const CHANGE_BITS: u32 = 8;
+
+/// Highest generation, which fills the other bits of a [`Revision`]'s number.
+const MAX_GENERATION: u64 = (1 << (u32::BITS - CHANGE_BITS)) - 1;
 
 /// `ChangeId` names one change of a list: 64 random bits, 16 hex digits.
 #[derive(
@@ -70,10 +73,13 @@
 }
 
 impl Revision {
-    /// The revision as one number for heartbeats: the generation above the 16
-    /// upper bits of the change id. A higher revision never has a lower number.
-    pub fn number(self) -> u64 {
-        (self.generation << CHANGE_BITS) | (self.change.0 >> (u64::BITS - CHANGE_BITS))
+    /// The revision as one number for heartbeats: the generation above the
+    /// eight upper bits of the change id. A higher revision never has a lower
+    /// number.
+    pub fn number(self) -> u32 {
+        let change = self.change.0 >> (u64::BITS - CHANGE_BITS);
+        let number = (self.generation << CHANGE_BITS) | change;
+        u32::try_from(number).unwrap_or(u32::MAX)
     }
 }
 
@@ -201,8 +207,9 @@
         let generation = generation
             .parse()
             .map_err(|_| item.fault(format!("generation {generation:?}, expected a number")))?;
-        if generation >= 1 << (u64::BITS - CHANGE_BITS) {
-            return Err(item.fault("generation out of range"));
+        if !(1..=MAX_GENERATION).contains(&generation) {
+            let reason = format!("generation {generation}, expected 1 to {MAX_GENERATION}");
+            return Err(item.fault(reason));
         }
         let (item, change) = header(items.next(), "change")?;
         let change = change
--- a/marigoldway-core/src/lists/revisions.rs
+++ b/marigoldway-core/src/lists/revisions.rs
@@ -22,20 +22,33 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Revisions {
     /// Number of the plans' revision.
-    pub plans: u64,
+    pub plans: u32,
     /// Number of the allowances' revision.
-    pub allowances: u64,
+    pub allowances: u32,
 }
 
 impl Revisions {
     /// The number of one list.
-    pub fn of(self, kind: ListKind) -> u64 {
+    pub fn of(self, kind: ListKind) -> u32 {
         match kind {
             ListKind::Plans => self.plans,
             ListKind::Allowances => self.allowances,
         }
     }
 
+    /// Both numbers as one, for heartbeats: the plans' in the upper 32 bits.
+    pub fn to_u64(self) -> u64 {
+        (u64::from(self.plans) << u32::BITS) | u64::from(self.allowances)
+    }
+
+    /// The revisions that [`Revisions::to_u64`] made one number of.
+    pub fn from_u64(bits: u64) -> Revisions {
+        Revisions {
+            plans: (bits >> u32::BITS) as u32,
+            allowances: bits as u32,
+        }
+    }
+
     /// The lists of which `self` states a higher revision than `other`.
     pub fn above(self, other: Revisions) -> impl Iterator<Item = ListKind> {
         ListKind::ALL
--- a/marigoldway-core/src/lists/spread.rs
+++ b/marigoldway-core/src/lists/spread.rs
@@ -4,14 +4,16 @@
 //! heartbeat carries the revisions in force, so whoever missed that notice
 //! learns of the gap from the next heartbeat. The process that lags asks one
 //! peer at a time; nobody is sent a list unasked.
+//!
+//! Peers are named by the addresses of their control channels.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
 
-use crate::ids::InstanceId;
 use crate::lists::ListKind;
 use crate::lists::revisions::Holdings;
 use crate::lists::revisions::Offered;
@@ -40,7 +42,7 @@
     /// Send a message to a peer.
     Send {
         /// The peer.
-        to: InstanceId,
+        to: SocketAddrV4,
         /// The message.
         message: Message,
     },
@@ -105,7 +107,12 @@
 
     /// Takes the revisions that `peer` has in force, from a heartbeat or from
     /// [`Message::Have`].
-    pub fn heard(&mut self, now: Timestamp, peer: InstanceId, theirs: Revisions) -> Option<Output> {
+    pub fn heard(
+        &mut self,
+        now: Timestamp,
+        peer: SocketAddrV4,
+        theirs: Revisions,
+    ) -> Option<Output> {
         let held = self.holdings.held();
         let message = if theirs.above(held).next().is_some() {
             if !self.may_ask(now, theirs) {
@@ -129,16 +136,16 @@
     pub fn receive(
         &mut self,
         now: Timestamp,
-        from: InstanceId,
+        from: SocketAddrV4,
         message: &Message,
-        peers: &[InstanceId],
+        peers: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Vec<Output> {
         match message {
             Message::Have(theirs) => self.heard(now, from, *theirs).into_iter().collect(),
             Message::Ask(theirs) => self.lists_above(from, *theirs),
             Message::List { kind, text } => {
-                let peers: Vec<InstanceId> =
+                let peers: Vec<SocketAddrV4> =
                     peers.iter().copied().filter(|id| *id != from).collect();
                 self.offer(*kind, text, &peers, rng)
             }
@@ -150,7 +157,7 @@
         &mut self,
         kind: ListKind,
         text: &str,
-        peers: &[InstanceId],
+        peers: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Vec<Output> {
         let outputs = self.offer(kind, text, peers, rng);
@@ -175,7 +182,7 @@
         now.since(asked.at) >= self.options.patience || theirs.above(asked.wanted).next().is_some()
     }
 
-    fn lists_above(&self, to: InstanceId, theirs: Revisions) -> Vec<Output> {
+    fn lists_above(&self, to: SocketAddrV4, theirs: Revisions) -> Vec<Output> {
         self.holdings
             .held()
             .above(theirs)
@@ -191,7 +198,7 @@
         &mut self,
         kind: ListKind,
         text: &str,
-        peers: &[InstanceId],
+        peers: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Vec<Output> {
         match self.holdings.offer(kind, text) {
@@ -210,7 +217,7 @@
 }
 
 /// Chooses `count` different peers, or all if there are fewer.
-fn choose(peers: &[InstanceId], count: usize, rng: &mut impl Rng) -> Vec<InstanceId> {
+fn choose(peers: &[SocketAddrV4], count: usize, rng: &mut impl Rng) -> Vec<SocketAddrV4> {
     let mut pool = peers.to_vec();
     let count = count.min(pool.len());
     for n in 0..count {
--- a/marigoldway-core/tests/revisions.rs
+++ b/marigoldway-core/tests/revisions.rs
@@ -1,6 +1,7 @@
 //! States of the lists in any order, lost, doubled and spread by peers.
 
 use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use marigoldway_core::ids::InstanceId;
 use marigoldway_core::lists::ListKind;
 use marigoldway_core::lists::document;
 use marigoldway_core::lists::document::ChangeId;
@@ -41,7 +41,7 @@
     })
 }
 
-fn number(generation: u64) -> u64 {
+fn number(generation: u64) -> u32 {
     let change = ChangeId(generation);
     Revision { generation, change }.number()
 }
@@ -140,12 +140,12 @@
         }
     }
 
-    fn id(n: usize) -> InstanceId {
-        InstanceId::new(Ipv4Addr::LOCALHOST, u16::try_from(n).unwrap())
+    fn id(n: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::LOCALHOST, u16::try_from(n).unwrap())
     }
 
-    fn index(id: InstanceId) -> usize {
-        usize::from(id.0.port())
+    fn index(id: SocketAddrV4) -> usize {
+        usize::from(id.port())
     }
 
     /// Hands out `outputs` of member `from` and all that follows from them.
@@ -163,7 +163,7 @@
             if self.rng.random_bool(self.loss) {
                 continue;
             }
-            let peers: Vec<InstanceId> = (0..self.members.len())
+            let peers: Vec<SocketAddrV4> = (0..self.members.len())
                 .filter(|n| *n != to)
                 .map(Fleet::id)
                 .collect();
@@ -185,7 +185,7 @@
 
     fn publish(&mut self, now: Timestamp, generation: u64) {
         for kind in ListKind::ALL {
-            let peers: Vec<InstanceId> = (1..self.members.len()).map(Fleet::id).collect();
+            let peers: Vec<SocketAddrV4> = (1..self.members.len()).map(Fleet::id).collect();
             let text = state(kind, generation);
             let outputs = self.members[0].read(kind, &text, &peers, &mut self.rng);
             self.deliver(now, 0, outputs);
@@ -249,6 +249,11 @@
     let low = revision(1, u64::MAX);
     let high = revision(2, 0);
     assert!(low < high && low.number() < high.number());
+    let both = Revisions {
+        plans: low.number(),
+        allowances: high.number(),
+    };
+    assert_eq!(Revisions::from_u64(both.to_u64()), both);
     let text = document::with_revision(&state(ListKind::Plans, 1), high);
     assert_eq!(document::revision(ListKind::Plans, &text), Ok(high));
 }
