Lend shares of allowances to agents by reported demand

One holder a customer lends what agents ask for by max-min fairness, for a term that the agent counts from its report. A fixed floor is never lent. A holder that slept, or is new, waits for the handover time and meanwhile renews only what is in force. Without the wait, and without standing down after sleep, the sum of what agents may use exceeds the allowance (16 seeds of 60 s with pauses, loss and late messages); with both it doesn't.

--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod retry;
 pub mod roster;
 pub mod route;
+pub mod share;
 pub mod time;
--- /dev/null
+++ b/marigoldway-core/src/share/lender.rs
@@ -0,0 +1,120 @@
+//! The holders of one entry.
+
+use std::hash::Hasher;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use siphasher::sip::SipHasher13;
+
+use crate::ids::InstanceId;
+use crate::lists::catalog::Catalog;
+use crate::placement;
+use crate::share::Grant;
+use crate::share::Report;
+use crate::share::ShareOptions;
+use crate::share::amounts::Amounts;
+use crate::share::holder::Holder;
+use crate::time::Timestamp;
+
+/// The entry that lends the allowance of `customer`, by rendezvous hashing.
+pub fn holder_of(customer: &str, entries: &[InstanceId]) -> Option<InstanceId> {
+    let mut hasher = SipHasher13::new();
+    hasher.write(customer.as_bytes());
+    let ranked = placement::rank(hasher.finish(), entries.iter().copied(), 1);
+    ranked.first().copied()
+}
+
+/// `Lender` answers reports about every customer whose holder this entry is.
+#[derive(Clone, Debug)]
+pub struct Lender {
+    options: ShareOptions,
+    own: InstanceId,
+    entries: Vec<InstanceId>,
+    /// The last time at which another entry may have lent.
+    changed: Timestamp,
+    awake: Timestamp,
+    catalog: Option<Arc<Catalog>>,
+    holders: IndexMap<String, Holder>,
+}
+
+impl Lender {
+    /// Makes the lender of entry `own`, which starts now.
+    pub fn new(now: Timestamp, options: ShareOptions, own: InstanceId) -> Lender {
+        Lender {
+            options,
+            own,
+            entries: vec![own],
+            changed: now,
+            awake: now,
+            catalog: None,
+            holders: IndexMap::new(),
+        }
+    }
+
+    /// Takes lists that came into force.
+    pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        self.catalog = Some(catalog);
+    }
+
+    /// Takes the live entries, this one among them. It stops to be the holder
+    /// of every customer that falls to another one.
+    pub fn set_entries(&mut self, now: Timestamp, entries: &[InstanceId]) {
+        self.wake(now);
+        if self.entries == entries {
+            return;
+        }
+        self.entries = entries.to_vec();
+        self.changed = now;
+        let own = self.own;
+        self.holders
+            .retain(|customer, _| holder_of(customer, entries) == Some(own));
+    }
+
+    /// Answers a report of the agent whose control channel is at `from`.
+    /// Reports for other holders and of unknown customers are not answered.
+    pub fn report(&mut self, now: Timestamp, from: SocketAddrV4, report: &Report) -> Option<Grant> {
+        self.wake(now);
+        if holder_of(&report.customer, &self.entries) != Some(self.own) {
+            return None;
+        }
+        let catalog = self.catalog.as_ref()?;
+        let customer = catalog.plans().customers.get(&report.customer)?;
+        let allowance = Amounts::from(catalog.allowance(&customer.plan)?);
+
+        let (options, lends_from) = (self.options, self.changed + self.options.handover);
+        self.holders
+            .entry(report.customer.clone())
+            .or_insert_with(|| Holder::new(options, lends_from))
+            .report(now, from, report, allowance)
+    }
+
+    /// Does what time brings. It must be called more often than
+    /// [`ShareOptions::sleep`].
+    pub fn tick(&mut self, now: Timestamp) {
+        self.wake(now);
+        self.holders.retain(|_, holder| {
+            holder.expire(now);
+            !holder.is_idle()
+        });
+    }
+
+    /// Customers of which something is lent.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Tells whether nothing is lent.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+
+    /// Stands down after a sleep: another entry may have lent meanwhile.
+    fn wake(&mut self, now: Timestamp) {
+        if now.since(self.awake) > self.options.sleep {
+            self.holders.clear();
+            self.changed = now;
+        }
+        self.awake = now;
+    }
+}
--- /dev/null
+++ b/marigoldway-core/tests/shares.rs
@@ -0,0 +1,407 @@
+//! The sum of what agents may use stays within the allowance, under pauses,
+//! kills, cuts and messages that are lost, late or doubled.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::lists::catalog::Catalog;
+use marigoldway_core::request::Class;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::share::Grant;
+use marigoldway_core::share::Report;
+use marigoldway_core::share::ShareOptions;
+use marigoldway_core::share::amounts;
+use marigoldway_core::share::amounts::Amounts;
+use marigoldway_core::share::bucket::Bucket;
+use marigoldway_core::share::enforcement::Enforcement;
+use marigoldway_core::share::enforcement::Permit;
+use marigoldway_core::share::lender;
+use marigoldway_core::share::lender::Lender;
+use marigoldway_core::time::Timestamp;
+
+const PLANS: &str = "list plans\ngeneration 1\nchange 0000000000000001\n\
+    customer a plan=p\n";
+const ALLOWANCES: &str = "list allowances\ngeneration 1\nchange 0000000000000001\n\
+    service s id=1\nplan p services=s connections=100 rate=700 burst=100 bulk=20\n";
+const WHOLE: Amounts = Amounts {
+    rate: 700_000,
+    connections: 100,
+    bulk: 20,
+};
+
+const AGENTS: usize = 5;
+const ENTRIES: usize = 3;
+const STEP: Duration = Duration::from_millis(20);
+
+/// Shortest and longest time in which a process learns that an entry is down
+/// or back. They differ by less than a term.
+const DETECTION_MS: (u64, u64) = (1_500, 3_000);
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Report(usize, Report),
+    Grant(usize, Grant),
+}
+
+struct World {
+    now: Timestamp,
+    rng: StdRng,
+    catalog: Arc<Catalog>,
+    lenders: Vec<Lender>,
+    agents: Vec<Enforcement>,
+    /// Time until which a process does nothing, entries first.
+    paused: Vec<Timestamp>,
+    /// What each process takes for live, and changes of it that are to come.
+    views: Vec<Vec<bool>>,
+    news: Vec<(Timestamp, usize, usize, bool)>,
+    flying: Vec<(Timestamp, usize, Packet)>,
+    connections: Vec<Vec<Permit>>,
+    loss: f64,
+    worst: Amounts,
+}
+
+fn entry(n: usize) -> InstanceId {
+    InstanceId::new(Ipv4Addr::LOCALHOST, 7_000 + u16::try_from(n).unwrap())
+}
+
+fn agent(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 8_000 + u16::try_from(n).unwrap())
+}
+
+impl World {
+    fn new(options: ShareOptions, seed: u64) -> World {
+        let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).unwrap());
+        let now = Timestamp::from_millis(1_000);
+        let lenders = (0..ENTRIES).map(|n| {
+            let mut lender = Lender::new(now, options, entry(n));
+            lender.set_catalog(catalog.clone());
+            lender
+        });
+        let agents = (0..AGENTS).map(|_| {
+            let mut agent = Enforcement::new(options, ServiceId(1), 0);
+            agent.set_agents(now, AGENTS);
+            agent.set_catalog(now, catalog.clone());
+            agent
+        });
+        World {
+            now,
+            rng: StdRng::seed_from_u64(seed),
+            lenders: lenders.collect(),
+            agents: agents.collect(),
+            paused: vec![Timestamp::ZERO; ENTRIES + AGENTS],
+            views: vec![vec![true; ENTRIES]; ENTRIES + AGENTS],
+            news: Vec::new(),
+            flying: Vec::new(),
+            connections: (0..AGENTS).map(|_| Vec::new()).collect(),
+            loss: 0.1,
+            worst: Amounts::default(),
+            catalog,
+        }
+    }
+
+    fn live(&self, process: usize) -> Vec<InstanceId> {
+        let view = self.views[process].iter().enumerate();
+        view.filter(|(_, live)| **live)
+            .map(|(n, _)| entry(n))
+            .collect()
+    }
+
+    /// Pauses a process. Other processes take a paused entry for down, each
+    /// after a time of its own, and learn that it is back.
+    fn pause(&mut self, process: usize, time: Duration) {
+        let until = self.now + time;
+        self.paused[process] = self.paused[process].max(until);
+        if process >= ENTRIES {
+            return;
+        }
+        for other in (0..ENTRIES + AGENTS).filter(|other| *other != process) {
+            let down = Duration::from_millis(self.rng.random_range(DETECTION_MS.0..DETECTION_MS.1));
+            let back = Duration::from_millis(self.rng.random_range(0..1_000));
+            if self.now + down < until {
+                self.news.push((self.now + down, other, process, false));
+                self.news.push((until + back, other, process, true));
+            }
+        }
+    }
+
+    fn send(&mut self, to: usize, packet: &Packet) {
+        let copies = if self.rng.random_bool(0.05) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let delay = Duration::from_millis(self.rng.random_range(1..200));
+            self.flying.push((self.now + delay, to, packet.clone()));
+        }
+    }
+
+    fn demand(&mut self) {
+        let catalog = self.catalog.clone();
+        let customer = &catalog.plans().customers["a"];
+        for n in 0..AGENTS {
+            if self.now < self.paused[ENTRIES + n] {
+                continue;
+            }
+            let busy = self.now.as_micros() / 5_000_000 % AGENTS as u64 == n as u64;
+            let count = if busy {
+                20
+            } else {
+                u32::from(self.rng.random_bool(0.1))
+            };
+            for _ in 0..count {
+                let _ = self.agents[n].admit(self.now, customer, Class::Short);
+            }
+            if self.rng.random_bool(0.5)
+                && let Ok(permit) = self.agents[n].connect(self.now, customer)
+            {
+                self.connections[n].push(permit);
+            }
+            if self.rng.random_bool(0.3)
+                && let Some(permit) = self.connections[n].pop()
+            {
+                self.agents[n].release(permit);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let now = self.now;
+        let due = |at: &Timestamp| *at <= now;
+        for (_, process, of, live) in self.news.extract_if(.., |(at, ..)| due(at)) {
+            self.views[process][of] = live;
+        }
+        for process in 0..ENTRIES + AGENTS {
+            if now < self.paused[process] {
+                continue;
+            }
+            let entries = self.live(process);
+            if process < ENTRIES {
+                self.lenders[process].set_entries(now, &entries);
+                self.lenders[process].tick(now);
+                continue;
+            }
+            let n = process - ENTRIES;
+            for report in self.agents[n].tick(now) {
+                let holder = lender::holder_of(&report.customer, &entries);
+                let to = (0..ENTRIES).find(|n| Some(entry(*n)) == holder);
+                if let Some(to) = to {
+                    self.send(to, &Packet::Report(n, report));
+                }
+            }
+        }
+        self.deliver();
+        self.demand();
+        self.check();
+    }
+
+    /// Hands out packets. Those for a paused process wait in its socket.
+    fn deliver(&mut self) {
+        let (now, paused) = (self.now, self.paused.clone());
+        let arrived: Vec<_> = self
+            .flying
+            .extract_if(.., |(at, to, _)| *at <= now && paused[*to] <= now)
+            .collect();
+        for (_, to, packet) in arrived {
+            match packet {
+                Packet::Report(from, report) => {
+                    if let Some(grant) = self.lenders[to].report(now, agent(from), &report) {
+                        self.send(ENTRIES + from, &Packet::Grant(from, grant));
+                    }
+                }
+                Packet::Grant(n, grant) => self.agents[n].grant(now, &grant),
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let usable = self.agents.iter().map(|it| it.usable(self.now, "a"));
+        let sum = usable.flatten().fold(Amounts::default(), Amounts::plus);
+        self.worst = self.worst.max(sum);
+    }
+
+    /// Runs for `seconds`, with a pause of a random process now and then.
+    fn run(&mut self, seconds: u64, pauses: bool) {
+        for _ in 0..seconds * 50 {
+            if pauses && self.rng.random_bool(0.01) {
+                let process = self.rng.random_range(0..ENTRIES + AGENTS);
+                let idle =
+                    self.paused.iter().all(|until| *until <= self.now) && self.news.is_empty();
+                let time = Duration::from_millis(self.rng.random_range(100..9_000));
+                if idle {
+                    self.pause(process, time);
+                }
+            }
+            self.step();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn usable_sum_stays_within_the_allowance(seed: u64, loss in 0.0..0.5) {
+        let mut world = World::new(ShareOptions::default(), seed);
+        world.loss = loss;
+        world.run(60, true);
+        prop_assert!(world.worst.fits(WHOLE), "{:?}", world.worst);
+        // The test would be empty if nothing had been lent.
+        prop_assert!(world.worst.rate > WHOLE.rate / 4, "{:?}", world.worst);
+    }
+
+    #[test]
+    fn divide_gives_all_and_starves_nobody(total in 0..10_000_u64, wants in prop::collection::vec(0..5_000_u64, 1..12)) {
+        let parts = amounts::divide(total, &wants);
+        let sum: u64 = parts.iter().sum();
+        prop_assert!(sum <= total && total - sum < wants.len() as u64);
+        let fair = total / wants.len() as u64;
+        for (part, want) in parts.iter().zip(&wants) {
+            prop_assert!(part >= &fair.min(*want));
+        }
+    }
+}
+
+fn worst(options: ShareOptions) -> Amounts {
+    let seeds = 0..16;
+    let runs = seeds.map(|seed| {
+        let mut world = World::new(options, seed);
+        world.run(60, true);
+        world.worst
+    });
+    runs.fold(Amounts::default(), Amounts::max)
+}
+
+#[test]
+fn usable_sum_exceeds_the_allowance_without_handover() {
+    let options = ShareOptions::default();
+    let none = ShareOptions {
+        handover: Duration::ZERO,
+        ..options
+    };
+    assert!(!worst(none).fits(WHOLE));
+    assert!(worst(options).fits(WHOLE));
+}
+
+#[test]
+fn usable_sum_exceeds_the_allowance_without_standing_down() {
+    let none = ShareOptions {
+        sleep: Duration::MAX,
+        ..ShareOptions::default()
+    };
+    assert!(!worst(none).fits(WHOLE));
+}
+
+#[test]
+fn usable_sum_in_a_cut_is_bounded_by_the_groups() {
+    for seed in 0..8 {
+        let mut world = World::new(ShareOptions::default(), seed);
+        world.run(10, false);
+        // Two groups that hear nothing of each other: entry 0 with agents 0
+        // and 1, all others without entry 0.
+        for process in 0..ENTRIES + AGENTS {
+            let near = [0, ENTRIES, ENTRIES + 1].contains(&process);
+            world.views[process] = (0..ENTRIES).map(|n| (n == 0) == near).collect();
+        }
+        world.run(30, false);
+        assert!(world.worst.fits(WHOLE.part(2, 1)), "{:?}", world.worst);
+    }
+}
+
+#[test]
+fn share_follows_demand_and_a_lost_holder_leaves_the_floor() {
+    let mut world = World::new(ShareOptions::default(), 3);
+    world.run(10, false);
+    // Agent 1 is the busy one between 5 s and 10 s, agent 2 thereafter.
+    world.run(4, false);
+    let usable = world.agents[2].usable(world.now, "a").unwrap();
+    assert!(usable.rate * 10 >= WHOLE.rate * 9, "{usable:?}");
+
+    for n in 0..ENTRIES {
+        world.paused[n] = world.now + Duration::from_secs(60);
+    }
+    world.run(10, false);
+    let floor = WHOLE.floor(5).part(1, AGENTS as u64);
+    assert_eq!(world.agents[2].usable(world.now, "a"), Some(floor));
+}
+
+#[test]
+fn admit_says_which_allowance_and_when_to_come_back() {
+    let now = Timestamp::from_millis(1_000);
+    let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).unwrap());
+    let customer = &catalog.plans().customers["a"];
+    let mut agent = Enforcement::new(ShareOptions::default(), ServiceId(1), 0);
+    agent.set_catalog(now, catalog.clone());
+
+    // One agent has the whole floor: 35 requests a second, 5 connections, 1
+    // piece of bulk work.
+    let permit = agent.admit(now, customer, Class::Bulk).unwrap();
+    let denial = agent.admit(now, customer, Class::Bulk).unwrap_err();
+    assert_eq!(denial.refusal, Refusal::BulkLimit);
+    agent.release(permit);
+    let _ = agent.admit(now, customer, Class::Bulk).unwrap();
+
+    let denial = loop {
+        if let Err(denial) = agent.admit(now, customer, Class::Short) {
+            break denial;
+        }
+    };
+    assert_eq!(denial.refusal, Refusal::RequestRate);
+    assert_eq!(denial.retry, Some(Duration::from_micros(28_572)));
+
+    let mut other = Enforcement::new(ShareOptions::default(), ServiceId(2), 0);
+    other.set_catalog(now, catalog.clone());
+    let denial = other.admit(now, customer, Class::Short).unwrap_err();
+    assert_eq!(denial.refusal, Refusal::NotInPlan);
+}
+
+#[test]
+fn set_catalog_lowers_without_ending_what_is_open() {
+    let now = Timestamp::from_millis(1_000);
+    let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).unwrap());
+    let customer = &catalog.plans().customers["a"];
+    let mut agent = Enforcement::new(ShareOptions::default(), ServiceId(1), 0);
+    agent.set_catalog(now, catalog.clone());
+    let permits: Vec<Permit> = (0..5)
+        .map(|_| agent.connect(now, customer).unwrap())
+        .collect();
+
+    let lower = ALLOWANCES.replace("connections=100", "connections=40");
+    let lower = Arc::new(Catalog::parse(PLANS, &lower).unwrap());
+    agent.set_catalog(now, lower);
+    assert_eq!(agent.usable(now, "a").unwrap().connections, 2);
+    for (open, permit) in (0..5).rev().zip(permits) {
+        assert!(
+            agent.connect(now, customer).is_err(),
+            "{open} more are open"
+        );
+        agent.release(permit);
+        if open < 2 {
+            break;
+        }
+    }
+    assert!(agent.connect(now, customer).is_ok());
+}
+
+#[test]
+fn take_moves_no_token_twice() {
+    let at = |millis| Timestamp::from_millis(millis);
+    let mut one = Bucket::new(at(0), 100_000, 10_000);
+    let mut two = Bucket::new(at(0), 0, 0);
+    let taken = |bucket: &mut Bucket, now| (0..1_000).filter(|_| bucket.take(now).is_ok()).count();
+    // The smallest bucket holds one request.
+    assert_eq!((taken(&mut one, at(0)), taken(&mut two, at(0))), (10, 1));
+    one.set(at(0), 0, 0);
+    two.set(at(0), 100_000, 10_000);
+    assert_eq!((taken(&mut one, at(0)), taken(&mut two, at(0))), (0, 0));
+    assert_eq!((taken(&mut one, at(50)), taken(&mut two, at(50))), (0, 5));
+}
