--- a/marigoldway-net/src/gate.rs
+++ b/marigoldway-net/src/gate.rs
@@ -1,16 +1,23 @@
 //! What an agent does with a datagram before QUIC sees it.
 
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
+use marigoldway_core::acceptance;
+use marigoldway_core::acceptance::Acceptance;
+use marigoldway_core::acceptance::AcceptanceOptions;
 use marigoldway_core::forward::DropReason;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::message::Load;
 use marigoldway_core::packet::Form;
 use marigoldway_core::packet::Head;
 use marigoldway_core::reply;
@@ -46,6 +53,8 @@
     clock: Clock,
     views: watch::Receiver<Arc<RosterView>>,
     heard: Mutex<IndexMap<InstanceId, Timestamp>>,
+    acceptance: Mutex<Acceptance>,
+    hash: RandomState,
 }
 
 impl Gate {
@@ -55,6 +64,7 @@
         keys: RouteKeys,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
+        options: AcceptanceOptions,
     ) -> Gate {
         Gate {
             own,
@@ -62,6 +72,8 @@
             clock,
             views,
             heard: Mutex::default(),
+            acceptance: Mutex::new(Acceptance::new(options)),
+            hash: RandomState::new(),
         }
     }
 
@@ -92,7 +104,7 @@
         };
         match (self.keys.decode(head.id), head.form) {
             (Some(route), _) => self.follow(&route),
-            (None, Form::Opening) => self.open(second, passed),
+            (None, Form::Opening) => self.open(head.id, second, passed),
             (None, Form::Handshake | Form::Short) => Verdict::Drop(DropReason::UnknownRoute),
         }
     }
@@ -108,8 +120,38 @@
         Verdict::Take
     }
 
-    fn open(&self, _second: Option<InstanceId>, _passed: bool) -> Verdict {
-        Verdict::Take
+    /// The agent alone knows its load, so it decides on a new flow, once for
+    /// all packets that open it.
+    fn open(&self, id: &[u8], second: Option<InstanceId>, passed: bool) -> Verdict {
+        let key = self.hash.hash_one(id);
+        let now = self.clock.now();
+        match self.acceptance().decide(now, key, passed, second) {
+            acceptance::Verdict::Keep => Verdict::Take,
+            acceptance::Verdict::Pass(second) => Verdict::Pass(second),
+            acceptance::Verdict::Refuse => Verdict::Drop(DropReason::FlowRefused),
+        }
+    }
+
+    /// Keeps no new flow from now on.
+    pub fn leave(&self) {
+        self.acceptance().leave();
+    }
+
+    /// Sets the number of flows that the agent holds.
+    pub fn set_flows(&self, flows: u32) {
+        self.acceptance().set_flows(flows);
+    }
+
+    /// Takes note of a peer's load.
+    pub fn observe(&self, load: Load) {
+        self.acceptance().observe(self.clock.now(), load);
+    }
+
+    fn acceptance(&self) -> MutexGuard<'_, Acceptance> {
+        // Every call leaves the state whole, so a panic elsewhere can't break it.
+        self.acceptance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The entry that carries a reply to `caller`.
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -1,6 +1,8 @@
 //! The `agent` process: it stands beside a target and ends the flows to it.
 
 mod flows;
+mod health;
+mod load;
 mod proxy;
 mod tls;
 
@@ -12,12 +14,11 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use marigoldway_core::ids::Incarnation;
+use marigoldway_core::acceptance::AcceptanceOptions;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
-use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::envelope::EnvelopeKey;
 use marigoldway_net::gate::Gate;
 use marigoldway_net::quic;
@@ -29,7 +30,12 @@
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::membership;
+use crate::membership::Seat;
+use crate::membership::keep_directory;
+use crate::platform;
 use crate::process::Process;
+use crate::report;
 use crate::settings::AgentSettings;
 use crate::shutdown::Shutdown;
 
@@ -41,29 +47,51 @@
 /// Fails where an address can't be bound or the certificate can't be used.
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
-    let (_views, views) = watch::channel(Arc::default());
-    let agent = Agent::start(
-        &settings,
+    let seat = Seat::Agent(settings.target.service);
+    let (membership, _queues) = membership::start(
+        &settings.process,
+        &settings.network,
+        &settings.keys,
+        seat,
         process.incarnation,
         clock,
-        views,
-        process.shutdown.clone(),
-    )?;
-    process.metrics.mirror(agent.counters.clone());
+    )
+    .await?;
+    let agent = Agent::start(&settings, &process, clock, membership.views())?;
+    report::roster(&process.status, membership.views());
+    tokio::spawn(keep_directory(
+        membership.clone(),
+        platform::connect(&settings.platform),
+        seat,
+        settings.network.data,
+        settings.process.domain,
+    ));
+    tokio::spawn(load::exchange(
+        membership.clone(),
+        agent.gate.clone(),
+        agent.flows.clone(),
+    ));
+    health::first(&settings.target).await;
+    tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
+    membership.serve().await;
     process.status.set_ready(true);
 
+    process.shutdown.leaving().await;
+    agent.gate.leave();
+    membership.leave().await;
     let cut = agent
         .drain(&process.shutdown, settings.process.drain_limit)
         .await;
     log::info!("event=drained cut-flows={cut}");
+    membership.stop().await;
     Ok(())
 }
 
 /// `Agent` is the running packet path of an agent.
 struct Agent {
     endpoint: Endpoint,
+    gate: Arc<Gate>,
     flows: Arc<Flows>,
-    counters: Arc<PacketCounters>,
 }
 
 impl Agent {
@@ -72,41 +100,43 @@
     /// Fails where the address can't be bound or the certificate can't be used.
     fn start(
         settings: &AgentSettings,
-        incarnation: Incarnation,
+        process: &Process,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
-        shutdown: Shutdown,
     ) -> Result<Agent> {
         let own = Route {
             agent: settings.network.data,
             service: settings.target.service,
-            incarnation,
+            incarnation: process.incarnation,
         };
-        let gate = Arc::new(Gate::new(own, settings.keys.route.clone(), clock, views));
+        let options = AcceptanceOptions {
+            limit: settings.target.connections,
+            ..AcceptanceOptions::default()
+        };
+        let route = settings.keys.route.clone();
+        let gate = Arc::new(Gate::new(own, route, clock, views, options));
         let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
         let udp = bind(settings.network.data.addr())?;
-        let socket = Arc::new(AgentSocket::new(udp, key, gate));
-        let counters = socket.counters().clone();
+        let socket = Arc::new(AgentSocket::new(udp, key, gate.clone()));
+        process.metrics.mirror(socket.counters().clone());
 
         let reset = ResetKey::new(&settings.keys.reset.0);
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
         let proxy = Proxy::new(&settings.target, settings.network.data);
-        let flows = Arc::new(Flows::new(proxy, shutdown));
+        let flows = Arc::new(Flows::new(proxy, process.shutdown.clone()));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
             endpoint,
+            gate,
             flows,
-            counters,
         })
     }
 
-    /// Waits until the process was told to leave and its flows have ended, or
-    /// `limit` has passed, and closes what is left. Gives back how many flows
+    /// Waits until the flows have ended or `limit` has passed, and closes what is left. Gives back how many flows
     /// were cut.
     async fn drain(&self, shutdown: &Shutdown, limit: Duration) -> usize {
-        shutdown.leaving().await;
         tokio::select! {
             () = self.flows.ended() => (),
             _ = timeout(limit, shutdown.ending()) => (),
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -12,6 +12,7 @@
 use marigoldway_core::forward::Forwarder;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
+use marigoldway_net::clock::Clock;
 use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::envelope::EnvelopeKey;
 use marigoldway_net::envelope::MAX_DATAGRAM_LEN;
@@ -22,7 +23,12 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::membership;
+use crate::membership::Seat;
+use crate::membership::keep_directory;
+use crate::platform;
 use crate::process::Process;
+use crate::report;
 use crate::scope::AgentNetworks;
 use crate::settings::EntrySettings;
 use crate::shutdown::Shutdown;
@@ -35,12 +41,33 @@
 ///
 /// Fails where an address can't be bound.
 pub async fn run(settings: EntrySettings, process: Process) -> Result<()> {
-    let (_views, views) = watch::channel(Arc::default());
-    let counters = start(&settings, views)?;
+    let clock = Clock::start();
+    let (membership, _queues) = membership::start(
+        &settings.process,
+        &settings.network,
+        &settings.keys,
+        Seat::Entry,
+        process.incarnation,
+        clock,
+    )
+    .await?;
+    let counters = start(&settings, membership.views())?;
     process.metrics.mirror(counters);
+    report::roster(&process.status, membership.views());
+    tokio::spawn(keep_directory(
+        membership.clone(),
+        platform::connect(&settings.platform),
+        Seat::Entry,
+        settings.network.data,
+        settings.process.domain,
+    ));
+    membership.serve().await;
     process.status.set_ready(true);
 
-    drain(&process.shutdown).await;
+    process.shutdown.leaving().await;
+    membership.leave().await;
+    linger(&process.shutdown).await;
+    membership.stop().await;
     Ok(())
 }
 
@@ -86,9 +113,8 @@
     Ok(counters)
 }
 
-/// Waits until the process was told to leave and has lingered.
-async fn drain(shutdown: &Shutdown) {
-    shutdown.leaving().await;
+/// Waits while a leaving entry still forwards.
+async fn linger(shutdown: &Shutdown) {
     tokio::select! {
         () = sleep(LINGER) => (),
         () = shutdown.ending() => (),
--- a/marigoldway/src/membership/mod.rs
+++ b/marigoldway/src/membership/mod.rs
@@ -14,7 +14,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use error_stack::Report;
 use error_stack::ResultExt;
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
@@ -39,7 +38,8 @@
 use marigoldway_net::wire::relay::RelayWire;
 use marigoldway_net::wire::shares::SharesWire;
 
-use crate::errors::RunError;
+use crate::errors::Error;
+use crate::errors::Result;
 use crate::membership::task::Task;
 use crate::settings::FleetKeys;
 use crate::settings::NetworkSettings;
@@ -103,11 +103,11 @@
     seat: Seat,
     incarnation: Incarnation,
     clock: Clock,
-) -> Result<(Membership, Queues), Report<RunError>> {
+) -> Result<(Membership, Queues)> {
     let options = ControlOptions::new(network.control);
     let (control, inbound) = Control::start(options, &keys.control.0)
         .await
-        .change_context_lazy(|| RunError::bind(network.control.into()))?;
+        .change_context_lazy(|| Error::Bind(network.control.into()))?;
     let channels = Channels::split(inbound);
     let own = record(process, network, seat, incarnation);
 
--- a/marigoldway/src/process.rs
+++ b/marigoldway/src/process.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -20,6 +19,7 @@
 use crate::errors::Result;
 use crate::errors::describe;
 use crate::logging;
+use crate::membership;
 use crate::metrics;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
@@ -32,9 +32,6 @@
 use crate::shutdown::Phase;
 use crate::shutdown::Shutdown;
 
-/// Start of the count of incarnations: 2026-01-01 UTC, in seconds of Unix time.
-const INCARNATION_START_S: u64 = 1_767_225_600;
-
 /// Time that a process has to count what it cuts, once it is to end.
 const END_GRACE: Duration = Duration::from_secs(1);
 
@@ -132,7 +129,7 @@
         shutdown: shutdown.clone(),
         metrics,
         status,
-        incarnation: incarnation(),
+        incarnation: membership::incarnation(SystemTime::now()),
     };
     let result = tokio::select! {
         result = run(process) => result,
@@ -153,12 +150,3 @@
     shutdown.ending().await;
     tokio::time::sleep(END_GRACE).await;
 }
-
-/// The life that begins now. Instances keep nothing, so it comes from the wall
-/// clock.
-fn incarnation() -> Incarnation {
-    let start = UNIX_EPOCH + Duration::from_secs(INCARNATION_START_S);
-    let since = SystemTime::now().duration_since(start).unwrap_or_default();
-    let tenths = since.as_millis() / 100;
-    Incarnation(u32::try_from(tenths).unwrap_or(u32::MAX))
-}
--- /dev/null
+++ b/marigoldway/src/report.rs
@@ -0,0 +1,30 @@
+//! What a process tells operators of the roster.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use marigoldway_core::roster::RosterView;
+use marigoldway_core::roster::State;
+
+use crate::operator::Status;
+
+/// Keeps the facts of `/status` in step with the roster until the process ends.
+pub fn roster(status: &Arc<Status>, mut views: watch::Receiver<Arc<RosterView>>) {
+    let status = status.clone();
+    tokio::spawn(async move {
+        loop {
+            let view = views.borrow_and_update().clone();
+            let count = |state| view.records().filter(|it| it.state == state).count();
+            status.set_fact("records", view.records().count());
+            status.set_fact("entries", view.entries().len());
+            status.set_fact("serving", count(State::Serving));
+            status.set_fact("leaving", count(State::Leaving));
+            status.set_fact("suspect", count(State::Suspect));
+            status.set_fact("down", count(State::Down));
+            if views.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+}
