--- a/marigoldway-standin/src/platform/mod.rs
+++ b/marigoldway-standin/src/platform/mod.rs
@@ -19,7 +19,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlatformOptions {
     /// TCP address; port 0 lets the system choose.
-    pub listen: SocketAddr,
+    pub listen: SocketAddrV4,
 }
 
 /// Runs the stand-in until its task is dropped.
