Measure roster traffic, and send heartbeats once a second

Cause: with a heartbeat each 750 ms an entry moved 79 to 90 messages a second, whose TCP/IP headers alone are half of the 7 KB/s allowed. A dead target is still suspect everywhere within 3 s (test).

--- a/marigoldway-core/src/membership/options.rs
+++ b/marigoldway-core/src/membership/options.rs
@@ -49,7 +49,7 @@
             repair: Duration::from_secs(5),
             join: Duration::from_secs(1),
             forget: Duration::from_secs(600),
-            silent: Duration::from_millis(2_500),
+            silent: Duration::from_millis(3_200),
             avoid: Duration::from_secs(10),
             peers: 3,
         }
--- a/marigoldway-core/src/monitor.rs
+++ b/marigoldway-core/src/monitor.rs
@@ -39,9 +39,9 @@
 impl Default for MonitorOptions {
     fn default() -> MonitorOptions {
         MonitorOptions {
-            heartbeat: Duration::from_millis(750),
-            probe: Duration::from_millis(1_250),
-            suspect: Duration::from_millis(2_000),
+            heartbeat: Duration::from_secs(1),
+            probe: Duration::from_millis(1_300),
+            suspect: Duration::from_millis(2_250),
             down: Duration::from_secs(8),
         }
     }
--- a/marigoldway-core/tests/support/mod.rs
+++ b/marigoldway-core/tests/support/mod.rs
@@ -39,8 +39,8 @@
     ticked: Timestamp,
 }
 
-/// Takes note of a message that an instance sends.
-pub type Observe = Box<dyn FnMut(InstanceId, &Message)>;
+/// Takes note of a message that one instance sends to another.
+pub type Observe = Box<dyn FnMut(InstanceId, InstanceId, &Message)>;
 
 /// Processes, and messages that are under way.
 pub struct Fleet {
@@ -66,6 +66,11 @@
     InstanceId::new(Ipv4Addr::from_bits(0x7f00_0000 + n), 7000)
 }
 
+/// Name of the instance with a control address.
+fn at_control(control: SocketAddrV4) -> InstanceId {
+    InstanceId(SocketAddrV4::new(*control.ip(), 7000))
+}
+
 /// Record of a process that starts.
 pub fn record(n: u32, service: Option<u16>, domain: u8, region: u8) -> Record {
     let id = instance(n);
@@ -170,7 +175,7 @@
 
     fn post(&mut self, id: InstanceId, from: SocketAddrV4, to: SocketAddrV4, message: Message) {
         if let Some(observe) = &mut self.observe {
-            observe(id, &message);
+            observe(id, at_control(to), &message);
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.doubled));
         for _ in 0..copies {
@@ -214,9 +219,8 @@
     fn deliver(&mut self) {
         let rest = self.wire.split_off(&(self.now, u64::MAX));
         for (from, to, message) in std::mem::replace(&mut self.wire, rest).into_values() {
-            let id = InstanceId(SocketAddrV4::new(*to.ip(), 7000));
-            let sender = InstanceId(SocketAddrV4::new(*from.ip(), 7000));
-            if self.is_cut(sender, id) {
+            let id = at_control(to);
+            if self.is_cut(at_control(from), id) {
                 continue;
             }
             match self.processes.get_mut(&id) {
