--- a/marigoldway-core/src/membership/options.rs
+++ b/marigoldway-core/src/membership/options.rs
@@ -22,6 +22,9 @@
     pub sleep: Duration,
     /// Time that a process that slept waits for an answer before it goes on.
     pub ask: Duration,
+    /// Least time between two computations of who monitors whom, for each
+    /// record that is held.
+    pub assign: Duration,
     /// Time between two digests of an entry.
     pub repair: Duration,
     /// Time between two attempts to join.
@@ -46,6 +49,7 @@
             lost: Duration::from_secs(5),
             sleep: Duration::from_millis(1_500),
             ask: Duration::from_secs(2),
+            assign: Duration::from_micros(70),
             repair: Duration::from_secs(5),
             join: Duration::from_secs(1),
             forget: Duration::from_secs(600),
--- a/marigoldway-core/src/membership/timers.rs
+++ b/marigoldway-core/src/membership/timers.rs
@@ -35,6 +35,7 @@
     beat: Timestamp,
     repair: Timestamp,
     join: Option<Timestamp>,
+    refresh: Option<Timestamp>,
     rounds: u32,
 }
 
@@ -46,6 +47,7 @@
             beat: now,
             repair: now,
             join: None,
+            refresh: None,
             rounds: 0,
         }
     }
@@ -138,12 +140,16 @@
 
     /// Recomputes who monitors whom, if an entry or a new instance changed it.
     fn refresh(&mut self, now: Timestamp) {
-        let avoided = self.avoided.len();
         let limit = self.options.avoid;
         self.avoided.retain(|_, since| now.since(*since) < limit);
-        if !self.dirty && avoided == self.avoided.len() {
+        // Many changes at once, as at the loss of a domain, cost one pass.
+        let records = u32::try_from(self.roster.len()).unwrap_or(u32::MAX);
+        let pause = self.options.assign.saturating_mul(records);
+        let recent = |last| now.since(last) < pause;
+        if !self.dirty || self.timers.refresh.is_some_and(recent) {
             return;
         }
+        self.timers.refresh = Some(now);
         self.dirty = false;
         let entries = Entries::new(&self.roster, |_| true);
         if entries != self.entries {
