--- /dev/null
+++ b/marigoldway-core/tests/membership/replay.rs
@@ -0,0 +1,151 @@
+//! Replays traces against the membership state machines.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use marigoldway_core::ids::DomainId;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::membership::Input;
+use marigoldway_core::membership::MembershipOptions;
+use marigoldway_core::roster::State;
+use marigoldway_core::time::Timestamp;
+
+use crate::fleet::Fleet;
+use crate::fleet::instance;
+use crate::fleet::record;
+use crate::trace;
+use crate::trace::Step;
+
+const SUNGUR_DANA: &str = include_str!("../traces/sungur_dana_evening.trace");
+const WAQT_SAANJHA: &str = include_str!("../traces/waqt_saanjha_evening.trace");
+
+struct Replay {
+    fleet: Fleet,
+    names: IndexMap<String, u32>,
+    lives: u32,
+}
+
+impl Replay {
+    fn id(&self, name: &str) -> InstanceId {
+        let number = self.names.get(name);
+        instance(*number.unwrap_or_else(|| panic!("no process {name}")))
+    }
+
+    fn start(&mut self, name: String, domain: u8, service: Option<u16>) {
+        let next = u32::from(domain) * 10_000 + self.names.len() as u32;
+        let number = *self.names.entry(name).or_insert(next);
+        let mut own = record(number, service, domain, 1);
+        self.lives += 1;
+        own.incarnation.0 = self.lives;
+        self.fleet.start(own);
+    }
+
+    /// Does what a step says, or tells whether what it expects holds.
+    fn step(&mut self, step: Step) -> bool {
+        match step {
+            Step::Start {
+                name,
+                domain,
+                service,
+            } => self.start(name, domain, service),
+            Step::Leave(name) => {
+                let id = self.id(&name);
+                self.fleet.input(id, Input::State(State::Leaving));
+            }
+            Step::Kill(name) => self.fleet.kill(self.id(&name)),
+            Step::Freeze(name) => self.fleet.freeze(self.id(&name)),
+            Step::Thaw(name) => self.fleet.thaw(self.id(&name)),
+            Step::Cut(domain) => self.fleet.cut.push(DomainId(domain)),
+            Step::Heal => self.fleet.cut.clear(),
+            Step::Loss(loss) => self.fleet.loss = loss,
+            Step::ExpectState(name, state) => return self.fleet.lists(self.id(&name), state),
+            Step::ExpectPlaced(name) => return self.fleet.places_on(&[self.id(&name)]),
+            Step::ExpectUnplaced(name) => return !self.fleet.places_on(&[self.id(&name)]),
+            Step::ExpectUnplacedOutside(domain) => return self.avoids(DomainId(domain)),
+            Step::ExpectServing(service, count) => return self.serves(service, count),
+            Step::ExpectAgreed => return self.fleet.agrees_among_entries(),
+        }
+        true
+    }
+
+    /// Tells whether no entry outside `domain` places flows in it.
+    fn avoids(&self, domain: DomainId) -> bool {
+        let outside = |it: &&_| !self.fleet.stands_in(it, domain);
+        self.fleet.entries().filter(outside).all(|entry| {
+            let view = entry.view();
+            (0..500).all(|key| {
+                let key = marigoldway_core::placement::mix(key);
+                let choice = view.candidates(ServiceId(1), key).unwrap();
+                let there = |id| view.record(id).map(|it| it.domain) == Some(domain);
+                !there(choice.first) && !choice.second.is_some_and(there)
+            })
+        })
+    }
+
+    fn serves(&self, service: u16, count: usize) -> bool {
+        self.fleet
+            .entries()
+            .all(|it| it.view().serving(ServiceId(service)).count() == count)
+    }
+}
+
+/// Replays a trace and gives the lines whose expectation didn't hold.
+fn replay(text: &str, options: MembershipOptions) -> Vec<String> {
+    let mut replay = Replay {
+        fleet: Fleet::new(1, options),
+        names: IndexMap::new(),
+        lives: 0,
+    };
+    let mut failed = Vec::new();
+    for line in trace::parse(text).unwrap() {
+        let wait = line
+            .at
+            .saturating_sub(replay.fleet.now.since(Timestamp::ZERO));
+        replay.fleet.run(wait);
+        if !replay.step(line.step) {
+            failed.push(line.text);
+        }
+    }
+    failed
+}
+
+/// Options under which nothing that a process learns spreads further.
+fn without_spreading() -> MembershipOptions {
+    let mut options = MembershipOptions::default();
+    options.gossip.rate = 0;
+    options.gossip.burst = 0;
+    options
+}
+
+/// Options under which silence never becomes a mark.
+fn without_marks() -> MembershipOptions {
+    let mut options = MembershipOptions::default();
+    options.monitor.suspect = Duration::from_secs(1_000_000);
+    options
+}
+
+#[test]
+fn replay_of_sungur_dana_holds() {
+    let none: Vec<String> = Vec::new();
+    assert_eq!(replay(SUNGUR_DANA, MembershipOptions::default()), none);
+    assert!(!replay(SUNGUR_DANA, without_spreading()).is_empty());
+    assert!(!replay(SUNGUR_DANA, without_marks()).is_empty());
+}
+
+#[test]
+fn replay_of_waqt_saanjha_holds() {
+    let none: Vec<String> = Vec::new();
+    assert_eq!(replay(WAQT_SAANJHA, MembershipOptions::default()), none);
+    assert!(!replay(WAQT_SAANJHA, without_spreading()).is_empty());
+    assert!(!replay(WAQT_SAANJHA, without_marks()).is_empty());
+}
+
+#[test]
+fn parse_names_the_line_that_is_wrong() {
+    let error = trace::parse("00:00:01 leave a\n00:00:00 heal\n").unwrap_err();
+    assert_eq!(error, "line 2: 00:00:00 heal");
+    assert!(trace::parse("00:00:01 dance a").is_err());
+    assert!(trace::parse("soon leave a").is_err());
+}
--- a/marigoldway-net/examples/measure_roster.rs
+++ b/marigoldway-net/examples/measure_roster.rs
@@ -7,8 +7,8 @@
 //! `cargo run --release -p marigoldway-net --example measure_roster -- FILE.csv`
 
 #[allow(dead_code)]
-#[path = "../../marigoldway-core/tests/support/mod.rs"]
-mod support;
+#[path = "../../marigoldway-core/tests/membership/fleet.rs"]
+mod fleet;
 
 use std::cell::RefCell;
 use std::fmt::Write;
@@ -27,8 +27,8 @@
 use marigoldway_net::wire::encode;
 use marigoldway_net::wire::membership::MembershipWire;
 
-use crate::support::Fleet;
-use crate::support::record;
+use crate::fleet::Fleet;
+use crate::fleet::record;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Entries and agents in each of three domains.
@@ -51,7 +51,7 @@
 
 type Ledger = Rc<RefCell<IndexMap<InstanceId, Traffic>>>;
 
-fn fleet(entries: u32, agents: u32, ledger: &Ledger) -> Fleet {
+fn populate(entries: u32, agents: u32, ledger: &Ledger) -> Fleet {
     let mut fleet = Fleet::new(1, MembershipOptions::default());
     for domain in 1..=3_u8 {
         let base = u32::from(domain) * 10_000;
@@ -102,7 +102,7 @@
         let records = 3 * (entries + agents);
         let ledger = Ledger::default();
         let started = Instant::now();
-        let mut fleet = fleet(entries, agents, &ledger);
+        let mut fleet = populate(entries, agents, &ledger);
         fleet.run(90 * SECOND);
         let whole = fleet
             .entries()
