--- a/marigoldway-core/src/membership/interface.rs
+++ b/marigoldway-core/src/membership/interface.rs
@@ -43,7 +43,7 @@
         /// What to say.
         message: Message,
     },
-    /// Publish [`Membership::view`], which has changed.
+    /// Publish [`crate::membership::Membership::view`], which has changed.
     View,
     /// Take note of an event.
     Event(Event),
--- a/marigoldway-net/src/control/mod.rs
+++ b/marigoldway-net/src/control/mod.rs
@@ -4,7 +4,7 @@
 //! queues a bounded number of frames for each peer, and drops and counts the
 //! rest. Frames travel as CBOR in WebSocket messages over TCP. Both ends prove
 //! that they hold the fleet's control key before a frame is read, and every
-//! frame is authenticated; see [`handshake`] and [`seal`]. Frames are not
+//! frame is authenticated; see the modules `handshake` and `seal`. Frames are not
 //! encrypted.
 
 mod accept;
--- a/marigoldway-standin/src/target/mod.rs
+++ b/marigoldway-standin/src/target/mod.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a target: one HTTP/1.1 server of a service.
 //!
-//! - `GET /feed` sends events for as long as it is open ([`feed`]).
+//! - `GET /feed` sends events for as long as it is open (module `feed`).
 //! - `POST /order` and `POST /transfer` take an id as their body and count how
 //!   often it ran; `GET /runs?id=X` tells.
 //! - `POST /upload?ms=N` takes long and answers with length and checksum.
