--- a/marigoldway/tests/cli.rs
+++ b/marigoldway/tests/cli.rs
@@ -1,5 +1,7 @@
 //! The command line's words and exit codes, as a shell sees them.
 
+#[path = "scratch/samples.rs"]
+mod samples;
 mod scratch;
 
 use std::fs;
@@ -16,8 +18,9 @@
 use marigoldway::cli::EXIT_SETTINGS;
 use marigoldway::cli::EXIT_USAGE;
 use marigoldway::logging::pairs;
-use scratch::AGENT;
-use scratch::ENTRY;
+use samples::AGENT;
+use samples::ENTRY;
+use samples::write;
 use scratch::Scratch;
 
 fn run(args: &[&str]) -> Output {
@@ -87,7 +90,7 @@
 fn check_accepts_both_roles() {
     let scratch = Scratch::new("check");
     for (settings, role) in [(ENTRY, "role=entry"), (AGENT, "role=agent")] {
-        let output = run(&["check", text(&scratch.write(settings))]);
+        let output = run(&["check", text(&write(&scratch, settings))]);
         assert_eq!(code(&output), EXIT_OK);
         assert!(String::from_utf8_lossy(&output.stdout).contains(role));
     }
@@ -96,7 +99,7 @@
 #[test]
 fn faulty_settings_start_nothing() {
     let scratch = Scratch::new("refuse");
-    let file = scratch.write(&ENTRY.replace("domain = 1", "domain = 999"));
+    let file = write(&scratch, &ENTRY.replace("domain = 1", "domain = 999"));
     for command in ["entry", "check"] {
         let output = run(&[command, text(&file)]);
         assert_eq!(code(&output), EXIT_SETTINGS, "{command}");
@@ -138,7 +141,7 @@
     let addr = taken.local_addr().expect("an address").to_string();
     let output = run(&[
         "entry",
-        text(&scratch.write(&ENTRY.replace("127.0.1.1:9001", &addr))),
+        text(&write(&scratch, &ENTRY.replace("127.0.1.1:9001", &addr))),
     ]);
     assert_eq!(code(&output), EXIT_FAILURE);
     let mut told = String::new();
--- a/marigoldway/tests/settings.rs
+++ b/marigoldway/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings become checked types, or every fault is told.
 
+#[path = "scratch/samples.rs"]
+mod samples;
 mod scratch;
 
 use std::fs;
@@ -27,13 +29,14 @@
 use marigoldway::settings::EntrySettings;
 use marigoldway::settings::FleetKeys;
 use marigoldway::settings::KeySource;
-use scratch::AGENT;
-use scratch::ENTRY;
+use samples::AGENT;
+use samples::ENTRY;
+use samples::write;
 use scratch::Scratch;
 
 /// The faults of an entry's settings, one line each, without the directory.
 fn entry_faults(scratch: &Scratch, text: &str) -> Vec<String> {
-    let faults = EntrySettings::load(&scratch.write(text)).expect_err("faults");
+    let faults = EntrySettings::load(&write(scratch, text)).expect_err("faults");
     let dir = format!("{}/", scratch.path("").display()).replace("//", "/");
     faults
         .0
@@ -45,7 +48,7 @@
 #[test]
 fn entry_accepts_whole_settings() {
     let scratch = Scratch::new("entry");
-    let settings = EntrySettings::load(&scratch.write(ENTRY)).expect("settings");
+    let settings = EntrySettings::load(&write(&scratch, ENTRY)).expect("settings");
     assert_eq!(settings.process.domain, DomainId(1));
     assert_eq!(settings.process.log_level, DEFAULT_LEVEL);
     assert_eq!(settings.process.drain_limit, Duration::from_secs(3));
@@ -71,7 +74,7 @@
 #[test]
 fn agent_accepts_whole_settings() {
     let scratch = Scratch::new("agent");
-    let settings = AgentSettings::load(&scratch.write(AGENT)).expect("settings");
+    let settings = AgentSettings::load(&write(&scratch, AGENT)).expect("settings");
     assert_eq!(settings.process.log_level, LevelFilter::Debug);
     assert_eq!(settings.platform.timeout, Duration::from_millis(250));
     assert_eq!(settings.target.health, DEFAULT_HEALTH);
@@ -150,7 +153,7 @@
     let text = AGENT
         .replace("certificate.pem", "gone.pem")
         .replace("slots = 4", "slots = 0");
-    let faults = AgentSettings::load(&scratch.write(&text)).expect_err("faults");
+    let faults = AgentSettings::load(&write(&scratch, &text)).expect_err("faults");
     let keys: Vec<_> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
     assert_eq!(keys, ["slots", "certificate"]);
 }
