--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! Start with [`ids`] and [`time`], the shared vocabulary, then read [`route`],
 //! which explains how a packet finds its target.
 
+pub mod acceptance;
 pub mod admission;
 pub mod beats;
 pub mod digest;
@@ -30,4 +31,5 @@
 pub mod retry;
 pub mod roster;
 pub mod route;
+pub mod share;
 pub mod time;
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod keys;
 pub mod lists;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod process;
