--- a/marigoldway/src/process.rs
+++ b/marigoldway/src/process.rs
@@ -33,7 +33,7 @@
 use crate::shutdown::Shutdown;
 
 /// Time that a process has to count what it cuts, once it is to end.
-const END_GRACE: Duration = Duration::from_secs(1);
+const END_GRACE: Duration = Duration::from_secs(3);
 
 /// `Process` is what a role is given beside its settings.
 #[derive(Clone)]
