--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use error_stack::Report;
 use error_stack::ResultExt;
 use quinn::Endpoint;
 use tokio::sync::watch;
@@ -28,15 +27,40 @@
 use crate::agent::proxy::Proxy;
 use crate::entry::bind;
 use crate::entry::half;
-use crate::errors::RunError;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::process::Process;
 use crate::settings::AgentSettings;
 use crate::shutdown::Shutdown;
 
 /// Time that the last packets to callers may take at the end.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 
+/// Runs an agent until it has left.
+///
+/// Fails where an address can't be bound or the certificate can't be used.
+pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
+    let clock = Clock::start();
+    let (_views, views) = watch::channel(Arc::default());
+    let agent = Agent::start(
+        &settings,
+        process.incarnation,
+        clock,
+        views,
+        process.shutdown.clone(),
+    )?;
+    process.metrics.mirror(agent.counters.clone());
+    process.status.set_ready(true);
+
+    let cut = agent
+        .drain(&process.shutdown, settings.process.drain_limit)
+        .await;
+    log::info!("event=drained cut-flows={cut}");
+    Ok(())
+}
+
 /// `Agent` is the running packet path of an agent.
-pub struct Agent {
+struct Agent {
     endpoint: Endpoint,
     flows: Arc<Flows>,
     counters: Arc<PacketCounters>,
@@ -46,13 +70,13 @@
     /// Binds the socket of an agent and begins to accept flows.
     ///
     /// Fails where the address can't be bound or the certificate can't be used.
-    pub fn start(
+    fn start(
         settings: &AgentSettings,
         incarnation: Incarnation,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
         shutdown: Shutdown,
-    ) -> Result<Agent, Report<RunError>> {
+    ) -> Result<Agent> {
         let own = Route {
             agent: settings.network.data,
             service: settings.target.service,
@@ -67,7 +91,7 @@
         let reset = ResetKey::new(&settings.keys.reset.0);
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
-            .change_context_lazy(|| RunError::start("QUIC endpoint"))?;
+            .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
         let proxy = Proxy::new(&settings.target, settings.network.data);
         let flows = Arc::new(Flows::new(proxy, shutdown));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
@@ -78,15 +102,10 @@
         })
     }
 
-    /// The counters of the packet path.
-    pub fn counters(&self) -> &Arc<PacketCounters> {
-        &self.counters
-    }
-
     /// Waits until the process was told to leave and its flows have ended, or
     /// `limit` has passed, and closes what is left. Gives back how many flows
     /// were cut.
-    pub async fn drain(&self, shutdown: Shutdown, limit: Duration) -> usize {
+    async fn drain(&self, shutdown: &Shutdown, limit: Duration) -> usize {
         shutdown.leaving().await;
         tokio::select! {
             () = self.flows.ended() => (),
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use error_stack::Report;
 use error_stack::ResultExt;
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -21,7 +20,9 @@
 use marigoldway_net::udp::BUFFER_LEN;
 use marigoldway_net::udp::Udp;
 
-use crate::errors::RunError;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::process::Process;
 use crate::scope::AgentNetworks;
 use crate::settings::EntrySettings;
 use crate::shutdown::Shutdown;
@@ -30,14 +31,27 @@
 /// replies shall take another way, and packets on their way arrive.
 pub const LINGER: Duration = Duration::from_secs(3);
 
+/// Runs an entry until it has left.
+///
+/// Fails where an address can't be bound.
+pub async fn run(settings: EntrySettings, process: Process) -> Result<()> {
+    let (_views, views) = watch::channel(Arc::default());
+    let counters = start(&settings, views)?;
+    process.metrics.mirror(counters);
+    process.status.set_ready(true);
+
+    drain(&process.shutdown).await;
+    Ok(())
+}
+
 /// Binds the sockets of an entry and starts its packet loops. Gives back the
 /// counters of the packet path.
 ///
 /// Fails where an address can't be bound. The loops run until the process ends.
-pub fn start(
+fn start(
     settings: &EntrySettings,
     views: watch::Receiver<Arc<RosterView>>,
-) -> Result<Arc<PacketCounters>, Report<RunError>> {
+) -> Result<Arc<PacketCounters>> {
     let data = bind(settings.network.data.addr())?;
     let mut services = IndexMap::new();
     for service in &settings.services {
@@ -73,7 +87,7 @@
 }
 
 /// Waits until the process was told to leave and has lingered.
-pub async fn drain(shutdown: Shutdown) {
+async fn drain(shutdown: &Shutdown) {
     shutdown.leaving().await;
     tokio::select! {
         () = sleep(LINGER) => (),
@@ -97,8 +111,8 @@
 }
 
 /// Binds a socket and says so if the kernel grants less than it was asked for.
-pub(crate) fn bind(addr: SocketAddr) -> Result<Udp, Report<RunError>> {
-    let socket = Udp::bind(addr).change_context_lazy(|| RunError::bind(addr))?;
+pub(crate) fn bind(addr: SocketAddr) -> Result<Udp> {
+    let socket = Udp::bind(addr).change_context_lazy(|| Error::Bind(addr))?;
     let granted = socket.granted();
     if granted < BUFFER_LEN {
         log::warn!("event=small-buffer addr={addr} granted={granted} asked={BUFFER_LEN}");
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -17,7 +17,10 @@
 use indexmap::IndexMap;
 
 use marigoldway_core::forward::DropReason;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
+use marigoldway_net::counters::PacketCounters;
+use marigoldway_net::counters::Passage;
 
 use crate::shutdown::Shutdown;
 
@@ -77,10 +80,14 @@
 pub enum Counter {
     /// Requests that were refused.
     Refusal(Refusal),
+    /// Requests whose outcome is unknown.
+    Doubt(Doubt),
     /// Things that were tried again or elsewhere.
     Retry(Retry),
     /// Datagrams that were dropped.
     Drop(DropReason),
+    /// Datagrams that went on.
+    Passage(Passage),
     /// Any other event.
     Event(&'static str),
 }
@@ -90,8 +97,10 @@
     pub fn name(self) -> String {
         match self {
             Counter::Refusal(reason) => format!("refusal.{}", reason.as_str()),
+            Counter::Doubt(reason) => format!("doubt.{}", reason.as_str()),
             Counter::Retry(reason) => format!("retry.{}", reason.as_str()),
             Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
+            Counter::Passage(passage) => format!("packet.{}", passage.as_str()),
             Counter::Event(name) => format!("event.{name}"),
         }
     }
@@ -101,11 +110,12 @@
 pub struct Metrics {
     client: StatsdClient,
     counters: RwLock<IndexMap<Counter, Arc<AtomicU64>>>,
+    packets: RwLock<Vec<Arc<PacketCounters>>>,
 }
 
 impl Metrics {
     /// Makes counters that go to `statsd`, or stay in the process. Every
-    /// refusal, retry and drop reason is there from the start, at zero.
+    /// refusal, doubt, retry and drop reason is there from the start, at zero.
     ///
     /// Errors are the system's, where it gives no socket.
     pub fn new(statsd: Option<SocketAddrV4>) -> io::Result<Metrics> {
@@ -120,12 +130,14 @@
         };
 
         let refusals = Refusal::ALL.into_iter().map(Counter::Refusal);
+        let doubts = Doubt::ALL.into_iter().map(Counter::Doubt);
         let retries = Retry::ALL.into_iter().map(Counter::Retry);
         let drops = DropReason::ALL.into_iter().map(Counter::Drop);
-        let known = refusals.chain(retries).chain(drops);
+        let known = refusals.chain(doubts).chain(retries).chain(drops);
         Ok(Metrics {
             client,
             counters: RwLock::new(known.map(|counter| (counter, Arc::default())).collect()),
+            packets: RwLock::default(),
         })
     }
 
@@ -155,8 +167,30 @@
         counters.entry(counter).or_default().clone()
     }
 
+    /// Reports the counters of the packet path with the others.
+    pub fn mirror(&self, packets: Arc<PacketCounters>) {
+        let mut mirrored = self.packets.write().unwrap_or_else(PoisonError::into_inner);
+        mirrored.push(packets);
+    }
+
+    /// Takes over what the packet path counted.
+    fn refresh(&self) {
+        let mirrored = self.packets.read().unwrap_or_else(PoisonError::into_inner);
+        for packets in mirrored.iter() {
+            for (passage, count) in packets.passages() {
+                let cell = self.cell(Counter::Passage(passage));
+                cell.store(count, Ordering::Relaxed);
+            }
+            for (reason, count) in packets.drops() {
+                self.cell(Counter::Drop(reason))
+                    .store(count, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Every counter by name.
     pub fn snapshot(&self) -> IndexMap<String, u64> {
+        self.refresh();
         let counters = self.counters.read().unwrap_or_else(PoisonError::into_inner);
         counters
             .iter()
--- a/marigoldway/src/settings/document.rs
+++ b/marigoldway/src/settings/document.rs
@@ -71,6 +71,17 @@
         self.sections.contains_key(name)
     }
 
+    /// A value word for word.
+    pub fn value(&self, section: &str, key: &str) -> Option<&str> {
+        self.sections.get(section)?.get(key).map(String::as_str)
+    }
+
+    /// Every key and value of a section, in the order of the file.
+    pub fn values(&self, section: &str) -> impl Iterator<Item = (&str, &str)> {
+        let values = self.sections.get(section).into_iter().flatten();
+        values.map(|(key, value)| (key.as_str(), value.as_str()))
+    }
+
     fn insert(&mut self, section: &str, key: &str, value: &str) {
         let values = self.sections.entry(section.to_owned()).or_default();
         if values.contains_key(key) {
@@ -104,11 +115,7 @@
     }
 
     /// Reads one section with `read`, then faults every key it didn't ask for.
-    pub(crate) fn section<T>(
-        &mut self,
-        name: &str,
-        read: impl FnOnce(&mut Section<'_>) -> Option<T>,
-    ) -> Option<T> {
+    pub(crate) fn section<T>(&mut self, name: &str, read: impl FnOnce(&mut Section<'_>) -> T) -> T {
         let mut section = Section {
             file: &self.document.file,
             name,
@@ -178,6 +185,11 @@
 }
 
 impl Section<'_> {
+    /// The directory that relative paths start at.
+    pub(crate) fn dir(&self) -> PathBuf {
+        self.file.parent().unwrap_or(Path::new("")).to_path_buf()
+    }
+
     /// Reads a value that must be there.
     pub(crate) fn required<T>(
         &mut self,
@@ -208,6 +220,12 @@
         }
     }
 
+    /// Faults a value that was read before.
+    pub(crate) fn refuse(&mut self, key: &str, expected: &str) {
+        let read = self.values.and_then(|values| values.get(key)).cloned();
+        self.fault(key, read.as_deref(), Expected::new(expected));
+    }
+
     fn value(&mut self, key: &'static str) -> Option<String> {
         self.asked.push(key);
         self.values.and_then(|values| values.get(key)).cloned()
