--- a/marigoldway-client/src/client.rs
+++ b/marigoldway-client/src/client.rs
@@ -4,12 +4,14 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
 use http::Method;
 use marigoldway_core::retry::RetryBudget;
 use quinn::Endpoint;
 use rand::RngExt;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
@@ -128,6 +130,7 @@
         *slot = None;
         let link = self.dial().await?;
         *slot = Some(link.clone());
+        tokio::spawn(release(link.watch(), Arc::downgrade(&self.shared)));
         Ok(link)
     }
 
@@ -171,3 +174,16 @@
         budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Lets go of a connection whose server leaves, so that an idle client does not
+/// keep the server waiting.
+async fn release(state: watch::Receiver<LinkState>, shared: Weak<Shared>) {
+    link::left(state).await;
+    let Some(shared) = shared.upgrade() else {
+        return;
+    };
+    let mut slot = shared.link.lock().await;
+    if slot.as_ref().is_some_and(|l| l.state() != LinkState::Open) {
+        *slot = None;
+    }
+}
--- a/marigoldway-client/src/feed/source.rs
+++ b/marigoldway-client/src/feed/source.rs
@@ -16,6 +16,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::exchange;
+use crate::link;
 use crate::link::Link;
 use crate::link::LinkState;
 use crate::request::Request;
@@ -107,7 +108,7 @@
                         return Input::Ended;
                     }
                 }
-                () = self.link.left(), if !self.told => {
+                () = link::left(self.link.watch()), if !self.told => {
                     self.told = true;
                     return Input::Leaving;
                 }
--- a/marigoldway-client/src/link.rs
+++ b/marigoldway-client/src/link.rs
@@ -93,13 +93,18 @@
         *self.state.borrow()
     }
 
-    /// Waits until the server announces that it leaves, or is gone.
-    pub(crate) async fn left(&mut self) {
-        // A driver that is gone has reported the end of the connection.
-        let _ = self.state.wait_for(|state| *state > LinkState::Open).await;
+    /// Reports the changes of the state, and doesn't keep the connection open.
+    pub(crate) fn watch(&self) -> watch::Receiver<LinkState> {
+        self.state.clone()
     }
 }
 
+/// Waits until the server announces that it leaves, or is gone.
+pub(crate) async fn left(mut state: watch::Receiver<LinkState>) {
+    // A driver that is gone has reported the end of the connection.
+    let _ = state.wait_for(|state| *state > LinkState::Open).await;
+}
+
 /// Drives a connection to its end and reports each change of its state.
 async fn drive(
     mut driver: Connection<h3_quinn::Connection, Bytes>,
--- a/marigoldway-client/tests/request.rs
+++ b/marigoldway-client/tests/request.rs
@@ -130,6 +130,17 @@
     assert_eq!(answer.outcome, Outcome::NotRun);
 }
 
+#[tokio::test]
+async fn connect_idle_client_lets_go() {
+    let service = Service::start();
+    let server = service.server();
+    let client = Client::connect(service.options(&[&server]));
+    let _client = client.await.expect("client");
+    server.leave();
+    let idle = tokio::time::timeout(Duration::from_secs(60), server.idle());
+    assert!(idle.await.is_ok());
+}
+
 #[tokio::test]
 async fn keys_issued() {
     let service = Service::start();
--- a/marigoldway-client/tests/support/mod.rs
+++ b/marigoldway-client/tests/support/mod.rs
@@ -139,6 +139,11 @@
         self.leave.send_replace(true);
     }
 
+    /// Waits until no connection is open.
+    pub async fn idle(&self) {
+        self.endpoint.wait_idle().await;
+    }
+
     /// Cuts all connections without a word before.
     pub fn cut(&self) {
         self.open(false);
