--- a/marigoldway/src/agent/load.rs
+++ b/marigoldway/src/agent/load.rs
@@ -11,13 +11,19 @@
 
 use crate::agent::flows::Flows;
 use crate::membership::Membership;
+use crate::operator::Status;
 
 /// Time between two looks at the number of flows.
 const PERIOD: Duration = Duration::from_millis(250);
 
 /// Tells peers how many flows the agent holds, and the gate what they tell.
 /// Runs until the process ends.
-pub(super) async fn exchange(membership: Membership, gate: Arc<Gate>, flows: Arc<Flows>) {
+pub(super) async fn exchange(
+    membership: Membership,
+    gate: Arc<Gate>,
+    flows: Arc<Flows>,
+    status: Arc<Status>,
+) {
     let mut events = membership.events();
     let mut tick = interval(PERIOD);
     loop {
@@ -26,6 +32,7 @@
                 let open = u32::try_from(flows.open()).unwrap_or(u32::MAX);
                 gate.set_flows(open);
                 membership.set_flows(open);
+                status.set_fact("flows", open);
             }
             event = events.recv() => match event {
                 Ok(Event::Peer(load)) => gate.observe(load),
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -70,6 +70,7 @@
         membership.clone(),
         agent.gate.clone(),
         agent.flows.clone(),
+        process.status.clone(),
     ));
     health::first(&settings.target).await;
     tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)]
 
+pub mod feeds;
 mod node;
 mod settings;
 
@@ -20,6 +21,9 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -117,9 +121,37 @@
     pub services: Vec<Service>,
     pub targets: Vec<Target>,
     pub entries: Vec<Entry>,
-    contacts: Vec<SocketAddrV4>,
+    pub contacts: Vec<SocketAddrV4>,
     next: u32,
     base: u32,
+    _turn: Turn,
+}
+
+/// Deployments that run side by side, so that the machine isn't crowded.
+const TURNS: usize = 3;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// `Turn` is the right to run a deployment.
+struct Turn;
+
+impl Turn {
+    fn take() -> Turn {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = ENDED
+            .wait_while(running, |running| *running >= TURNS)
+            .unwrap_or_else(PoisonError::into_inner);
+        *running += 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
 }
 
 static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
@@ -127,6 +159,7 @@
 impl Deployment {
     /// Starts every process of `plan` and waits until each is ready.
     pub fn start(plan: &Plan) -> Deployment {
+        let turn = Turn::take();
         let serial = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
         let dir = std::env::temp_dir().join(format!("marigoldway-{pid}-{serial}"));
@@ -154,6 +187,7 @@
             next: 2,
             base,
             dir,
+            _turn: turn,
         };
         if let Some(lists) = &plan.lists {
             deployment.put_lists(lists);
@@ -193,7 +227,7 @@
         for service in &plan.services {
             let listen = SocketAddrV4::new(ip, free_port(ip));
             args.push("--service".to_owned());
-            args.push(format!("{listen}={}", self.entry_list(service.id)));
+            args.push(format!("{listen}={}", self.entry_list(service.id, &[])));
             self.services.push(Service {
                 plan: service.clone(),
                 addr: SocketAddr::V4(listen),
@@ -270,33 +304,80 @@
         index
     }
 
+    /// Starts as many new entries as `leaving` names, hands the fabric over to
+    /// them, and lets the old ones leave.
+    pub fn replace_entries(&mut self, plan: &Plan, leaving: &[usize]) {
+        for &index in leaving {
+            let domain = self.entries[index].plan.domain;
+            let fresh = self.entry_plan(plan, domain);
+            self.add_entry(fresh);
+        }
+        self.wait_ready();
+        for &index in leaving {
+            self.entries[index].node.terminate();
+        }
+        self.update_fabric_without(leaving);
+        for &index in leaving {
+            let status = self.entries[index].node.wait();
+            assert!(status.success(), "entry {index}: {status}");
+        }
+        let live = self.entries.iter().filter(|it| it.node.is_live());
+        self.contacts = live.map(|it| it.plan.control).collect();
+    }
+
+    /// Starts as many new targets as `leaving` names and lets the old ones leave.
+    pub fn replace_targets(&mut self, service: &ServicePlan, leaving: &[usize]) {
+        for &index in leaving {
+            let domain = self.targets[index].plan.domain;
+            self.add_target(service, domain);
+        }
+        self.wait_ready();
+        for &index in leaving {
+            self.targets[index].agent.terminate();
+        }
+        for &index in leaving {
+            let status = self.targets[index].agent.wait();
+            assert!(status.success(), "agent {index}: {status}");
+        }
+    }
+
     /// Waits until every process is ready and each entry knows every process.
     pub fn wait_ready(&self) {
-        let all = self.entries.len() + self.targets.len();
-        for entry in &self.entries {
+        let entries = self.entries.iter().filter(|it| it.node.is_live());
+        let targets = self.targets.iter().filter(|it| it.agent.is_live());
+        let all = entries.clone().count() + targets.clone().count();
+        for entry in entries {
             let ip = entry.plan.operator;
             wait_for("an entry that knows every process", || {
                 fact(ip, "serving").is_some_and(|serving| serving >= all as u64)
             });
         }
-        for target in &self.targets {
+        for target in targets {
             wait_for("a ready agent", || ready(target.plan.operator));
         }
     }
 
     /// The addresses of the live entries for one service, as the fabric takes them.
-    fn entry_list(&self, service: u16) -> String {
-        let live = self.entries.iter().filter(|it| it.node.is_live());
-        let addrs: Vec<String> = live
-            .map(|it| it.plan.service(service).to_string())
+    fn entry_list(&self, service: u16, leaving: &[usize]) -> String {
+        let addrs: Vec<String> = self
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|(index, it)| it.node.is_live() && !leaving.contains(index))
+            .map(|(_, it)| it.plan.service(service).to_string())
             .collect();
         addrs.join(",")
     }
 
     /// Tells the fabric which entries are live.
     pub fn update_fabric(&self) {
+        self.update_fabric_without(&[]);
+    }
+
+    /// Tells the fabric which entries are live and don't leave.
+    pub fn update_fabric_without(&self, leaving: &[usize]) {
         for service in &self.services {
-            let entries = self.entry_list(service.plan.id);
+            let entries = self.entry_list(service.plan.id, leaving);
             let path = format!("/entries?service={}&entries={entries}", service.addr);
             let (status, body) = http(self.fabric_control, "POST", &path, "");
             assert_eq!(status, 200, "{body}");
