Admit, run and answer requests at the agent

The agent now takes each request through the lists, admission and, with a key, the duplicate table. A caller that goes away cancels its request; the slot is free when the target accepts that, or has answered. Not yet: forwarding of keys to the agent that issued them, and relay.

--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -9,13 +9,14 @@
 use quinn::Endpoint;
 use quinn::Incoming;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
-use crate::agent::proxy::Proxy;
+use crate::agent::requests::Requests;
 use crate::shutdown::Shutdown;
 
 /// `Flows` accepts connections and serves their requests.
 pub(super) struct Flows {
-    proxy: Arc<Proxy>,
+    requests: Arc<Requests>,
     shutdown: Shutdown,
     open: AtomicUsize,
     ended: Notify,
@@ -23,9 +24,9 @@
 
 impl Flows {
     /// Makes an empty set of flows.
-    pub(super) fn new(proxy: Proxy, shutdown: Shutdown) -> Flows {
+    pub(super) fn new(requests: Arc<Requests>, shutdown: Shutdown) -> Flows {
         Flows {
-            proxy: Arc::new(proxy),
+            requests,
             shutdown,
             open: AtomicUsize::new(0),
             ended: Notify::new(),
@@ -69,14 +70,16 @@
         };
         let connection = h3_quinn::Connection::new(connection);
         match h3::server::Connection::new(connection).await {
-            Ok(connection) => self.requests(connection).await,
+            Ok(connection) => self.take(connection).await,
             Err(err) => log::debug!("event=flow-failed caller={caller} error={err:?}"),
         }
     }
 
     /// Serves the requests of one flow. When the agent leaves, the caller is
     /// told so, and the flow ends with the last request that it has open.
-    async fn requests(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
+    async fn take(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
+        // Its requests learn that a flow is gone when this is dropped.
+        let (alive, gone) = watch::channel(());
         let mut told = false;
         loop {
             let accepted = tokio::select! {
@@ -90,12 +93,14 @@
                 }
             };
             let Ok(Some(resolver)) = accepted else {
+                drop(alive);
                 return;
             };
-            let proxy = self.proxy.clone();
+            let requests = self.requests.clone();
+            let gone = gone.clone();
             tokio::spawn(async move {
                 if let Ok((request, stream)) = resolver.resolve_request().await {
-                    proxy.serve(request, stream).await;
+                    requests.serve(request, stream, gone).await;
                 }
             });
         }
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -1,7 +1,7 @@
 //! The `agent` process: it stands beside a target and ends the flows to it.
 
 mod flows;
-mod proxy;
+mod requests;
 mod tls;
 
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use marigoldway_core::ids::Incarnation;
+use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
@@ -24,7 +24,7 @@
 use marigoldway_net::quic::AgentSocket;
 
 use crate::agent::flows::Flows;
-use crate::agent::proxy::Proxy;
+use crate::agent::requests::Requests;
 use crate::entry::bind;
 use crate::entry::half;
 use crate::errors::Error;
@@ -42,13 +42,8 @@
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
     let (_views, views) = watch::channel(Arc::default());
-    let agent = Agent::start(
-        &settings,
-        process.incarnation,
-        clock,
-        views,
-        process.shutdown.clone(),
-    )?;
+    let (_catalogs, catalogs) = watch::channel(None);
+    let agent = Agent::start(&settings, &process, clock, views, catalogs)?;
     process.metrics.mirror(agent.counters.clone());
     process.status.set_ready(true);
 
@@ -63,6 +58,7 @@
 struct Agent {
     endpoint: Endpoint,
     flows: Arc<Flows>,
+    requests: Arc<Requests>,
     counters: Arc<PacketCounters>,
 }
 
@@ -72,15 +68,15 @@
     /// Fails where the address can't be bound or the certificate can't be used.
     fn start(
         settings: &AgentSettings,
-        incarnation: Incarnation,
+        process: &Process,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
-        shutdown: Shutdown,
+        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
     ) -> Result<Agent> {
         let own = Route {
             agent: settings.network.data,
             service: settings.target.service,
-            incarnation,
+            incarnation: process.incarnation,
         };
         let gate = Arc::new(Gate::new(own, settings.keys.route.clone(), clock, views));
         let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
@@ -92,12 +88,13 @@
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
-        let proxy = Proxy::new(&settings.target, settings.network.data);
-        let flows = Arc::new(Flows::new(proxy, shutdown));
+        let requests = Requests::new(settings, &own, clock, catalogs, process.metrics.clone());
+        let flows = Arc::new(Flows::new(requests.clone(), process.shutdown.clone()));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
             endpoint,
             flows,
+            requests,
             counters,
         })
     }
@@ -107,8 +104,14 @@
     /// were cut.
     async fn drain(&self, shutdown: &Shutdown, limit: Duration) -> usize {
         shutdown.leaving().await;
+        self.requests.leave();
+        let ended = async {
+            self.flows.ended().await;
+            // Requests with a key, and those of peers, run without a flow.
+            self.requests.idle().await;
+        };
         tokio::select! {
-            () = self.flows.ended() => (),
+            () = ended => (),
             _ = timeout(limit, shutdown.ending()) => (),
         }
         let cut = self.flows.open();
--- /dev/null
+++ b/marigoldway/src/agent/requests/access.rs
@@ -0,0 +1,115 @@
+//! Who asks, and what the lists say of the request.
+
+use std::sync::Arc;
+
+use http::Method;
+use http::header;
+use sha2::Digest as _;
+use sha2::Sha256;
+use tokio::sync::watch;
+
+use marigoldway_core::admission::CustomerKey;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::lists::catalog::Catalog;
+use marigoldway_core::request::Class;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::retry::Repeat;
+
+use crate::agent::requests::head::Head;
+
+/// Length from which on a body makes its request a bulk one, in octets.
+const BULK_LENGTH: u64 = 1 << 20;
+
+/// `Grant` is what a request may do.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    /// Name of the customer, empty while there are no lists.
+    pub(crate) name: String,
+    /// The customer in the queues.
+    pub(crate) customer: CustomerKey,
+    /// How the request is queued.
+    pub(crate) class: Class,
+    /// Whether it may run more than once.
+    pub(crate) repeat: Repeat,
+}
+
+/// `Access` looks requests up in the lists.
+pub(crate) struct Access {
+    service: ServiceId,
+    catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+}
+
+impl Access {
+    /// Makes the access of one service.
+    pub(crate) fn new(
+        service: ServiceId,
+        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+    ) -> Access {
+        Access { service, catalogs }
+    }
+
+    /// What a request may do. Until the first lists are accepted, everyone may
+    /// ask, and the method tells the class.
+    pub(crate) fn check(&self, head: &Head) -> Result<Grant, Refusal> {
+        let catalog = self.catalogs.borrow().clone();
+        match catalog {
+            Some(catalog) => self.look_up(&catalog, head),
+            None => Ok(without_lists(head)),
+        }
+    }
+
+    fn look_up(&self, catalog: &Catalog, head: &Head) -> Result<Grant, Refusal> {
+        let token = head.token.as_deref().unwrap_or_default();
+        let customer = catalog.customer(token).ok_or(Refusal::UnknownCustomer)?;
+        let allowance = catalog
+            .allowance(&customer.plan)
+            .filter(|allowance| allowance.services.contains(&self.service))
+            .ok_or(Refusal::NotInPlan)?;
+
+        let rule = catalog.rule(self.service, head.method.as_str(), head.route());
+        let class = by_length(rule.class, head);
+        if class == Class::Bulk && allowance.bulk == 0 {
+            return Err(Refusal::NotInPlan);
+        }
+        Ok(Grant {
+            name: customer.name.clone(),
+            customer: customer_key(&customer.name),
+            class,
+            repeat: repeat(rule.repeatable),
+        })
+    }
+}
+
+fn without_lists(head: &Head) -> Grant {
+    let accept = head.headers.get(header::ACCEPT);
+    let events = accept.is_some_and(|accept| accept.as_bytes() == b"text/event-stream");
+    let class = if events { Class::Feed } else { Class::Short };
+    Grant {
+        name: String::new(),
+        customer: customer_key(head.token.as_deref().unwrap_or_default()),
+        class: by_length(class, head),
+        repeat: repeat(matches!(head.method, Method::GET | Method::HEAD)),
+    }
+}
+
+fn by_length(class: Class, head: &Head) -> Class {
+    let long = head.length.is_some_and(|length| length >= BULK_LENGTH);
+    match class {
+        Class::Short if long => Class::Bulk,
+        class => class,
+    }
+}
+
+fn repeat(repeatable: bool) -> Repeat {
+    if repeatable {
+        return Repeat::Idempotent;
+    }
+    Repeat::Once
+}
+
+fn customer_key(name: &str) -> CustomerKey {
+    let digest = Sha256::digest(name.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    CustomerKey(u64::from_le_bytes(first))
+}
--- /dev/null
+++ b/marigoldway/src/agent/requests/keys.rs
@@ -0,0 +1,152 @@
+//! Idempotency keys of this agent, and what became of their requests.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use marigoldway_core::admission::RequestId;
+use marigoldway_core::duplicates::Claim;
+use marigoldway_core::duplicates::Digest;
+use marigoldway_core::duplicates::Duplicates;
+use marigoldway_core::duplicates::DuplicatesOptions;
+use marigoldway_core::duplicates::Settled;
+use marigoldway_core::idempotency::IdempotencyKey;
+use marigoldway_core::idempotency::Issuer;
+use marigoldway_core::idempotency::KeyCipher;
+use marigoldway_core::idempotency::Owner;
+use marigoldway_core::idempotency::Serial;
+use marigoldway_core::request::Doubt;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::route::Route;
+use marigoldway_net::clock::Clock;
+
+use crate::agent::requests::reply::Answer;
+
+/// Time in which a key may be used.
+const LIFETIME: Duration = Duration::from_secs(600);
+
+/// Keys that one call hands out at most.
+pub(crate) const ISSUE_MAX: usize = 1_000;
+
+/// `Keys` issues keys and sees to it that each runs once.
+pub(crate) struct Keys {
+    cipher: KeyCipher,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+struct State {
+    issuer: Issuer,
+    table: Duplicates<Answer>,
+    /// Attempts that wait for the first attempt with their key.
+    joined: IndexMap<RequestId, oneshot::Sender<Settled<Answer>>>,
+}
+
+/// `Claimed` says what to do with an attempt.
+pub(crate) enum Claimed {
+    /// Run it.
+    Run(Turn),
+    /// Wait for what becomes of the first attempt.
+    Wait(oneshot::Receiver<Settled<Answer>>),
+    /// It was settled before.
+    Settled(Settled<Answer>),
+}
+
+impl Keys {
+    /// Makes the keys of the agent that `own` names.
+    pub(crate) fn new(own: &Route, secret: &[u8; 32], clock: Clock) -> Arc<Keys> {
+        let issuer = Issuer::new(own.agent, own.incarnation, own.service, LIFETIME);
+        Arc::new(Keys {
+            cipher: KeyCipher::new(secret),
+            clock,
+            state: Mutex::new(State {
+                issuer,
+                table: Duplicates::new(DuplicatesOptions::default()),
+                joined: IndexMap::new(),
+            }),
+        })
+    }
+
+    /// Issues `count` keys, one a line.
+    pub(crate) fn issue(&self, count: usize) -> String {
+        let mut state = self.state();
+        let now = self.clock.now();
+        (0..count)
+            .map(|_| self.cipher.encode(&state.issuer.issue(now)) + "\n")
+            .collect()
+    }
+
+    /// Reads a key and says who may run its request.
+    pub(crate) fn read(&self, text: &str) -> Result<(IdempotencyKey, Owner), Refusal> {
+        let key = self.cipher.decode(text);
+        let key = key.map_err(|_| Refusal::KeyInvalid)?;
+        let owner = self.state().issuer.owner(&key, self.clock.now());
+        Ok((key, owner))
+    }
+
+    /// Takes in an attempt with a key that this process issued.
+    pub(crate) fn claim(
+        self: &Arc<Self>,
+        key: &IdempotencyKey,
+        digest: Digest,
+        id: RequestId,
+    ) -> Claimed {
+        let mut state = self.state();
+        match state.table.claim(key, digest, id, self.clock.now()) {
+            Claim::Run => Claimed::Run(Turn {
+                keys: self.clone(),
+                serial: key.serial,
+            }),
+            Claim::Wait => {
+                let (sender, receiver) = oneshot::channel();
+                state.joined.insert(id, sender);
+                Claimed::Wait(receiver)
+            }
+            Claim::Settled(settled) => Claimed::Settled(settled),
+        }
+    }
+
+    fn settle(&self, serial: Serial, settled: &Settled<Answer>) {
+        let octets = match settled {
+            Settled::Done(answer) => answer.body.len(),
+            Settled::NotRun(_) | Settled::Unknown(_) => 0,
+        };
+        let mut state = self.state();
+        for id in state.table.settle(serial, settled, octets) {
+            if let Some(waiter) = state.joined.swap_remove(&id) {
+                // An attempt whose caller went away needs no answer.
+                let _ = waiter.send(settled.clone());
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Turn` is the right to run the request of a key, once.
+pub(crate) struct Turn {
+    keys: Arc<Keys>,
+    serial: Serial,
+}
+
+impl Turn {
+    /// Keeps what became of the request, for good.
+    pub(crate) fn settle(self, settled: &Settled<Answer>) {
+        self.keys.settle(self.serial, settled);
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        // A turn that was settled stays so; one that got lost may have run.
+        let lost = Settled::Unknown(Doubt::AnswerBroken);
+        self.keys.settle(self.serial, &lost);
+    }
+}
--- /dev/null
+++ b/marigoldway/src/agent/requests/reply.rs
@@ -0,0 +1,166 @@
+//! What a caller is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use h3::error::Code;
+use h3::error::StreamError;
+use h3::server::RequestStream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use tokio::sync::mpsc;
+
+use marigoldway_core::duplicates::Settled;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::request::Doubt;
+use marigoldway_core::request::Outcome;
+use marigoldway_core::request::Refusal;
+
+use crate::agent::requests::headers;
+
+/// The sending half of a caller's stream.
+pub(crate) type SendHalf = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
+
+/// `Answer` is a target's answer, or its beginning.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// `Broken` says that a body broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Broken;
+
+/// The rest of a body, in pieces.
+pub(crate) type Rest = mpsc::Receiver<Result<Bytes, Broken>>;
+
+/// `Reply` is what a caller is told of its request.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    /// The whole answer of the target.
+    Whole(Answer),
+    /// The beginning of an answer that is too long to be held, and the rest.
+    Streamed(Answer, Rest),
+    /// The request did not run.
+    Refused(Refusal),
+    /// The request may have run.
+    Unknown(Doubt),
+}
+
+impl From<Settled<Answer>> for Reply {
+    fn from(settled: Settled<Answer>) -> Reply {
+        match settled {
+            Settled::Done(answer) => Reply::Whole(answer),
+            Settled::NotRun(reason) => Reply::Refused(reason),
+            Settled::Unknown(doubt) => Reply::Unknown(doubt),
+        }
+    }
+}
+
+/// Sends a reply to its caller. `retry` is when a refused caller may come back.
+pub(crate) async fn send(
+    reply: Reply,
+    own: InstanceId,
+    retry: Option<Duration>,
+    stream: &mut SendHalf,
+) -> Result<(), StreamError> {
+    match reply {
+        Reply::Whole(answer) => {
+            send_head(&answer, own, stream).await?;
+            stream.finish().await
+        }
+        Reply::Streamed(answer, rest) => {
+            send_head(&answer, own, stream).await?;
+            send_rest(rest, stream).await
+        }
+        Reply::Refused(reason) => {
+            let mut response = failure(status(reason), Outcome::NotRun, reason.as_str(), own);
+            if let Some(retry) = retry {
+                let seconds = HeaderValue::from(retry.as_secs());
+                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            }
+            stream.send_response(response).await?;
+            stream.finish().await
+        }
+        Reply::Unknown(doubt) => {
+            let status = StatusCode::BAD_GATEWAY;
+            let response = failure(status, Outcome::Unknown, doubt.as_str(), own);
+            stream.send_response(response).await?;
+            stream.finish().await
+        }
+    }
+}
+
+async fn send_head(
+    answer: &Answer,
+    own: InstanceId,
+    stream: &mut SendHalf,
+) -> Result<(), StreamError> {
+    let mut response = Response::new(());
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers.clone();
+    mark(response.headers_mut(), Outcome::Done, own);
+    stream.send_response(response).await?;
+    if answer.body.is_empty() {
+        return Ok(());
+    }
+    stream.send_data(answer.body.clone()).await
+}
+
+/// Sends the rest of a body. A part of an answer must not pass for the whole,
+/// so a broken one resets the stream.
+async fn send_rest(mut rest: Rest, stream: &mut SendHalf) -> Result<(), StreamError> {
+    while let Some(piece) = rest.recv().await {
+        match piece {
+            Ok(data) => stream.send_data(data).await?,
+            Err(Broken) => {
+                stream.stop_stream(Code::H3_INTERNAL_ERROR);
+                return Ok(());
+            }
+        }
+    }
+    stream.finish().await
+}
+
+fn failure(status: StatusCode, outcome: Outcome, reason: &str, own: InstanceId) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    mark(headers, outcome, own);
+    if let Ok(reason) = HeaderValue::from_str(reason) {
+        headers.insert(headers::REASON, reason);
+    }
+    response
+}
+
+fn mark(headers: &mut HeaderMap, outcome: Outcome, own: InstanceId) {
+    let outcome = HeaderValue::from_static(outcome.as_str());
+    headers.insert(headers::OUTCOME, outcome);
+    if let Ok(own) = HeaderValue::from_str(&own.to_string()) {
+        headers.insert(headers::TARGET, own);
+    }
+}
+
+fn status(reason: Refusal) -> StatusCode {
+    match reason {
+        Refusal::Leaving
+        | Refusal::QueueFull
+        | Refusal::Deadline
+        | Refusal::ConnectionLimit
+        | Refusal::TargetRefused
+        | Refusal::TargetDown => StatusCode::SERVICE_UNAVAILABLE,
+        Refusal::CustomerConnections | Refusal::RequestRate | Refusal::BulkLimit => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        Refusal::UnknownCustomer => StatusCode::UNAUTHORIZED,
+        Refusal::NotInPlan => StatusCode::FORBIDDEN,
+        Refusal::KeyInvalid | Refusal::KeyReused | Refusal::KeyMissing => StatusCode::CONFLICT,
+        Refusal::BodyLimit => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::Malformed => StatusCode::BAD_REQUEST,
+    }
+}
--- /dev/null
+++ b/marigoldway/src/agent/requests/slots.rs
@@ -0,0 +1,245 @@
+//! The agent's admission: requests wait here for a slot of the target.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use marigoldway_core::admission::Action;
+use marigoldway_core::admission::Admission;
+use marigoldway_core::admission::AdmissionOptions;
+use marigoldway_core::admission::Arrival;
+use marigoldway_core::admission::CustomerKey;
+use marigoldway_core::admission::Ended;
+use marigoldway_core::admission::Load;
+use marigoldway_core::admission::RequestId;
+use marigoldway_core::admission::TargetState;
+use marigoldway_core::request::Class;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::clock::Clock;
+
+use crate::agent::requests::target::Target;
+
+/// Time between two tries to reach a target that is down.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// `Slots` gives out the slots and connections of the target.
+pub(crate) struct Slots {
+    state: Mutex<State>,
+    clock: Clock,
+    /// Tells the timer that something waits.
+    wake: Notify,
+    /// Tells that a request ended.
+    ended: Notify,
+}
+
+struct State {
+    admission: Admission,
+    rng: StdRng,
+    waiters: IndexMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
+    next: u64,
+    target: TargetState,
+}
+
+impl Slots {
+    /// Starts with a cold target.
+    pub(crate) fn new(options: AdmissionOptions, clock: Clock, seed: u64) -> Arc<Slots> {
+        let slots = Arc::new(Slots {
+            state: Mutex::new(State {
+                admission: Admission::new(options, clock.now()),
+                rng: StdRng::seed_from_u64(seed),
+                waiters: IndexMap::new(),
+                next: 0,
+                target: TargetState::Up,
+            }),
+            clock,
+            wake: Notify::new(),
+            ended: Notify::new(),
+        });
+        tokio::spawn(slots.clone().keep_time());
+        slots
+    }
+
+    /// A name for a request, not used before.
+    pub(crate) fn next_id(&self) -> RequestId {
+        let mut state = self.state();
+        let id = RequestId(state.next);
+        state.next += 1;
+        id
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        id: RequestId,
+        class: Class,
+        customer: CustomerKey,
+        deadline: Option<Timestamp>,
+    ) -> Result<Slot, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let mut slot = Slot {
+            slots: self.clone(),
+            id,
+            held: true,
+        };
+        let arrival = Arrival {
+            id,
+            class,
+            customer,
+            deadline,
+        };
+        self.change(|state, now| {
+            state.waiters.insert(id, sender);
+            state.admission.arrive(arrival, now, &mut state.rng)
+        });
+        self.wake.notify_one();
+
+        // A waiter is dropped without a word only if the process ends.
+        let admitted = receiver.await.unwrap_or(Err(Refusal::Leaving));
+        slot.held = admitted.is_ok();
+        admitted.map(|()| slot)
+    }
+
+    /// Stops taking requests.
+    pub(crate) fn leave(&self) {
+        self.state().admission.leave();
+    }
+
+    /// What is held now.
+    pub(crate) fn load(&self) -> Load {
+        self.state().admission.load(self.clock.now())
+    }
+
+    /// When a refused caller may come back.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let now = self.clock.now();
+        state.admission.retry_after(now, &mut state.rng)
+    }
+
+    /// Waits until nothing runs and nothing waits.
+    pub(crate) async fn idle(&self) {
+        loop {
+            let ended = self.ended.notified();
+            let load = self.load();
+            if load.short + load.bulk + load.feeds + load.waiting == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Takes in that the target can't be reached, and tries until it can.
+    pub(crate) fn target_down(self: &Arc<Self>, target: Target) {
+        if self.observe(TargetState::Down) == TargetState::Down {
+            return;
+        }
+        log::warn!("event=target-down");
+        let slots = self.clone();
+        tokio::spawn(async move {
+            while target.connect().await.is_err() {
+                sleep(PROBE_INTERVAL).await;
+            }
+            slots.observe(TargetState::Up);
+            log::info!("event=target-up");
+        });
+    }
+
+    /// Takes in what was seen of the target, and gives what was seen before.
+    fn observe(&self, target: TargetState) -> TargetState {
+        let mut before = target;
+        self.change(|state, now| {
+            before = std::mem::replace(&mut state.target, target);
+            state.admission.observe(target, now, &mut state.rng)
+        });
+        before
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State, Timestamp) -> Vec<Action>) {
+        let mut state = self.state();
+        let actions = change(&mut state, self.clock.now());
+        for action in actions {
+            let (id, verdict) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse { id, reason, .. } => (id, Err(reason)),
+                Action::Cancel(_) => continue,
+            };
+            // A waiter that went away gives its slot back when it is dropped.
+            if let Some(waiter) = state.waiters.swap_remove(&id) {
+                let _ = waiter.send(verdict);
+            }
+        }
+        drop(state);
+        self.ended.notify_waiters();
+    }
+
+    async fn keep_time(self: Arc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let next = self.state().admission.next_tick(now);
+            match next {
+                Some(next) => {
+                    // A millisecond more, since the timer is no finer.
+                    let pause = next.since(now) + Duration::from_millis(1);
+                    tokio::select! {
+                        () = sleep(pause) => {}
+                        () = self.wake.notified() => {}
+                    }
+                }
+                None => self.wake.notified().await,
+            }
+            self.change(|state, now| state.admission.tick(now, &mut state.rng));
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Slot` is a slot of the target, or a place in the queue for one. It is given
+/// back when it is dropped.
+pub(crate) struct Slot {
+    slots: Arc<Slots>,
+    id: RequestId,
+    held: bool,
+}
+
+impl Slot {
+    /// Name of the request that holds the slot.
+    pub(crate) fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Gives the slot back at the end of its request.
+    pub(crate) fn finish(mut self, ended: Ended) {
+        self.held = false;
+        let id = self.id;
+        self.slots
+            .change(|state, now| state.admission.finish(id, ended, now, &mut state.rng));
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.held {
+            return;
+        }
+        let id = self.id;
+        self.slots.change(|state, now| {
+            state.waiters.swap_remove(&id);
+            state.admission.cancel(id);
+            state.admission.cancel_accepted(id, now, &mut state.rng)
+        });
+    }
+}
--- a/marigoldway/src/membership/mod.rs
+++ b/marigoldway/src/membership/mod.rs
@@ -39,7 +39,7 @@
 use marigoldway_net::wire::relay::RelayWire;
 use marigoldway_net::wire::shares::SharesWire;
 
-use crate::errors::RunError;
+use crate::errors::Error;
 use crate::membership::task::Task;
 use crate::settings::FleetKeys;
 use crate::settings::NetworkSettings;
@@ -103,11 +103,11 @@
     seat: Seat,
     incarnation: Incarnation,
     clock: Clock,
-) -> Result<(Membership, Queues), Report<RunError>> {
+) -> Result<(Membership, Queues), Report<Error>> {
     let options = ControlOptions::new(network.control);
     let (control, inbound) = Control::start(options, &keys.control.0)
         .await
-        .change_context_lazy(|| RunError::bind(network.control.into()))?;
+        .change_context_lazy(|| Error::Bind(network.control.into()))?;
     let channels = Channels::split(inbound);
     let own = record(process, network, seat, incarnation);
 
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -41,6 +41,8 @@
     RelayKey,
     /// The target refused a request before it began, which went to a peer.
     TargetRefused,
+    /// The answer to a request that may be repeated broke off.
+    AnswerBroken,
     /// A connection to the target was opened anew before an octet was sent.
     TargetConnect,
     /// A control connection to a peer was opened anew.
@@ -51,11 +53,12 @@
 
 impl Retry {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Retry; 7] = [
+    pub const ALL: [Retry; 8] = [
         Retry::FlowPassed,
         Retry::RelaySaturated,
         Retry::RelayKey,
         Retry::TargetRefused,
+        Retry::AnswerBroken,
         Retry::TargetConnect,
         Retry::ControlConnect,
         Retry::PlatformCall,
@@ -68,6 +71,7 @@
             Retry::RelaySaturated => "relay-saturated",
             Retry::RelayKey => "relay-key",
             Retry::TargetRefused => "target-refused",
+            Retry::AnswerBroken => "answer-broken",
             Retry::TargetConnect => "target-connect",
             Retry::ControlConnect => "control-connect",
             Retry::PlatformCall => "platform-call",
