--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -1,6 +1,8 @@
 //! The `agent` process: it stands beside a target and ends the flows to it.
 
 mod flows;
+mod health;
+mod load;
 mod requests;
 mod tls;
 
@@ -12,12 +14,12 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use marigoldway_core::acceptance::AcceptanceOptions;
 use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
-use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::envelope::EnvelopeKey;
 use marigoldway_net::gate::Gate;
 use marigoldway_net::quic;
@@ -29,7 +31,12 @@
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::membership;
+use crate::membership::Seat;
+use crate::membership::keep_directory;
+use crate::platform;
 use crate::process::Process;
+use crate::report;
 use crate::settings::AgentSettings;
 use crate::shutdown::Shutdown;
 
@@ -41,25 +48,53 @@
 /// Fails where an address can't be bound or the certificate can't be used.
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
-    let (_views, views) = watch::channel(Arc::default());
+    let seat = Seat::Agent(settings.target.service);
+    let (membership, _queues) = membership::start(
+        &settings.process,
+        &settings.network,
+        &settings.keys,
+        seat,
+        process.incarnation,
+        clock,
+    )
+    .await?;
     let (_catalogs, catalogs) = watch::channel(None);
-    let agent = Agent::start(&settings, &process, clock, views, catalogs)?;
-    process.metrics.mirror(agent.counters.clone());
+    let agent = Agent::start(&settings, &process, clock, membership.views(), catalogs)?;
+    report::roster(&process.status, membership.views());
+    tokio::spawn(keep_directory(
+        membership.clone(),
+        platform::connect(&settings.platform),
+        seat,
+        settings.network.data,
+        settings.process.domain,
+    ));
+    tokio::spawn(load::exchange(
+        membership.clone(),
+        agent.gate.clone(),
+        agent.flows.clone(),
+    ));
+    health::first(&settings.target).await;
+    tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
+    membership.serve().await;
     process.status.set_ready(true);
 
+    process.shutdown.leaving().await;
+    agent.gate.leave();
+    membership.leave().await;
     let cut = agent
         .drain(&process.shutdown, settings.process.drain_limit)
         .await;
     log::info!("event=drained cut-flows={cut}");
+    membership.stop().await;
     Ok(())
 }
 
 /// `Agent` is the running packet path of an agent.
 struct Agent {
     endpoint: Endpoint,
+    gate: Arc<Gate>,
     flows: Arc<Flows>,
     requests: Arc<Requests>,
-    counters: Arc<PacketCounters>,
 }
 
 impl Agent {
@@ -78,11 +113,16 @@
             service: settings.target.service,
             incarnation: process.incarnation,
         };
-        let gate = Arc::new(Gate::new(own, settings.keys.route.clone(), clock, views));
+        let options = AcceptanceOptions {
+            limit: settings.target.connections,
+            ..AcceptanceOptions::default()
+        };
+        let route = settings.keys.route.clone();
+        let gate = Arc::new(Gate::new(own, route, clock, views, options));
         let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
         let udp = bind(settings.network.data.addr())?;
-        let socket = Arc::new(AgentSocket::new(udp, key, gate));
-        let counters = socket.counters().clone();
+        let socket = Arc::new(AgentSocket::new(udp, key, gate.clone()));
+        process.metrics.mirror(socket.counters().clone());
 
         let reset = ResetKey::new(&settings.keys.reset.0);
         let server = tls::server_config(&settings.tls)?;
@@ -93,17 +133,15 @@
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
             endpoint,
+            gate,
             flows,
             requests,
-            counters,
         })
     }
 
-    /// Waits until the process was told to leave and its flows have ended, or
-    /// `limit` has passed, and closes what is left. Gives back how many flows
-    /// were cut.
+    /// Waits until the flows have ended or `limit` has passed, and closes what
+    /// is left. Gives back how many flows were cut.
     async fn drain(&self, shutdown: &Shutdown, limit: Duration) -> usize {
-        shutdown.leaving().await;
         self.requests.leave();
         let ended = async {
             self.flows.ended().await;
