--- a/marigoldway-client/src/link.rs
+++ b/marigoldway-client/src/link.rs
@@ -15,6 +15,7 @@
 use quinn::Endpoint;
 use quinn::EndpointConfig;
 use quinn::IdleTimeout;
+use quinn::MtuDiscoveryConfig;
 use quinn::TokioRuntime;
 use quinn::TransportConfig;
 use quinn::crypto::rustls::QuicClientConfig;
@@ -31,6 +32,13 @@
 use crate::errors::Result;
 use crate::options::ClientOptions;
 
+/// First guess of the round trip time. A lost handshake packet costs three
+/// times the guess.
+const INITIAL_RTT: Duration = Duration::from_millis(100);
+
+/// Longest datagram that entries take, in octets.
+const DATAGRAM_LIMIT: u16 = 1_440;
+
 /// `LinkState` says what a connection is still good for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LinkState {
@@ -188,9 +196,13 @@
 fn transport(alive: Duration, idle: Duration) -> Result<TransportConfig> {
     let idle = IdleTimeout::try_from(idle)
         .map_err(|error| Error::malformed(format!("idle timeout: {error}")))?;
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(DATAGRAM_LIMIT);
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(idle))
-        .keep_alive_interval(Some(alive));
+        .keep_alive_interval(Some(alive))
+        .initial_rtt(INITIAL_RTT)
+        .mtu_discovery_config(Some(discovery));
     Ok(transport)
 }
