--- a/marigoldway-client/examples/demo.rs
+++ b/marigoldway-client/examples/demo.rs
@@ -13,6 +13,7 @@
 
 use marigoldway_client::answer::Answer;
 use marigoldway_client::client::Client;
+use marigoldway_client::errors::Error as ClientError;
 use marigoldway_client::options::ClientOptions;
 use marigoldway_client::request::Request;
 
@@ -40,7 +41,7 @@
     ca: String,
     #[options(meta = "NAME", help = "name in the certificate", default = "localhost")]
     name: String,
-    #[options(meta = "TOKEN", help = "token of the customer", default = "")]
+    #[options(meta = "TOKEN", help = "token of the customer", default = "demo-token")]
     token: String,
 }
 
@@ -78,9 +79,13 @@
     })
 }
 
-/// Sends an order under an idempotency key.
+/// Sends an order, under an idempotency key where the service issues them.
 async fn order(client: &Client) -> Result<()> {
-    let key = client.keys(1).await?.pop();
+    let key = match client.keys(1).await {
+        Ok(mut keys) => keys.pop(),
+        Err(ClientError::Refused(answer)) if answer.status == Some(StatusCode::NOT_FOUND) => None,
+        Err(error) => return Err(error.into()),
+    };
     let request = Request {
         key,
         ..Request::post("/order", "demo-order")
--- a/marigoldway-client/examples/hold.rs
+++ b/marigoldway-client/examples/hold.rs
@@ -33,7 +33,12 @@
     ca: String,
     #[options(meta = "NAME", help = "name in the certificate", default = "localhost")]
     name: String,
-    #[options(no_short, meta = "TOKEN", help = "token of the customer", default = "")]
+    #[options(
+        no_short,
+        meta = "TOKEN",
+        help = "token of the customer",
+        default = "demo-token"
+    )]
     token: String,
     #[options(meta = "PATH", help = "path of the feed", default = "/feed")]
     path: String,
