--- /dev/null
+++ b/marigoldway-core/examples/measure_shares.rs
@@ -0,0 +1,327 @@
+//! Use against allowance while a customer's demand jumps and moves.
+//!
+//! One customer may send 700 requests a second (burst 70) over seven agents.
+//! Its demand is 140 a second for five seconds, then 1,400, nearly all of it
+//! at one agent, and the busy agent changes every five seconds. Three ways of
+//! keeping the allowance are compared:
+//!
+//! - `lent`: shares lent by a holder, as the system does it.
+//! - `static`: each agent has one seventh.
+//! - `central`: each request asks one counter, 5 ms there and back.
+//!
+//! ```text
+//! cargo run --release -p marigoldway-core --example measure_shares -- out.csv
+//! ```
+
+use std::collections::VecDeque;
+use std::env;
+use std::fs;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::lists::catalog::Catalog;
+use marigoldway_core::request::Class;
+use marigoldway_core::share::Grant;
+use marigoldway_core::share::Report;
+use marigoldway_core::share::ShareOptions;
+use marigoldway_core::share::amounts::MILLI;
+use marigoldway_core::share::bucket::Bucket;
+use marigoldway_core::share::enforcement::Enforcement;
+use marigoldway_core::share::lender::Lender;
+use marigoldway_core::time::Timestamp;
+
+const PLANS: &str = "list plans\ngeneration 1\nchange 0000000000000001\n\
+    customer a plan=p\n";
+const ALLOWANCES: &str = "list allowances\ngeneration 1\nchange 0000000000000001\n\
+    service s id=1\nplan p services=s connections=100 rate=700 burst=70 bulk=7\n";
+
+const AGENTS: usize = 7;
+/// Requests a second.
+const RATE: u64 = 700;
+/// Requests at once.
+const BURST: u64 = 70;
+/// Requests a second before and after the jump.
+const DEMAND: [f64; 2] = [140.0, 1_400.0];
+/// Part of the demand that comes in at the busy agent.
+const BUSY_PART: f64 = 0.94;
+/// Milliseconds after which another agent is the busy one.
+const PHASE: u64 = 5_000;
+/// Milliseconds of one run.
+const RUN: u64 = 60_000;
+/// One way between two processes, in milliseconds.
+const ONE_WAY: (f64, f64) = (2.0, 3.0);
+/// Part of the messages that is lost.
+const LOSS: f64 = 0.01;
+/// Milliseconds between two ticks of an agent.
+const TICK: u64 = 50;
+const SEEDS: u64 = 200;
+
+/// `Policy` is a way of keeping the allowance.
+trait Policy {
+    /// Does what is due at `now`, in milliseconds.
+    fn tick(&mut self, now: u64, rng: &mut StdRng);
+    /// Tells whether a request at `agent` is admitted.
+    fn admit(&mut self, now: u64, agent: usize, rng: &mut StdRng) -> bool;
+    /// Messages sent so far.
+    fn messages(&self) -> u64;
+}
+
+enum Packet {
+    Report(usize, Report),
+    Grant(usize, Grant),
+}
+
+struct Lent {
+    catalog: Arc<Catalog>,
+    agents: Vec<Enforcement>,
+    lender: Lender,
+    flying: VecDeque<(u64, Packet)>,
+    sent: u64,
+}
+
+fn at(millis: u64) -> Timestamp {
+    // The start lies far enough from zero for the handover time to be over.
+    Timestamp::from_millis(millis + 10_000)
+}
+
+fn agent_addr(agent: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 8_000 + agent as u16)
+}
+
+impl Lent {
+    fn new(options: ShareOptions) -> Lent {
+        let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).expect("the lists are valid"));
+        let own = InstanceId::new(Ipv4Addr::LOCALHOST, 7_000);
+        let mut lender = Lender::new(Timestamp::ZERO, options, own);
+        lender.set_catalog(catalog.clone());
+        let agents = (0..AGENTS).map(|_| {
+            let mut agent = Enforcement::new(options, ServiceId(1), 0);
+            agent.set_agents(at(0), AGENTS);
+            agent.set_catalog(at(0), catalog.clone());
+            agent
+        });
+        Lent {
+            agents: agents.collect(),
+            catalog,
+            lender,
+            flying: VecDeque::new(),
+            sent: 0,
+        }
+    }
+
+    fn send(&mut self, now: u64, packet: Packet, rng: &mut StdRng) {
+        self.sent += 1;
+        if !rng.random_bool(LOSS) {
+            let delay = rng.random_range(ONE_WAY.0..=ONE_WAY.1).round() as u64;
+            self.flying.push_back((now + delay, packet));
+        }
+    }
+}
+
+impl Policy for Lent {
+    fn tick(&mut self, now: u64, rng: &mut StdRng) {
+        self.lender.tick(at(now));
+        for agent in 0..AGENTS {
+            if (now + 7 * agent as u64).is_multiple_of(TICK) {
+                for report in self.agents[agent].tick(at(now)) {
+                    self.send(now, Packet::Report(agent, report), rng);
+                }
+            }
+        }
+        for _ in 0..self.flying.len() {
+            match self.flying.pop_front() {
+                Some((due, Packet::Report(agent, report))) if due <= now => {
+                    if let Some(grant) = self.lender.report(at(now), agent_addr(agent), &report) {
+                        self.send(now, Packet::Grant(agent, grant), rng);
+                    }
+                }
+                Some((due, Packet::Grant(agent, grant))) if due <= now => {
+                    self.agents[agent].grant(at(now), &grant);
+                }
+                Some(later) => self.flying.push_back(later),
+                None => (),
+            }
+        }
+    }
+
+    fn admit(&mut self, now: u64, agent: usize, _rng: &mut StdRng) -> bool {
+        let customer = &self.catalog.plans().customers["a"];
+        self.agents[agent]
+            .admit(at(now), customer, Class::Short)
+            .is_ok()
+    }
+
+    fn messages(&self) -> u64 {
+        self.sent
+    }
+}
+
+struct Static(Vec<Bucket>);
+
+impl Policy for Static {
+    fn tick(&mut self, _now: u64, _rng: &mut StdRng) {}
+
+    fn admit(&mut self, now: u64, agent: usize, _rng: &mut StdRng) -> bool {
+        self.0[agent].take(at(now)).is_ok()
+    }
+
+    fn messages(&self) -> u64 {
+        0
+    }
+}
+
+struct Central {
+    bucket: Bucket,
+    sent: u64,
+}
+
+impl Policy for Central {
+    fn tick(&mut self, _now: u64, _rng: &mut StdRng) {}
+
+    /// The time to the counter and back delays each request, but changes
+    /// nothing about which are admitted. A lost message refuses the request.
+    fn admit(&mut self, now: u64, _agent: usize, rng: &mut StdRng) -> bool {
+        self.sent += 2;
+        let lost = rng.random_bool(LOSS) || rng.random_bool(LOSS);
+        self.bucket.take(at(now)).is_ok() && !lost
+    }
+
+    fn messages(&self) -> u64 {
+        self.sent
+    }
+}
+
+/// `Figures` is what one run gave.
+#[derive(Clone, Copy, Default)]
+struct Figures {
+    /// Most admitted in any second above rate and burst, in percent of both.
+    excess: f64,
+    /// Most admitted in any second above the rate alone, in percent of it.
+    above_rate: f64,
+    /// Least part of the rate used in the second from 2 s after a move.
+    after: f64,
+    /// Longest time from a move to the first 100 ms that use 90%, in ms.
+    reach: u64,
+    /// Part of the rate that stayed unused while demand waited.
+    unused: f64,
+    /// Messages a second.
+    messages: f64,
+}
+
+fn run(policy: &mut dyn Policy, seed: u64) -> Figures {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut admitted = vec![0_u64; RUN as usize];
+    for now in 0..RUN {
+        policy.tick(now, &mut rng);
+        let phase = now / PHASE;
+        let demand = DEMAND[usize::from(phase > 0)] / 1_000.0;
+        for agent in 0..AGENTS {
+            let busy = phase as usize % AGENTS == agent;
+            let part = if busy {
+                BUSY_PART
+            } else {
+                (1.0 - BUSY_PART) / (AGENTS - 1) as f64
+            };
+            // Arrivals of a millisecond: the whole part and a chance of one more.
+            let expected = demand * part;
+            let count = expected as u64 + u64::from(rng.random_bool(expected.fract()));
+            for _ in 0..count {
+                admitted[now as usize] += u64::from(policy.admit(now, agent, &mut rng));
+            }
+        }
+    }
+    figures(&admitted, policy.messages())
+}
+
+fn figures(admitted: &[u64], messages: u64) -> Figures {
+    let sum = |from: u64, to: u64| -> u64 { admitted[from as usize..to as usize].iter().sum() };
+    let most = (0..RUN - 1_000).map(|from| sum(from, from + 1_000)).max();
+    let most = most.unwrap_or_default();
+    let over = |most: u64, limit: u64| most.saturating_sub(limit) as f64 / limit as f64 * 100.0;
+
+    // The first phase, with little demand, moves nothing.
+    let moves = (1..RUN / PHASE).map(|phase| phase * PHASE);
+    let after = moves
+        .clone()
+        .map(|start| sum(start + 2_000, start + 3_000) as f64 / RATE as f64)
+        .fold(f64::MAX, f64::min);
+    let enough = RATE / 10 * 9 / 10;
+    let reach = moves.map(|start| {
+        (0..PHASE - 100)
+            .find(|wait| sum(start + wait, start + wait + 100) >= enough)
+            .unwrap_or(PHASE)
+    });
+    let busy = RUN - PHASE;
+    let usable = (RATE * busy / 1_000) as f64;
+    Figures {
+        excess: over(most, RATE + BURST),
+        above_rate: over(most, RATE),
+        after: after * 100.0,
+        reach: reach.max().unwrap_or_default(),
+        unused: (1.0 - sum(PHASE, RUN) as f64 / usable).max(0.0) * 100.0,
+        messages: messages as f64 * 1_000.0 / RUN as f64,
+    }
+}
+
+fn policy(name: &str) -> Box<dyn Policy> {
+    let (rate, burst) = (RATE * MILLI, BURST * MILLI);
+    let part = |whole: u64| whole / AGENTS as u64;
+    match name {
+        "lent" => Box::new(Lent::new(ShareOptions::default())),
+        "static" => Box::new(Static(
+            (0..AGENTS)
+                .map(|_| Bucket::new(at(0), part(rate), part(burst)))
+                .collect(),
+        )),
+        _ => Box::new(Central {
+            bucket: Bucket::new(at(0), rate, burst),
+            sent: 0,
+        }),
+    }
+}
+
+fn main() -> io::Result<()> {
+    let header = "way,seed,excess_percent,above_rate_percent,\
+                  usable_after_2s_percent,reach_ms,unused_percent,messages_per_s";
+    let mut csv = format!("{header}\n");
+    println!("worst of {SEEDS} seeds (unused and messages: mean)");
+    println!(
+        "| way | excess | above rate | usable 2 s after a move | 90% reached after | unused | messages/s |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for name in ["lent", "static", "central"] {
+        let mut worst = Figures {
+            after: f64::MAX,
+            ..Figures::default()
+        };
+        for seed in 0..SEEDS {
+            let one = run(policy(name).as_mut(), seed);
+            csv += &format!(
+                "{name},{seed},{:.2},{:.2},{:.1},{},{:.2},{:.1}\n",
+                one.excess, one.above_rate, one.after, one.reach, one.unused, one.messages
+            );
+            worst.excess = worst.excess.max(one.excess);
+            worst.above_rate = worst.above_rate.max(one.above_rate);
+            worst.after = worst.after.min(one.after);
+            worst.reach = worst.reach.max(one.reach);
+            worst.unused += one.unused / SEEDS as f64;
+            worst.messages += one.messages / SEEDS as f64;
+        }
+        println!(
+            "| {name} | {:.1}% | {:.1}% | {:.1}% | {} ms | {:.1}% | {:.1} |",
+            worst.excess, worst.above_rate, worst.after, worst.reach, worst.unused, worst.messages
+        );
+    }
+    match env::args().nth(1) {
+        Some(path) => fs::write(path, csv),
+        None => Ok(()),
+    }
+}
--- a/marigoldway-core/src/share/amounts.rs
+++ b/marigoldway-core/src/share/amounts.rs
@@ -82,7 +82,8 @@
 }
 
 /// Divides `total` by max-min fairness: nobody gets more than it wants while
-/// another that wants more has less. What nobody wants is divided evenly.
+/// another that wants more has less. Half of what nobody wants is divided
+/// evenly too; the other half stays, so that a sudden demand finds it at once.
 pub fn divide(total: u64, wants: &[u64]) -> Vec<u64> {
     let mut order: Vec<usize> = (0..wants.len()).collect();
     order.sort_by_key(|n| wants[*n]);
@@ -95,6 +96,6 @@
         parts[*n] = part;
         left -= part;
     }
-    let spare = left / (wants.len() as u64).max(1);
+    let spare = left / 2 / (wants.len() as u64).max(1);
     parts.iter().map(|part| part + spare).collect()
 }
--- a/marigoldway-core/src/share/borrower.rs
+++ b/marigoldway-core/src/share/borrower.rs
@@ -14,13 +14,24 @@
 /// Reports whose answers may still come.
 const PENDING_REPORTS: usize = 16;
 
+/// Reports without an answer in a row that are made again soon. More of them
+/// mean that there is no holder.
+const LOST_REPORTS: usize = 3;
+
 /// Demand above what was seen that an agent asks for, as a fraction.
-const HEADROOM: (u64, u64) = (5, 4);
+const HEADROOM: (u64, u64) = (9, 8);
 
 /// Change of the demand since the last report, in percent, that is reported
 /// sooner.
 const CHANGE_PERCENT: u64 = 20;
 
+/// Part by which a new count moves the estimate of the request rate.
+const SMOOTHING: f64 = 0.2;
+
+/// Standard deviations by which a count differs from the estimate when the
+/// demand has changed and not merely varies.
+const DEVIATIONS: f64 = 4.0;
+
 /// `Limit` is a customer's allowance as one agent sees it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Limit {
@@ -30,6 +41,8 @@
     pub burst: u64,
     /// Part of the floor that belongs to this agent.
     pub floor: Amounts,
+    /// Number of equal parts into which the floor is divided.
+    pub parts: u64,
 }
 
 /// Attempts since the last report.
@@ -51,8 +64,13 @@
     pending: VecDeque<(u64, Timestamp)>,
     bucket: Bucket,
     open: Amounts,
+    /// Requests a second.
+    demand: f64,
     window: Window,
+    /// Open connections and bulk work, with those refused in the last window.
+    tried: Amounts,
     since: Timestamp,
+    sent: Timestamp,
     used: Timestamp,
     reported: Amounts,
     pressed: bool,
@@ -72,8 +90,11 @@
             pending: VecDeque::new(),
             bucket: Bucket::new(now, limit.floor.rate, burst),
             open: Amounts::default(),
+            demand: 0.0,
             window: Window::default(),
+            tried: Amounts::default(),
             since: now,
+            sent: now,
             used: now,
             reported: Amounts::default(),
             pressed: true,
@@ -171,19 +192,23 @@
         if elapsed < self.options.changing && !self.lowered {
             return None;
         }
-        let want = self.want(elapsed);
-        let due = elapsed >= self.options.steady;
-        if !due && !self.pressed && !self.lowered && !self.differs(want) {
+        if elapsed >= self.options.changing {
+            self.measure(elapsed);
+            self.since = now;
+        }
+        let want = self.want();
+        let due = now.since(self.sent) >= self.options.steady;
+        let short = self.pressed && !self.reported.fits(self.lent(now));
+        // A lost message must not hold back for long what others wait for.
+        let lost = (1..=LOST_REPORTS).contains(&self.pending.len());
+        if !due && !short && !lost && !self.lowered && !self.differs(want) {
             return None;
         }
 
         self.lowered = false;
         self.pressed = false;
-        if elapsed >= self.options.changing {
-            self.reported = want;
-            self.window = Window::default();
-            self.since = now;
-        }
+        self.reported = want;
+        self.sent = now;
         if self.pending.len() == PENDING_REPORTS {
             self.pending.pop_front();
         }
@@ -191,7 +216,7 @@
         Some(Report {
             customer: customer.to_owned(),
             number,
-            want: self.reported,
+            want,
             open: Amounts {
                 rate: 0,
                 ..self.open.minus(self.limit.floor)
@@ -221,25 +246,40 @@
         self.refresh(now);
     }
 
+    /// Takes the requests of the last `elapsed` into the estimate. A count that
+    /// can't be chance replaces the estimate at once.
+    fn measure(&mut self, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64();
+        let count = self.window.requests as f64;
+        let expected = self.demand * seconds;
+        let chance = DEVIATIONS * expected.max(1.0).sqrt();
+        let weight = if (count - expected).abs() > chance {
+            1.0
+        } else {
+            SMOOTHING
+        };
+        self.demand += (count / seconds - self.demand) * weight;
+        self.tried = self.open.plus(Amounts {
+            rate: 0,
+            connections: self.window.refused_connections,
+            bulk: self.window.refused_bulk,
+        });
+        self.window = Window::default();
+    }
+
     /// What the agent could use beyond its floor.
-    fn want(&self, elapsed: Duration) -> Amounts {
+    fn want(&self) -> Amounts {
         let (more, of) = HEADROOM;
-        let millis = u64::try_from(elapsed.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1);
-        let rate = self.window.requests * MILLI * 1_000 / millis;
         let seen = Amounts {
-            rate,
-            connections: self.open.connections + self.window.refused_connections,
-            bulk: self.open.bulk + self.window.refused_bulk,
+            rate: (self.demand * MILLI as f64) as u64,
+            ..self.tried.max(self.open)
         };
-        seen.part(more, of)
-            .plus(Amounts {
-                rate: 0,
-                connections: 1,
-                bulk: 1,
-            })
-            .minus(self.limit.floor)
+        let next = Amounts {
+            rate: 0,
+            connections: 1,
+            bulk: 1,
+        };
+        seen.part(more, of).plus(next).minus(self.limit.floor)
     }
 
     fn differs(&self, want: Amounts) -> bool {
@@ -256,8 +296,10 @@
     }
 }
 
-/// The part of the burst that goes with `rate`.
+/// Half of the burst goes with `rate`. The other half is divided evenly, as the
+/// floor is, or an agent with a small share would hardly have any.
 fn burst(limit: &Limit, rate: u64) -> u64 {
-    let part = u128::from(limit.burst) * u128::from(rate) / u128::from(limit.whole.rate.max(1));
-    u64::try_from(part).unwrap_or(u64::MAX)
+    let half = limit.burst / 2;
+    let part = u128::from(half) * u128::from(rate) / u128::from(limit.whole.rate.max(1));
+    half / limit.parts.max(1) + u64::try_from(part).unwrap_or(u64::MAX)
 }
--- a/marigoldway-core/src/share/enforcement.rs
+++ b/marigoldway-core/src/share/enforcement.rs
@@ -237,5 +237,6 @@
         whole,
         burst: u64::from(allowance.burst) * MILLI,
         floor: whole.floor(percent).part(1, parts),
+        parts,
     }
 }
