--- a/marigoldway-net/src/control/mod.rs
+++ b/marigoldway-net/src/control/mod.rs
@@ -4,10 +4,11 @@
 //! queues a bounded number of frames for each peer, and drops and counts the
 //! rest. Frames travel as CBOR in WebSocket messages over TCP. Both ends prove
 //! that they hold the fleet's control key before a frame is read, and every
-//! frame is authenticated; see [`handshake`] and [`seal`]. Frames are not
+//! frame is authenticated; see the modules `handshake` and `seal`. Frames are not
 //! encrypted.
 
 mod accept;
+mod channels;
 mod counters;
 mod handshake;
 mod link;
@@ -33,6 +34,8 @@
 use crate::errors::Result;
 use crate::wire::Frame;
 
+pub use crate::control::channels::Channels;
+pub use crate::control::channels::Received;
 pub use crate::control::counters::ControlCounts;
 
 use crate::control::counters::Counters;
--- a/marigoldway/src/agent/tls.rs
+++ b/marigoldway/src/agent/tls.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use error_stack::Report;
 use error_stack::ResultExt;
 use quinn::IdleTimeout;
 use quinn::ServerConfig;
@@ -15,7 +14,8 @@
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
 
-use crate::errors::RunError;
+use crate::errors::Error;
+use crate::errors::Result;
 use crate::settings::TlsSettings;
 
 /// Protocol name of HTTP/3 in the TLS handshake.
@@ -35,34 +35,34 @@
 const STREAMS_MAX: u32 = 256;
 
 /// Reads the certificate and makes the QUIC settings of an agent.
-pub(super) fn server_config(tls: &TlsSettings) -> Result<ServerConfig, Report<RunError>> {
+pub(super) fn server_config(tls: &TlsSettings) -> Result<ServerConfig> {
     let chain = read_chain(&tls.certificate)?;
     let key = PrivateKeyDer::from_pem_file(&tls.key)
-        .change_context_lazy(|| RunError::certificate(&tls.key))?;
+        .change_context_lazy(|| Error::certificate(&tls.key))?;
 
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let mut crypto = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
-        .change_context_lazy(|| RunError::start("TLS library"))?
+        .change_context_lazy(|| Error::Start("TLS library"))?
         .with_no_client_auth()
         .with_single_cert(chain, key)
-        .change_context_lazy(|| RunError::certificate(&tls.certificate))?;
+        .change_context_lazy(|| Error::certificate(&tls.certificate))?;
     crypto.alpn_protocols = vec![ALPN.to_vec()];
     // Early data can be replayed, and a replayed order would run twice.
     crypto.max_early_data_size = 0;
 
-    let crypto = QuicServerConfig::try_from(crypto)
-        .change_context_lazy(|| RunError::start("TLS library"))?;
+    let crypto =
+        QuicServerConfig::try_from(crypto).change_context_lazy(|| Error::Start("TLS library"))?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
     config.transport_config(Arc::new(transport()));
     Ok(config)
 }
 
-fn read_chain(file: &Path) -> Result<Vec<CertificateDer<'static>>, Report<RunError>> {
-    let context = || RunError::certificate(file);
+fn read_chain(file: &Path) -> Result<Vec<CertificateDer<'static>>> {
+    let context = || Error::certificate(file);
     CertificateDer::pem_file_iter(file)
         .change_context_lazy(context)?
-        .collect::<Result<Vec<_>, _>>()
+        .collect::<std::result::Result<Vec<_>, _>>()
         .change_context_lazy(context)
 }
 
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use error_stack::Report;
 use error_stack::ResultExt;
 use indexmap::IndexMap;
 use tokio::sync::watch;
@@ -13,6 +12,7 @@
 use marigoldway_core::forward::Forwarder;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
+use marigoldway_net::clock::Clock;
 use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::envelope::EnvelopeKey;
 use marigoldway_net::envelope::MAX_DATAGRAM_LEN;
@@ -21,7 +21,14 @@
 use marigoldway_net::udp::BUFFER_LEN;
 use marigoldway_net::udp::Udp;
 
-use crate::errors::RunError;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::membership;
+use crate::membership::Seat;
+use crate::membership::keep_directory;
+use crate::platform;
+use crate::process::Process;
+use crate::report;
 use crate::scope::AgentNetworks;
 use crate::settings::EntrySettings;
 use crate::shutdown::Shutdown;
@@ -30,14 +37,48 @@
 /// replies shall take another way, and packets on their way arrive.
 pub const LINGER: Duration = Duration::from_secs(3);
 
+/// Runs an entry until it has left.
+///
+/// Fails where an address can't be bound.
+pub async fn run(settings: EntrySettings, process: Process) -> Result<()> {
+    let clock = Clock::start();
+    let (membership, _queues) = membership::start(
+        &settings.process,
+        &settings.network,
+        &settings.keys,
+        Seat::Entry,
+        process.incarnation,
+        clock,
+    )
+    .await?;
+    let counters = start(&settings, membership.views())?;
+    process.metrics.mirror(counters);
+    report::roster(&process.status, membership.views());
+    tokio::spawn(keep_directory(
+        membership.clone(),
+        platform::connect(&settings.platform),
+        Seat::Entry,
+        settings.network.data,
+        settings.process.domain,
+    ));
+    membership.serve().await;
+    process.status.set_ready(true);
+
+    process.shutdown.leaving().await;
+    membership.leave().await;
+    linger(&process.shutdown).await;
+    membership.stop().await;
+    Ok(())
+}
+
 /// Binds the sockets of an entry and starts its packet loops. Gives back the
 /// counters of the packet path.
 ///
 /// Fails where an address can't be bound. The loops run until the process ends.
-pub fn start(
+fn start(
     settings: &EntrySettings,
     views: watch::Receiver<Arc<RosterView>>,
-) -> Result<Arc<PacketCounters>, Report<RunError>> {
+) -> Result<Arc<PacketCounters>> {
     let data = bind(settings.network.data.addr())?;
     let mut services = IndexMap::new();
     for service in &settings.services {
@@ -72,9 +113,8 @@
     Ok(counters)
 }
 
-/// Waits until the process was told to leave and has lingered.
-pub async fn drain(shutdown: Shutdown) {
-    shutdown.leaving().await;
+/// Waits while a leaving entry still forwards.
+async fn linger(shutdown: &Shutdown) {
     tokio::select! {
         () = sleep(LINGER) => (),
         () = shutdown.ending() => (),
@@ -97,8 +137,8 @@
 }
 
 /// Binds a socket and says so if the kernel grants less than it was asked for.
-pub(crate) fn bind(addr: SocketAddr) -> Result<Udp, Report<RunError>> {
-    let socket = Udp::bind(addr).change_context_lazy(|| RunError::bind(addr))?;
+pub(crate) fn bind(addr: SocketAddr) -> Result<Udp> {
+    let socket = Udp::bind(addr).change_context_lazy(|| Error::Bind(addr))?;
     let granted = socket.granted();
     if granted < BUFFER_LEN {
         log::warn!("event=small-buffer addr={addr} granted={granted} asked={BUFFER_LEN}");
--- a/marigoldway/src/errors.rs
+++ b/marigoldway/src/errors.rs
@@ -1,4 +1,4 @@
-//! Why a process ends with a failure.
+//! The error type of the process.
 
 use std::error::Error as StdError;
 use std::fmt;
@@ -6,53 +6,63 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-/// `RunError` says what kept a process from running.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunError {
-    /// An address can't be bound.
-    Bind {
-        /// The address.
-        addr: SocketAddr,
-    },
-    /// The certificate or its key can't be used.
-    Certificate {
-        /// The file at fault.
-        file: PathBuf,
-    },
-    /// A library refused to start.
-    Start {
-        /// What was to be started.
-        part: &'static str,
-    },
-}
+use error_stack::AttachmentKind;
+use error_stack::FrameKind;
+use error_stack::Report;
 
-impl RunError {
-    /// Makes a [`RunError::Bind`].
-    pub fn bind(addr: SocketAddr) -> RunError {
-        RunError::Bind { addr }
-    }
+/// `Result` with a report on this crate's [`Error`].
+pub type Result<T> = std::result::Result<T, Report<Error>>;
 
-    /// Makes a [`RunError::Certificate`].
-    pub fn certificate(file: &Path) -> RunError {
-        RunError::Certificate {
-            file: file.to_owned(),
-        }
-    }
+/// `Error` says which part of a process failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The settings were refused; the faults are attached as the cause.
+    Settings,
+    /// A part of the process could not start.
+    Start(&'static str),
+    /// An address could not be bound.
+    Bind(SocketAddr),
+    /// A certificate or its key could not be used.
+    Certificate(PathBuf),
+    /// A part of the process failed while it ran.
+    Run(&'static str),
+    /// A file could not be written.
+    Write(String),
+    /// Another process could not be asked.
+    Ask(String),
+}
 
-    /// Makes a [`RunError::Start`].
-    pub fn start(part: &'static str) -> RunError {
-        RunError::Start { part }
+impl Error {
+    /// Makes an [`Error::Certificate`].
+    pub fn certificate(file: &Path) -> Error {
+        Error::Certificate(file.to_owned())
     }
 }
 
-impl fmt::Display for RunError {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            RunError::Bind { addr } => write!(f, "can't bind {addr}"),
-            RunError::Certificate { file } => write!(f, "can't use {}", file.display()),
-            RunError::Start { part } => write!(f, "can't start the {part}"),
+            Error::Settings => f.write_str("the settings are refused"),
+            Error::Start(part) => write!(f, "{part} could not start"),
+            Error::Bind(addr) => write!(f, "{addr} could not be bound"),
+            Error::Certificate(file) => write!(f, "{} could not be used", file.display()),
+            Error::Run(part) => write!(f, "{part} failed"),
+            Error::Write(file) => write!(f, "{file} could not be written"),
+            Error::Ask(addr) => write!(f, "{addr} could not be asked"),
         }
     }
 }
 
-impl StdError for RunError {}
+impl StdError for Error {}
+
+/// A report on one line: what failed, then each cause and attachment.
+pub fn describe(report: &Report<Error>) -> String {
+    let parts = report.frames().filter_map(|frame| match frame.kind() {
+        FrameKind::Context(context) => Some(context.to_string()),
+        FrameKind::Attachment(AttachmentKind::Printable(attachment)) => {
+            Some(attachment.to_string())
+        }
+        FrameKind::Attachment(_) => None,
+    });
+    parts.collect::<Vec<_>>().join(": ")
+}
