--- a/marigoldway/tests/flows.rs
+++ b/marigoldway/tests/flows.rs
@@ -229,7 +229,7 @@
         client.request(request).await.unwrap()
     });
     wait_for("the upload to run", || {
-        http(target, "GET", "/load", "").1.contains("running=1")
+        http(target, "GET", "/load", "").1.contains("\"running\":1")
     });
     deployment.targets[0].agent.terminate();
     wait_for("the agent to leave", || !ready(operator));
