--- a/marigoldway-core/src/membership/mod.rs
+++ b/marigoldway-core/src/membership/mod.rs
@@ -243,7 +243,7 @@
         }
         // Only its owner raises a version, so the owner lives.
         if raised && state < State::Suspect {
-            self.monitor.hear(now, id);
+            self.monitor.hear_of(now, id);
         }
         let is_entry = self.roster.record(id).map(|it| it.role) == Some(Role::Entry);
         let fell = before.is_some_and(|it| (it == State::Down) != (state == State::Down));
--- a/marigoldway-core/src/monitor.rs
+++ b/marigoldway-core/src/monitor.rs
@@ -34,6 +34,9 @@
     pub suspect: Duration,
     /// Silence after which an instance is down.
     pub down: Duration,
+    /// Most times the limits that a monitor waits for an instance of which it
+    /// hears from others only.
+    pub patience: u32,
 }
 
 impl Default for MonitorOptions {
@@ -43,6 +46,7 @@
             probe: Duration::from_millis(1_300),
             suspect: Duration::from_millis(2_250),
             down: Duration::from_secs(8),
+            patience: 16,
         }
     }
 }
@@ -146,6 +150,7 @@
 struct Watch {
     heard: Timestamp,
     probed: Timestamp,
+    patience: u32,
 }
 
 impl Monitor {
@@ -168,6 +173,7 @@
             let fresh = Watch {
                 heard: now,
                 probed: now,
+                patience: 1,
             };
             let watch = self.watches.get(&record.id).copied().unwrap_or(fresh);
             watches.insert(record.id, watch);
@@ -180,10 +186,23 @@
         self.watches.keys().copied()
     }
 
-    /// Takes note that an instance lives.
+    /// Takes note that an instance spoke to this entry.
     pub fn hear(&mut self, now: Timestamp, id: InstanceId) {
         if let Some(watch) = self.watches.get_mut(&id) {
             watch.heard = now;
+            watch.patience = 1;
+        }
+    }
+
+    /// Takes note that others know an instance to live. If that goes on while
+    /// the instance doesn't speak to this entry, the path between the two is
+    /// at fault, and this entry waits longer each time before it marks it; the
+    /// other monitors don't.
+    pub fn hear_of(&mut self, now: Timestamp, id: InstanceId) {
+        let most = self.options.patience;
+        if let Some(watch) = self.watches.get_mut(&id) {
+            watch.heard = now;
+            watch.patience = watch.patience.saturating_mul(2).min(most);
         }
     }
 
@@ -204,9 +223,13 @@
                 continue;
             };
             let silence = now.since(watch.heard);
-            if silence >= options.down && record.state == State::Suspect {
+            let (suspect, down) = (
+                options.suspect * watch.patience,
+                options.down * watch.patience,
+            );
+            if silence >= down && record.state == State::Suspect {
                 findings.push(Finding::Down(*id));
-            } else if silence >= options.suspect && record.state < State::Suspect {
+            } else if silence >= suspect && record.state < State::Suspect {
                 findings.push(Finding::Suspect(*id));
             }
             if silence >= options.probe && now.since(watch.probed) >= options.heartbeat {
--- a/marigoldway-core/tests/membership/fleet.rs
+++ b/marigoldway-core/tests/membership/fleet.rs
@@ -52,6 +52,8 @@
     pub doubled: f64,
     /// Domains on one side of a cut. Messages across are lost.
     pub cut: Vec<DomainId>,
+    /// Pairs between which messages are lost, both ways.
+    pub blocked: Vec<(InstanceId, InstanceId)>,
     pub options: MembershipOptions,
     /// Called with every message that is sent.
     pub observe: Option<Observe>,
@@ -97,6 +99,7 @@
             loss: 0.0,
             doubled: 0.0,
             cut: Vec::new(),
+            blocked: Vec::new(),
             options,
             observe: None,
             contacts: Vec::new(),
@@ -234,6 +237,9 @@
     }
 
     fn is_cut(&self, a: InstanceId, b: InstanceId) -> bool {
+        if self.blocked.contains(&(a, b)) || self.blocked.contains(&(b, a)) {
+            return true;
+        }
         let side = |id| {
             let process: Option<&Process> = self.processes.get(&id);
             process.map(|it| self.cut.contains(&it.membership.own().domain))
--- a/marigoldway-core/tests/membership/protocol.rs
+++ b/marigoldway-core/tests/membership/protocol.rs
@@ -321,3 +321,23 @@
     let whole = |it: &Fleet| it.agrees() && it.running().all(|it| it.roster().len() == 16);
     assert!(fleet.run_until(60 * SECOND, whole).is_some());
 }
+
+/// Marks on a target that one of its three monitors can't reach, in two minutes.
+fn marks_over_broken_path(patience: u32) -> usize {
+    let mut options = MembershipOptions::default();
+    options.monitor.patience = patience;
+    let mut fleet = settled(13, options, 3, 1, 3);
+    fleet.blocked = vec![(instance(10_000), instance(15_000))];
+    fleet.run(120 * SECOND);
+    assert!(fleet.lists(instance(15_000), State::Serving) || patience == 1);
+    let is_mark = |event: &Event| matches!(event, Event::Marked { .. });
+    fleet.events.iter().filter(|(_, it)| is_mark(it)).count()
+}
+
+#[test]
+fn broken_path_to_one_monitor_marks_ever_less() {
+    let without = marks_over_broken_path(1);
+    let with = marks_over_broken_path(16);
+    assert!(without > 20, "the fault doesn't show: {without}");
+    assert!(with <= 8, "{with}");
+}
