Pass requests between agents: keys to their issuer, work to a peer with room

A key that reaches another agent is passed to the one that issued it over the control channel; the token stays, what the lists say travels. A short request whose target is saturated goes to a peer of the service, once, and back to the own queue if the peer refuses. A repeatable request whose target failed goes to a peer within the retry budget. A refusal after a doubtful attempt stays in doubt.

--- a/marigoldway-net/src/wire/mod.rs
+++ b/marigoldway-net/src/wire/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod lists;
 pub mod membership;
+pub mod octets;
 pub mod relay;
 pub mod shares;
 
--- /dev/null
+++ b/marigoldway-net/src/wire/octets.rs
@@ -0,0 +1,45 @@
+//! Octets on the wire: as a string of octets, where a plain vector would be an
+//! array of numbers.
+
+use std::fmt;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de::Visitor;
+
+/// `Octets` is a string of octets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Octets(pub Bytes);
+
+impl Serialize for Octets {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Octets {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Octets, D::Error> {
+        deserializer.deserialize_byte_buf(OctetsVisitor)
+    }
+}
+
+struct OctetsVisitor;
+
+impl Visitor<'_> for OctetsVisitor {
+    type Value = Octets;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a string of octets")
+    }
+
+    fn visit_bytes<E: serde::de::Error>(self, octets: &[u8]) -> Result<Octets, E> {
+        Ok(Octets(Bytes::copy_from_slice(octets)))
+    }
+
+    fn visit_byte_buf<E: serde::de::Error>(self, octets: Vec<u8>) -> Result<Octets, E> {
+        Ok(Octets(octets.into()))
+    }
+}
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -17,7 +17,6 @@
 use marigoldway_core::acceptance::AcceptanceOptions;
 use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
-use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 use marigoldway_net::envelope::EnvelopeKey;
@@ -26,12 +25,15 @@
 use marigoldway_net::quic::AgentSocket;
 
 use crate::agent::flows::Flows;
+use crate::agent::requests::Access;
+use crate::agent::requests::Peers;
 use crate::agent::requests::Requests;
 use crate::entry::bind;
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::membership;
+use crate::membership::Membership;
 use crate::membership::Seat;
 use crate::membership::keep_directory;
 use crate::platform;
@@ -49,7 +51,7 @@
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
     let seat = Seat::Agent(settings.target.service);
-    let (membership, _queues) = membership::start(
+    let (membership, queues) = membership::start(
         &settings.process,
         &settings.network,
         &settings.keys,
@@ -59,7 +61,8 @@
     )
     .await?;
     let (_catalogs, catalogs) = watch::channel(None);
-    let agent = Agent::start(&settings, &process, clock, membership.views(), catalogs)?;
+    let agent = Agent::start(&settings, &process, clock, &membership, catalogs)?;
+    tokio::spawn(agent.requests.clone().listen(queues.relay));
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
         membership.clone(),
@@ -105,7 +108,7 @@
         settings: &AgentSettings,
         process: &Process,
         clock: Clock,
-        views: watch::Receiver<Arc<RosterView>>,
+        membership: &Membership,
         catalogs: watch::Receiver<Option<Arc<Catalog>>>,
     ) -> Result<Agent> {
         let own = Route {
@@ -118,7 +121,7 @@
             ..AcceptanceOptions::default()
         };
         let route = settings.keys.route.clone();
-        let gate = Arc::new(Gate::new(own, route, clock, views, options));
+        let gate = Arc::new(Gate::new(own, route, clock, membership.views(), options));
         let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
         let udp = bind(settings.network.data.addr())?;
         let socket = Arc::new(AgentSocket::new(udp, key, gate.clone()));
@@ -128,7 +131,11 @@
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
-        let requests = Requests::new(settings, &own, clock, catalogs, process.metrics.clone());
+        let access = Access::new(own.service, catalogs);
+        let control = membership.control().clone();
+        let peers = Peers::new(own, control, clock, membership.views());
+        let metrics = process.metrics.clone();
+        let requests = Requests::new(settings, own, clock, access, peers, metrics);
         let flows = Arc::new(Flows::new(requests.clone(), process.shutdown.clone()));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
--- /dev/null
+++ b/marigoldway/src/agent/requests/ask.rs
@@ -0,0 +1,151 @@
+//! A request that is held whole, as it travels between agents.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+
+use marigoldway_core::admission::CustomerKey;
+use marigoldway_core::duplicates::Digest;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::request::Doubt;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::retry::Repeat;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::wire::octets::Octets;
+use marigoldway_net::wire::relay::AskWire;
+use marigoldway_net::wire::relay::EndingWire;
+use marigoldway_net::wire::relay::GrantWire;
+
+use crate::agent::requests::access::Grant;
+use crate::agent::requests::head::Head;
+use crate::agent::requests::reply::Answer;
+use crate::agent::requests::reply::Reply;
+
+/// `Ask` is a request with its whole body.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) head: Head,
+    pub(crate) body: Bytes,
+    pub(crate) digest: Digest,
+    /// What the lists say of it.
+    pub(crate) access: Result<Grant, Refusal>,
+}
+
+impl Ask {
+    /// The request on the wire.
+    pub(crate) fn to_wire(&self, number: u64, service: ServiceId, now: Timestamp) -> AskWire {
+        let left = self.head.deadline.map(|deadline| deadline.since(now));
+        AskWire {
+            number,
+            service: service.0,
+            method: self.head.method.to_string(),
+            path: self.head.path.clone(),
+            headers: to_pairs(&self.head.headers),
+            body: Octets(self.body.clone()),
+            left: left.map(|left| u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+            key: self.head.key.clone(),
+            digest: self.digest.0,
+            access: self.access.as_ref().map(to_grant).map_err(|reason| *reason),
+        }
+    }
+
+    /// Reads a request from the wire at `now`.
+    pub(crate) fn from_wire(wire: AskWire, now: Timestamp) -> Result<Ask, Refusal> {
+        let method = Method::from_str(&wire.method).map_err(|_| Refusal::Malformed)?;
+        let head = Head {
+            method,
+            path: wire.path,
+            headers: to_headers(&wire.headers).ok_or(Refusal::Malformed)?,
+            deadline: wire.left.map(|left| now + Duration::from_millis(left)),
+            key: wire.key,
+            token: None,
+            length: u64::try_from(wire.body.0.len()).ok(),
+        };
+        Ok(Ask {
+            head,
+            body: wire.body.0,
+            digest: Digest(wire.digest),
+            access: wire.access.map(from_grant),
+        })
+    }
+}
+
+/// A reply on the wire. An answer that is not held whole can't travel.
+pub(crate) fn to_ending(reply: Reply) -> EndingWire {
+    match reply {
+        Reply::Whole(answer) => EndingWire::Done {
+            status: answer.status.as_u16(),
+            headers: to_pairs(&answer.headers),
+            body: Octets(answer.body),
+        },
+        Reply::Streamed(..) => EndingWire::Unknown(Doubt::AnswerNotKept),
+        Reply::Refused(reason) => EndingWire::NotRun(reason),
+        Reply::Unknown(doubt) => EndingWire::Unknown(doubt),
+    }
+}
+
+impl From<EndingWire> for Reply {
+    fn from(ending: EndingWire) -> Reply {
+        match ending {
+            EndingWire::Done {
+                status,
+                headers,
+                body,
+            } => match (StatusCode::from_u16(status), to_headers(&headers)) {
+                (Ok(status), Some(headers)) => Reply::Whole(Answer {
+                    status,
+                    headers,
+                    body: body.0,
+                }),
+                _ => Reply::Unknown(Doubt::AnswerBroken),
+            },
+            EndingWire::NotRun(reason) => Reply::Refused(reason),
+            EndingWire::Unknown(doubt) => Reply::Unknown(doubt),
+        }
+    }
+}
+
+fn to_grant(grant: &Grant) -> GrantWire {
+    GrantWire {
+        name: grant.name.clone(),
+        customer: grant.customer.0,
+        class: grant.class,
+        repeatable: grant.repeat == Repeat::Idempotent,
+    }
+}
+
+fn from_grant(wire: GrantWire) -> Grant {
+    Grant {
+        name: wire.name,
+        customer: CustomerKey(wire.customer),
+        class: wire.class,
+        repeat: match wire.repeatable {
+            true => Repeat::Idempotent,
+            false => Repeat::Once,
+        },
+    }
+}
+
+fn to_pairs(headers: &HeaderMap) -> Vec<(String, Octets)> {
+    let octets = |value: &HeaderValue| Octets(Bytes::copy_from_slice(value.as_bytes()));
+    headers
+        .iter()
+        .map(|(name, value)| (name.to_string(), octets(value)))
+        .collect()
+}
+
+fn to_headers(pairs: &[(String, Octets)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&value.0).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
--- a/marigoldway/src/agent/requests/body.rs
+++ b/marigoldway/src/agent/requests/body.rs
@@ -12,7 +12,12 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 
+use marigoldway_core::request::Doubt;
+use marigoldway_core::request::Refusal;
+
 use crate::agent::requests::head::Head;
+use crate::agent::requests::reply::Reply;
+use crate::agent::requests::target;
 use crate::agent::requests::target::OutBody;
 
 /// The receiving half of a caller's stream.
@@ -27,6 +32,16 @@
     Broken,
 }
 
+impl From<Fault> for Reply {
+    fn from(fault: Fault) -> Reply {
+        match fault {
+            Fault::TooLong => Reply::Refused(Refusal::BodyLimit),
+            // Nobody is left to read this.
+            Fault::Broken => Reply::Unknown(Doubt::AnswerBroken),
+        }
+    }
+}
+
 /// Reads a whole body of up to `limit` octets.
 pub(crate) async fn collect(mut receive: ReceiveHalf, limit: usize) -> Result<Bytes, Fault> {
     let mut body = BytesMut::new();
@@ -48,7 +63,10 @@
 }
 
 /// The body of a request as it comes in.
-pub(crate) fn incoming(receive: ReceiveHalf) -> OutBody {
+pub(crate) fn incoming(head: &Head, receive: ReceiveHalf) -> OutBody {
+    if is_empty(head) {
+        return target::empty();
+    }
     StreamBody::new(frames(receive)).boxed_unsync()
 }
 
--- a/marigoldway/src/agent/requests/slots.rs
+++ b/marigoldway/src/agent/requests/slots.rs
@@ -22,6 +22,7 @@
 use marigoldway_core::admission::Load;
 use marigoldway_core::admission::RequestId;
 use marigoldway_core::admission::TargetState;
+use marigoldway_core::ids::Incarnation;
 use marigoldway_core::request::Class;
 use marigoldway_core::request::Refusal;
 use marigoldway_core::time::Timestamp;
@@ -52,13 +53,14 @@
 
 impl Slots {
     /// Starts with a cold target.
-    pub(crate) fn new(options: AdmissionOptions, clock: Clock, seed: u64) -> Arc<Slots> {
+    pub(crate) fn new(options: AdmissionOptions, clock: Clock, life: Incarnation) -> Arc<Slots> {
         let slots = Arc::new(Slots {
             state: Mutex::new(State {
                 admission: Admission::new(options, clock.now()),
-                rng: StdRng::seed_from_u64(seed),
+                rng: StdRng::seed_from_u64(u64::from(life.0)),
                 waiters: IndexMap::new(),
-                next: 0,
+                // The target may still run requests of an earlier life.
+                next: u64::from(life.0) << 32,
                 target: TargetState::Up,
             }),
             clock,
