--- a/marigoldway-standin/src/target/work.rs
+++ b/marigoldway-standin/src/target/work.rs
@@ -1,6 +1,7 @@
 //! Requests that hold a slot of the target.
 
 use std::io;
+use std::io::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -133,6 +134,8 @@
         Ok(id) if !id.trim().is_empty() => {
             let id = id.trim();
             let runs = state.count_run(id);
+            // What was printed outlives a target that is killed.
+            let _ = writeln!(io::stdout(), "run={id}");
             text(StatusCode::OK, format!("id={id} runs={runs}\n"))
         }
         _ => text(StatusCode::BAD_REQUEST, "expected an id as body\n"),
--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod feeds;
 mod node;
 mod settings;
+pub mod transfers;
 
 use std::fs;
 use std::io::Read;
@@ -304,6 +305,19 @@
         index
     }
 
+    /// Starts the agent of a target anew, at the same addresses.
+    pub fn restart_agent(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.agent.kill();
+        let text = target
+            .plan
+            .render(&self.contacts, self.platform_addr, &self.dir);
+        let name = format!("agent-{index}");
+        target.agent = Node::system(&self.dir, &name, "agent", &text);
+        let operator = target.plan.operator;
+        wait_for("a ready agent", || ready(operator));
+    }
+
     /// Starts as many new entries as `leaving` names, hands the fabric over to
     /// them, and lets the old ones leave.
     pub fn replace_entries(&mut self, plan: &Plan, leaving: &[usize]) {
