--- a/marigoldway-core/tests/once.rs
+++ b/marigoldway-core/tests/once/bench.rs
@@ -1,13 +1,8 @@
-//! Transfers under random orders of attempts, answers, losses, restarts, target
-//! failures and expiries: each runs at most once, "not run" means that it never
-//! ran, "done" that it ran once.
+//! Callers, agents and targets that exchange messages in any order.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::TestRunner;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -41,14 +36,14 @@
 use marigoldway_core::time::Timestamp;
 
 /// Transfers of a run.
-const TRANSFERS: usize = 4;
+pub(crate) const TRANSFERS: usize = 4;
 
 /// Agents of a run; each has a target of its own.
-const AGENTS: usize = 2;
+pub(crate) const AGENTS: usize = 2;
 
 /// Which mechanism is at work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Mode {
+pub(crate) enum Mode {
     Whole,
     /// "Not run" is forgotten instead of kept.
     ForgetRefusals,
@@ -59,7 +54,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Step {
+pub(crate) enum Step {
     Send(usize, usize),
     Deliver(usize),
     Lose(usize),
@@ -68,18 +63,6 @@
     Wait(u64),
 }
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let step = prop_oneof![
-        8 => (0..TRANSFERS, 0..AGENTS).prop_map(|(t, a)| Step::Send(t, a)),
-        20 => any::<usize>().prop_map(Step::Deliver),
-        3 => any::<usize>().prop_map(Step::Lose),
-        2 => any::<usize>().prop_map(Step::RefuseAtTarget),
-        1 => (0..AGENTS).prop_map(Step::Restart),
-        3 => (0..40u64).prop_map(Step::Wait),
-    ];
-    prop::collection::vec(step, 1..150)
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     transfer: usize,
@@ -131,7 +114,8 @@
     }
 }
 
-struct Bench {
+/// `Bench` is the state of one run.
+pub(crate) struct Bench {
     mode: Mode,
     now: Timestamp,
     rng: StdRng,
@@ -149,7 +133,7 @@
 }
 
 impl Bench {
-    fn new(mode: Mode) -> Bench {
+    pub(crate) fn new(mode: Mode) -> Bench {
         let now = Timestamp::ZERO;
         let agents = (0..AGENTS).map(|at| Agent::new(at, Incarnation(1), now));
         Bench {
@@ -167,7 +151,7 @@
         }
     }
 
-    fn run(&mut self, step: &Step) {
+    pub(crate) fn run(&mut self, step: &Step) {
         match *step {
             Step::Send(transfer, agent) => self.send(transfer, agent),
             Step::Deliver(at) => self.deliver(at),
@@ -370,7 +354,7 @@
     }
 
     /// What is wrong, if anything is.
-    fn fault(&self) -> Option<String> {
+    pub(crate) fn fault(&self) -> Option<String> {
         let ran = |key: &&IdempotencyKey| self.runs.get(*key).is_some_and(|runs| *runs > 0);
         if let Some(key) = self.not_run.iter().find(ran) {
             return Some(format!("\"not run\" ran: {key:?}"));
@@ -391,55 +375,3 @@
         Settled::Unknown(_) => Outcome::Unknown,
     }
 }
-
-fn run(mode: Mode, steps: &[Step]) -> Option<String> {
-    let mut bench = Bench::new(mode);
-    steps.iter().find_map(|step| {
-        bench.run(step);
-        bench.fault()
-    })
-}
-
-/// Runs 1,000 random orders and counts those that show a fault.
-fn faults(mode: Mode) -> usize {
-    let mut runner = TestRunner::deterministic();
-    let steps = steps();
-    (0..1_000)
-        .filter_map(|_| steps.new_tree(&mut runner).ok())
-        .filter(|tree| run(mode, &tree.current()).is_some())
-        .count()
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
-
-    #[test]
-    fn transfer_random_orders_runs_once(steps in steps()) {
-        prop_assert_eq!(run(Mode::Whole, &steps), None);
-    }
-}
-
-#[test]
-fn transfer_without_table_runs_twice() {
-    let off = faults(Mode::NoTable);
-    println!(
-        "faults of 1,000: without the table {off}, with it {}",
-        faults(Mode::Whole)
-    );
-    assert!(off > 0);
-    assert_eq!(faults(Mode::Whole), 0);
-}
-
-#[test]
-fn transfer_forgotten_refusals_run_later() {
-    let off = faults(Mode::ForgetRefusals);
-    println!("faults of 1,000: refusals forgotten {off}");
-    assert!(off > 0);
-}
-
-#[test]
-fn transfer_any_incarnation_runs_twice() {
-    let off = faults(Mode::AnyIncarnation);
-    println!("faults of 1,000: any incarnation {off}");
-    assert!(off > 0);
-}
