Bring the lists to every process, and let operators change them

Three entries a domain watch the platform; the others learn of revisions from peers and heartbeats. Entries lend shares, agents hold a gatekeeper.

--- a/marigoldway-core/examples/measure_shares.rs
+++ b/marigoldway-core/examples/measure_shares.rs
@@ -80,7 +80,6 @@
 }
 
 struct Lent {
-    catalog: Arc<Catalog>,
     agents: Vec<Enforcement>,
     lender: Lender,
     flying: VecDeque<(u64, Packet)>,
@@ -110,7 +109,6 @@
         });
         Lent {
             agents: agents.collect(),
-            catalog,
             lender,
             flying: VecDeque::new(),
             sent: 0,
@@ -153,7 +151,7 @@
     }
 
     fn admit(&mut self, now: u64, agent: usize, _rng: &mut StdRng) -> bool {
-        let customer = &self.catalog.plans().customers["a"];
+        let customer = "a";
         self.agents[agent]
             .admit(at(now), customer, Class::Short)
             .is_ok()
--- a/marigoldway-core/src/lists/document.rs
+++ b/marigoldway-core/src/lists/document.rs
@@ -30,7 +30,7 @@
 pub const MAX_NAME_LEN: usize = 64;
 
 /// Bits of the change id that a [`Revision`]'s number carries.
-const CHANGE_BITS: u32 = 8;
+pub const CHANGE_BITS: u32 = 8;
 
 /// Highest generation, which fills the other bits of a [`Revision`]'s number.
 const MAX_GENERATION: u64 = (1 << (u32::BITS - CHANGE_BITS)) - 1;
--- a/marigoldway-core/src/share/enforcement.rs
+++ b/marigoldway-core/src/share/enforcement.rs
@@ -8,7 +8,6 @@
 use crate::ids::ServiceId;
 use crate::lists::allowances::Allowance;
 use crate::lists::catalog::Catalog;
-use crate::lists::plans::Customer;
 use crate::request::Class;
 use crate::request::Refusal;
 use crate::share::Grant;
@@ -109,7 +108,7 @@
         }
     }
 
-    /// Admits a request.
+    /// Admits a request of the customer with this name.
     ///
     /// # Errors
     ///
@@ -117,7 +116,7 @@
     pub fn admit(
         &mut self,
         now: Timestamp,
-        customer: &Customer,
+        customer: &str,
         class: Class,
     ) -> Result<Permit, Denial> {
         let borrower = self.borrower(now, customer)?;
@@ -138,22 +137,22 @@
             return Err(Denial::passing(Refusal::RequestRate, wait));
         }
         Ok(Permit {
-            customer: customer.name.clone(),
+            customer: customer.to_owned(),
             used,
         })
     }
 
-    /// Admits a connection.
+    /// Admits a connection of the customer with this name.
     ///
     /// # Errors
     ///
     /// The allowance that is used up.
-    pub fn connect(&mut self, now: Timestamp, customer: &Customer) -> Result<Permit, Denial> {
+    pub fn connect(&mut self, now: Timestamp, customer: &str) -> Result<Permit, Denial> {
         if !self.borrower(now, customer)?.take_connection(now) {
             return Err(Denial::passing(Refusal::CustomerConnections, RETRY_AFTER));
         }
         Ok(Permit {
-            customer: customer.name.clone(),
+            customer: customer.to_owned(),
             used: Use::Connection,
         })
     }
@@ -197,20 +196,21 @@
         Some(borrower.usable(now))
     }
 
-    fn borrower(&mut self, now: Timestamp, customer: &Customer) -> Result<&mut Borrower, Denial> {
+    fn borrower(&mut self, now: Timestamp, customer: &str) -> Result<&mut Borrower, Denial> {
         let unknown = Denial::lasting(Refusal::UnknownCustomer);
         let catalog = self.catalog.as_ref().ok_or(unknown)?;
-        let allowance = catalog.allowance(&customer.plan).ok_or(unknown)?;
+        let listed = catalog.plans().customers.get(customer).ok_or(unknown)?;
+        let allowance = catalog.allowance(&listed.plan).ok_or(unknown)?;
         if !allowance.services.contains(&self.service) {
             return Err(Denial::lasting(Refusal::NotInPlan));
         }
 
-        if !self.borrowers.contains_key(&customer.name) {
+        if !self.borrowers.contains_key(customer) {
             let limit = limit(allowance, self.agents, self.options.floor);
             let borrower = Borrower::new(now, self.options, limit);
-            self.borrowers.insert(customer.name.clone(), borrower);
+            self.borrowers.insert(customer.to_owned(), borrower);
         }
-        self.borrowers.get_mut(&customer.name).ok_or(unknown)
+        self.borrowers.get_mut(customer).ok_or(unknown)
     }
 
     fn set_limits(&mut self, now: Timestamp) {
--- a/marigoldway-core/tests/enforcement.rs
+++ b/marigoldway-core/tests/enforcement.rs
@@ -42,7 +42,7 @@
 fn admit_says_which_allowance_and_when_to_come_back() {
     let now = Timestamp::from_millis(1_000);
     let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).unwrap());
-    let customer = &catalog.plans().customers["a"];
+    let customer = "a";
     let mut agent = Enforcement::new(ShareOptions::default(), ServiceId(1), 0);
     agent.set_catalog(now, catalog.clone());
 
@@ -72,7 +72,7 @@
 fn set_catalog_lowers_without_ending_what_is_open() {
     let now = Timestamp::from_millis(1_000);
     let catalog = Arc::new(Catalog::parse(PLANS, ALLOWANCES).unwrap());
-    let customer = &catalog.plans().customers["a"];
+    let customer = "a";
     let mut agent = Enforcement::new(ShareOptions::default(), ServiceId(1), 0);
     agent.set_catalog(now, catalog.clone());
     let permits: Vec<Permit> = (0..5)
--- a/marigoldway-core/tests/shares.rs
+++ b/marigoldway-core/tests/shares.rs
@@ -52,7 +52,6 @@
 struct World {
     now: Timestamp,
     rng: StdRng,
-    catalog: Arc<Catalog>,
     lenders: Vec<Lender>,
     agents: Vec<Enforcement>,
     /// Time until which a process does nothing, entries first.
@@ -101,7 +100,6 @@
             connections: (0..AGENTS).map(|_| Vec::new()).collect(),
             loss: 0.1,
             worst: Amounts::default(),
-            catalog,
         }
     }
 
@@ -142,8 +140,7 @@
     }
 
     fn demand(&mut self) {
-        let catalog = self.catalog.clone();
-        let customer = &catalog.plans().customers["a"];
+        let customer = "a";
         for n in 0..AGENTS {
             if self.now < self.paused[ENTRIES + n] {
                 continue;
--- a/marigoldway-net/src/wire/lists.rs
+++ b/marigoldway-net/src/wire/lists.rs
@@ -1,11 +1,53 @@
-//! Messages by which accepted revisions of the lists spread.
+//! Messages by which revisions of the lists spread.
 
 use serde::Deserialize;
 use serde::Serialize;
 
-/// `ListsWire` is a message about the lists.
+use marigoldway_core::lists::ListKind;
+use marigoldway_core::lists::revisions::Revisions;
+use marigoldway_core::lists::spread::Message;
+
+/// `ListsWire` is a [`Message`] on the wire.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ListsWire {
-    /// The sender holds this revision.
-    Revision(u64),
+    /// Revisions in force, as of [`Revisions::to_u64`].
+    #[serde(rename = "h")]
+    Have(u64),
+    /// Revisions held, as of [`Revisions::to_u64`].
+    #[serde(rename = "a")]
+    Ask(u64),
+    /// The text of the plans.
+    #[serde(rename = "p")]
+    Plans(String),
+    /// The text of the allowances.
+    #[serde(rename = "l")]
+    Allowances(String),
+}
+
+impl From<&Message> for ListsWire {
+    fn from(message: &Message) -> ListsWire {
+        match message {
+            Message::Have(revisions) => ListsWire::Have(revisions.to_u64()),
+            Message::Ask(revisions) => ListsWire::Ask(revisions.to_u64()),
+            Message::List { kind, text } => match kind {
+                ListKind::Plans => ListsWire::Plans(text.to_string()),
+                ListKind::Allowances => ListsWire::Allowances(text.to_string()),
+            },
+        }
+    }
+}
+
+impl From<ListsWire> for Message {
+    fn from(wire: ListsWire) -> Message {
+        let list = |kind, text: String| Message::List {
+            kind,
+            text: text.into(),
+        };
+        match wire {
+            ListsWire::Have(bits) => Message::Have(Revisions::from_u64(bits)),
+            ListsWire::Ask(bits) => Message::Ask(Revisions::from_u64(bits)),
+            ListsWire::Plans(text) => list(ListKind::Plans, text),
+            ListsWire::Allowances(text) => list(ListKind::Allowances, text),
+        }
+    }
 }
--- a/marigoldway-net/src/wire/shares.rs
+++ b/marigoldway-net/src/wire/shares.rs
@@ -1,11 +1,110 @@
 //! Messages by which shares of the allowances are lent.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use marigoldway_core::lists::document::MAX_NAME_LEN;
+use marigoldway_core::share::Grant;
+use marigoldway_core::share::Report;
+use marigoldway_core::share::amounts::Amounts;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Longest term of a share in milliseconds.
+const MAX_TERM: u64 = 60_000;
+
 /// `SharesWire` is a message about shares.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SharesWire {
-    /// The sender asks for shares with the term of this number.
-    Ask(u64),
+    /// A report.
+    #[serde(rename = "r")]
+    Report(Box<ReportWire>),
+    /// Customer, number, share, term in milliseconds.
+    #[serde(rename = "g")]
+    Grant(String, u64, AmountsWire, u64),
+}
+
+/// `ReportWire` is customer, number, want, open, share, applied.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportWire(String, u64, AmountsWire, AmountsWire, AmountsWire, u64);
+
+/// `AmountsWire` is rate, connections and bulk work.
+type AmountsWire = (u64, u64, u64);
+
+/// `SharesMessage` is a checked message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SharesMessage {
+    /// From an agent to a holder.
+    Report(Report),
+    /// From a holder to an agent.
+    Grant(Grant),
+}
+
+impl From<&Report> for SharesWire {
+    fn from(report: &Report) -> SharesWire {
+        SharesWire::Report(Box::new(ReportWire(
+            report.customer.clone(),
+            report.number,
+            to_wire(report.want),
+            to_wire(report.open),
+            to_wire(report.share),
+            report.applied,
+        )))
+    }
+}
+
+impl From<&Grant> for SharesWire {
+    fn from(grant: &Grant) -> SharesWire {
+        let term = u64::try_from(grant.term.as_millis()).unwrap_or(u64::MAX);
+        let share = to_wire(grant.share);
+        SharesWire::Grant(grant.customer.clone(), grant.number, share, term)
+    }
+}
+
+impl TryFrom<SharesWire> for SharesMessage {
+    type Error = Error;
+
+    fn try_from(wire: SharesWire) -> Result<SharesMessage> {
+        Ok(match wire {
+            SharesWire::Report(report) => {
+                let ReportWire(customer, number, want, open, share, applied) = *report;
+                SharesMessage::Report(Report {
+                    customer: checked(customer)?,
+                    number,
+                    want: from_wire(want),
+                    open: from_wire(open),
+                    share: from_wire(share),
+                    applied,
+                })
+            }
+            SharesWire::Grant(customer, number, share, term) => SharesMessage::Grant(Grant {
+                customer: checked(customer)?,
+                number,
+                share: from_wire(share),
+                term: Duration::from_millis(term.min(MAX_TERM)),
+            }),
+        })
+    }
+}
+
+fn checked(customer: String) -> Result<String> {
+    if customer.len() > MAX_NAME_LEN {
+        return Err(Error::malformed("name of a customer is too long"));
+    }
+    Ok(customer)
+}
+
+fn to_wire(amounts: Amounts) -> AmountsWire {
+    (amounts.rate, amounts.connections, amounts.bulk)
+}
+
+fn from_wire((rate, connections, bulk): AmountsWire) -> Amounts {
+    Amounts {
+        rate,
+        connections,
+        bulk,
+    }
 }
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -30,6 +30,7 @@
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::lists;
 use crate::membership;
 use crate::membership::Seat;
 use crate::membership::keep_directory;
@@ -37,6 +38,7 @@
 use crate::process::Process;
 use crate::report;
 use crate::settings::AgentSettings;
+use crate::shares::Gatekeeper;
 use crate::shutdown::Shutdown;
 
 /// Time that the last packets to callers may take at the end.
@@ -48,7 +50,7 @@
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
     let seat = Seat::Agent(settings.target.service);
-    let (membership, _queues) = membership::start(
+    let (membership, queues) = membership::start(
         &settings.process,
         &settings.network,
         &settings.keys,
@@ -57,6 +59,15 @@
         clock,
     )
     .await?;
+    let catalogs = lists::start(&membership, queues.lists, &process, clock, None);
+    let _gatekeeper = Gatekeeper::start(
+        membership.clone(),
+        queues.shares,
+        catalogs,
+        clock,
+        settings.target.service,
+        process.incarnation,
+    );
     let agent = Agent::start(&settings, &process, clock, membership.views())?;
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -23,7 +23,11 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::lists;
+use crate::lists::Watching;
 use crate::membership;
+use crate::membership::Membership;
+use crate::membership::Queues;
 use crate::membership::Seat;
 use crate::membership::keep_directory;
 use crate::platform;
@@ -31,6 +35,7 @@
 use crate::report;
 use crate::scope::AgentNetworks;
 use crate::settings::EntrySettings;
+use crate::shares;
 use crate::shutdown::Shutdown;
 
 /// Time for which a leaving entry still forwards: agents learn within it that
@@ -42,7 +47,7 @@
 /// Fails where an address can't be bound.
 pub async fn run(settings: EntrySettings, process: Process) -> Result<()> {
     let clock = Clock::start();
-    let (membership, _queues) = membership::start(
+    let (membership, queues) = membership::start(
         &settings.process,
         &settings.network,
         &settings.keys,
@@ -54,6 +59,7 @@
     let counters = start(&settings, membership.views())?;
     process.metrics.mirror(counters);
     report::roster(&process.status, membership.views());
+    start_lists(&settings, &process, &membership, queues, clock);
     tokio::spawn(keep_directory(
         membership.clone(),
         platform::connect(&settings.platform),
@@ -121,6 +127,30 @@
     }
 }
 
+/// Starts to keep the lists, and to lend shares of the allowances.
+fn start_lists(
+    settings: &EntrySettings,
+    process: &Process,
+    membership: &Membership,
+    queues: Queues,
+    clock: Clock,
+) {
+    let watching = Watching {
+        platform: &settings.platform,
+        own: settings.network.data,
+        domain: settings.process.domain,
+    };
+    let catalogs = lists::start(membership, queues.lists, process, clock, Some(watching));
+    tokio::spawn(shares::lend(
+        membership.clone(),
+        queues.shares,
+        catalogs,
+        process.status.clone(),
+        clock,
+        settings.network.data,
+    ));
+}
+
 fn keys(settings: &EntrySettings) -> EntryKeys {
     let envelope = half(&settings.keys.envelope.0, 0);
     let hash = half(&settings.keys.envelope.0, 1);
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod report;
 pub mod scope;
 pub mod settings;
+pub mod shares;
 pub mod shutdown;
 pub mod status;
--- /dev/null
+++ b/marigoldway/src/shares/gatekeeper.rs
@@ -0,0 +1,231 @@
+//! What an agent admits of each customer.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+
+use marigoldway_core::ids::Incarnation;
+use marigoldway_core::ids::ServiceId;
+use marigoldway_core::request::Class;
+use marigoldway_core::request::Refusal;
+use marigoldway_core::roster::RosterView;
+use marigoldway_core::roster::State;
+use marigoldway_core::share::Report;
+use marigoldway_core::share::ShareOptions;
+use marigoldway_core::share::enforcement::Denial;
+use marigoldway_core::share::enforcement::Enforcement;
+use marigoldway_core::share::enforcement::Permit;
+use marigoldway_core::share::lender;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::clock::Clock;
+use marigoldway_net::control::Received;
+use marigoldway_net::wire::Frame;
+use marigoldway_net::wire::shares::SharesMessage;
+use marigoldway_net::wire::shares::SharesWire;
+
+use crate::lists::Catalogs;
+use crate::membership::Membership;
+use crate::shares::TICK;
+
+/// Longest wait for a larger share before something is refused. A customer
+/// that was not seen here lately has next to no share, and gets one within a
+/// few round trips.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+/// Bits of a report's number that count within one life of the process.
+const NUMBER_BITS: u32 = 32;
+
+/// `Gatekeeper` keeps customers within their allowances. Clones share it.
+#[derive(Clone)]
+pub struct Gatekeeper {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    enforcement: Mutex<Enforcement>,
+    clock: Clock,
+    granted: Notify,
+}
+
+/// `Admitted` is something admitted, given back when it is dropped.
+pub struct Admitted {
+    shared: Arc<Shared>,
+    permit: Option<Permit>,
+}
+
+impl Gatekeeper {
+    /// Makes the gatekeeper of an agent and starts its task.
+    pub fn start(
+        membership: Membership,
+        messages: Received<SharesWire>,
+        catalogs: Catalogs,
+        clock: Clock,
+        service: ServiceId,
+        incarnation: Incarnation,
+    ) -> Gatekeeper {
+        let number = u64::from(incarnation.0) << NUMBER_BITS;
+        let enforcement = Enforcement::new(ShareOptions::default(), service, number);
+        let shared = Arc::new(Shared {
+            enforcement: Mutex::new(enforcement),
+            clock,
+            granted: Notify::new(),
+        });
+        let task = Task {
+            shared: shared.clone(),
+            membership,
+            catalogs,
+            service,
+        };
+        tokio::spawn(task.run(messages));
+        Gatekeeper { shared }
+    }
+
+    /// Admits a request, after a short wait if the customer has no share yet.
+    ///
+    /// # Errors
+    ///
+    /// The allowance that is used up.
+    pub async fn admit(&self, customer: &str, class: Class) -> Result<Admitted, Denial> {
+        self.try_until(|enforcement, now| enforcement.admit(now, customer, class))
+            .await
+    }
+
+    /// Admits a connection, after a short wait if the customer has no share
+    /// yet.
+    ///
+    /// # Errors
+    ///
+    /// The allowance that is used up.
+    pub async fn connect(&self, customer: &str) -> Result<Admitted, Denial> {
+        self.try_until(|enforcement, now| enforcement.connect(now, customer))
+            .await
+    }
+
+    async fn try_until(
+        &self,
+        mut attempt: impl FnMut(&mut Enforcement, Timestamp) -> Result<Permit, Denial>,
+    ) -> Result<Admitted, Denial> {
+        let end = time::Instant::now() + PATIENCE;
+        loop {
+            let granted = self.shared.granted.notified();
+            let now = self.shared.clock.now();
+            let denial = match attempt(&mut self.shared.lock(), now) {
+                Ok(permit) => {
+                    return Ok(Admitted {
+                        shared: self.shared.clone(),
+                        permit: Some(permit),
+                    });
+                }
+                Err(denial) => denial,
+            };
+            if !may_change(&denial) || time::timeout_at(end, granted).await.is_err() {
+                return Err(denial);
+            }
+        }
+    }
+}
+
+/// Tells whether a larger share would help. A rate that is used up refuses at
+/// once: its tokens come with time, and waiting here would only hold slots.
+fn may_change(denial: &Denial) -> bool {
+    matches!(
+        denial.refusal,
+        Refusal::CustomerConnections | Refusal::BulkLimit
+    )
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Enforcement> {
+        // The state is whole after every step, so a panic elsewhere can't
+        // break it.
+        self.enforcement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            self.shared.lock().release(permit);
+        }
+    }
+}
+
+/// The task that reports to holders and takes their grants.
+struct Task {
+    shared: Arc<Shared>,
+    membership: Membership,
+    catalogs: Catalogs,
+    service: ServiceId,
+}
+
+impl Task {
+    async fn run(mut self, mut messages: Received<SharesWire>) {
+        let mut views = self.membership.views();
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {
+                    let view = views.borrow_and_update().clone();
+                    self.take_changes(&view);
+                    self.report(&view);
+                }
+                message = messages.recv() => {
+                    let Some((from, wire)) = message else {
+                        return;
+                    };
+                    match SharesMessage::try_from(wire) {
+                        Ok(SharesMessage::Grant(grant)) => {
+                            let now = self.shared.clock.now();
+                            self.shared.lock().grant(now, &grant);
+                            self.shared.granted.notify_waiters();
+                        }
+                        // Only entries lend.
+                        Ok(SharesMessage::Report(_)) => (),
+                        Err(error) => {
+                            log::warn!("event=share-malformed peer={from} reason=\"{error}\"");
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_changes(&mut self, view: &RosterView) {
+        let now = self.shared.clock.now();
+        let agents = view
+            .records()
+            .filter(|record| record.service == Some(self.service) && record.state < State::Down);
+        self.shared.lock().set_agents(now, agents.count());
+
+        if self.catalogs.has_changed().unwrap_or(false)
+            && let Some(catalog) = self.catalogs.borrow_and_update().clone()
+        {
+            self.shared.lock().set_catalog(now, catalog);
+        }
+    }
+
+    fn report(&self, view: &RosterView) {
+        let reports = self.shared.lock().tick(self.shared.clock.now());
+        for report in reports {
+            self.send(view, &report);
+        }
+    }
+
+    fn send(&self, view: &RosterView, report: &Report) {
+        let holder = lender::holder_of(&report.customer, view.entries());
+        let Some(record) = holder.and_then(|id| view.record(id)) else {
+            return;
+        };
+        let frame = Frame::Shares(SharesWire::from(report));
+        self.membership.control().send(record.control, frame);
+    }
+}
--- a/marigoldway/src/status.rs
+++ b/marigoldway/src/status.rs
@@ -12,6 +12,7 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 
@@ -30,6 +31,14 @@
     Ok(())
 }
 
+/// The `/status` page of the process with the operator address `addr`.
+pub async fn fetch(addr: SocketAddrV4) -> Result<Value> {
+    let failed = || Error::Ask(addr.to_string());
+    let answer = tokio::time::timeout(TIMEOUT, ask(addr)).await;
+    let body = answer.change_context_lazy(failed)??;
+    serde_json::from_slice(&body).change_context_lazy(failed)
+}
+
 async fn ask(addr: SocketAddrV4) -> Result<Bytes> {
     let failed = || Error::Ask(addr.to_string());
     let stream = TcpStream::connect(addr).await.change_context_lazy(failed)?;
--- /dev/null
+++ b/marigoldway/tests/lists.rs
@@ -0,0 +1,226 @@
+//! The lists through real processes: in force everywhere, never reverting.
+
+mod common;
+
+use std::fs;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::common::Deployment;
+use crate::common::Plan;
+use crate::common::http;
+use crate::common::status;
+use crate::common::wait_for;
+
+/// Time in which an accepted change is to be in force everywhere.
+const GOAL: Duration = Duration::from_secs(5);
+
+fn example() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../deploy/sungur-dana/lists")
+}
+
+fn start() -> Deployment {
+    Deployment::start(&Plan {
+        lists: Some(example()),
+        ..Plan::small()
+    })
+}
+
+/// Runs `marigoldway lists` against the deployment's platform.
+fn lists(platform: SocketAddrV4, args: &[&str]) -> Output {
+    let address = platform.to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marigoldway"));
+    command.args(["lists", args[0], "--platform", &address]);
+    command.args(&args[1..]).output().unwrap()
+}
+
+fn get(deployment: &Deployment, list: &str) -> String {
+    let output = lists(deployment.platform_addr, &["get", list]);
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Puts `text` and gives the outcome and the exit code.
+fn put(deployment: &Deployment, list: &str, text: &str, name: &str) -> (String, i32) {
+    let file = deployment.dir.join(format!("{name}.txt"));
+    fs::write(&file, text).unwrap();
+    let path = file.to_string_lossy();
+    let args = ["put", "--author", name, list, &path];
+    let output = lists(deployment.platform_addr, &args);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    (text, output.status.code().unwrap())
+}
+
+fn with_customer(text: &str, name: &str) -> String {
+    format!("{text}customer {name} plan=shop\n")
+}
+
+fn operators(deployment: &Deployment) -> Vec<SocketAddrV4> {
+    let entries = deployment.entries.iter().map(|it| it.plan.operator);
+    let agents = deployment.targets.iter().map(|it| it.plan.operator);
+    entries.chain(agents).collect()
+}
+
+/// Generation that a process has in force.
+fn generation(operator: SocketAddrV4, list: &str) -> u64 {
+    let revision = status(operator).and_then(|it| {
+        let revision = it["facts"][list].as_str()?.to_owned();
+        revision.split('-').next()?.parse().ok()
+    });
+    revision.unwrap_or(0)
+}
+
+fn wait_in_force(deployment: &Deployment, list: &str, wanted: u64) {
+    for operator in operators(deployment) {
+        wait_for("a revision in force", || {
+            generation(operator, list) >= wanted
+        });
+    }
+}
+
+fn fault(deployment: &Deployment, query: &str) {
+    let path = format!("/fault?{query}");
+    let (code, body) = http(deployment.platform_addr, "POST", &path, "");
+    assert_eq!(code, 200, "{body}");
+}
+
+#[test]
+fn put_is_in_force_everywhere() {
+    let deployment = start();
+    wait_in_force(&deployment, "plans", 1);
+
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    let before = Instant::now();
+    let (outcome, code) = put(&deployment, "plans", &text, "one");
+    assert_eq!(code, 0, "{outcome}");
+    assert!(outcome.contains("outcome=applied"), "{outcome}");
+    wait_in_force(&deployment, "plans", 2);
+    println!(
+        "in force after {} ms, goal {} ms",
+        before.elapsed().as_millis(),
+        GOAL.as_millis()
+    );
+
+    let mut args = vec!["wait".to_owned()];
+    for entry in &deployment.entries {
+        args.extend(["--operator".to_owned(), entry.plan.operator.to_string()]);
+    }
+    args.extend(["plans".to_owned(), "2".to_owned()]);
+    let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
+        .arg("lists")
+        .args(&args)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{text}");
+    let all = operators(&deployment).len();
+    assert!(text.contains(&format!("instances={all}")), "{text}");
+}
+
+#[test]
+fn put_refuses_a_list_with_its_line() {
+    let deployment = start();
+    let text = with_customer(&get(&deployment, "plans"), "hill-cooperative");
+    let (outcome, code) = put(&deployment, "plans", &text, "twice");
+    assert_eq!((outcome.as_str(), code), ("", 3));
+    let text = get(&deployment, "plans").replace("plan=shop", "plan=stall");
+    assert_eq!(put(&deployment, "plans", &text, "unknown").1, 3);
+    assert_eq!(
+        get(&deployment, "plans").lines().nth(1),
+        Some("generation 1")
+    );
+}
+
+#[test]
+fn put_keeps_every_accepted_edit_of_two_operators() {
+    let deployment = start();
+    let accepted = |name: &'static str| {
+        let mut accepted = Vec::new();
+        for edit in 0..25 {
+            let customer = format!("{name}-{edit}");
+            loop {
+                let text = with_customer(&get(&deployment, "plans"), &customer);
+                let (outcome, code) = put(&deployment, "plans", &text, name);
+                match code {
+                    0 => break,
+                    4 => assert!(outcome.contains("outcome=not-applied"), "{outcome}"),
+                    _ => panic!("exit code {code}: {outcome}"),
+                }
+            }
+            accepted.push(customer);
+        }
+        accepted
+    };
+    let mut all = Vec::new();
+    std::thread::scope(|scope| {
+        let other = scope.spawn(|| accepted("one"));
+        all.extend(accepted("two"));
+        all.extend(other.join().unwrap());
+    });
+
+    let text = get(&deployment, "plans");
+    let output = lists(
+        deployment.platform_addr,
+        &["history", "--count", "100", "plans"],
+    );
+    let history = String::from_utf8(output.stdout).unwrap();
+    for customer in &all {
+        let line = format!("customer {customer} plan=shop");
+        let listed = text.lines().filter(|it| **it == line).count();
+        assert_eq!(listed, 1, "{customer} in the list");
+        let added = format!("+{line}");
+        let recorded = history.lines().filter(|it| **it == added).count();
+        assert_eq!(recorded, 1, "{customer} in the history");
+    }
+    assert_eq!(text.lines().nth(1), Some("generation 51"));
+    wait_in_force(&deployment, "plans", 51);
+}
+
+#[test]
+fn put_resolves_a_lost_answer() {
+    let deployment = start();
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    fault(&deployment, "kind=lose-answer&count=1");
+    let (outcome, code) = put(&deployment, "plans", &text, "one");
+    assert_eq!(code, 0, "{outcome}");
+    assert!(outcome.contains("outcome=applied"), "{outcome}");
+    wait_in_force(&deployment, "plans", 2);
+    assert_eq!(get(&deployment, "plans").matches("newcomer").count(), 1);
+}
+
+#[test]
+fn lists_reach_newcomers_while_the_platform_is_down() {
+    let mut deployment = start();
+    wait_in_force(&deployment, "plans", 1);
+    fault(&deployment, "kind=down&ms=600000");
+
+    let plan = deployment.entry_plan(&Plan::small(), 0);
+    deployment.add_entry(plan);
+    deployment.add_target(&Plan::small().services[0], 1);
+    wait_in_force(&deployment, "plans", 1);
+    wait_in_force(&deployment, "allowances", 1);
+}
+
+#[test]
+fn restored_platform_lowers_no_revision() {
+    let deployment = start();
+    wait_in_force(&deployment, "plans", 1);
+    let (_, older) = http(deployment.platform_addr, "GET", "/revision", "");
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    assert_eq!(put(&deployment, "plans", &text, "one").1, 0);
+    wait_in_force(&deployment, "plans", 2);
+
+    let path = format!("/restore?revision={}", older.trim());
+    assert_eq!(http(deployment.platform_addr, "POST", &path, "").0, 200);
+    // The watchers see the older state and write the newer one over it.
+    wait_for("a repaired platform", || {
+        get(&deployment, "plans").contains("newcomer")
+    });
+    for operator in operators(&deployment) {
+        assert_eq!(generation(operator, "plans"), 2);
+    }
+}
--- a/marigoldway/tests/membership.rs
+++ b/marigoldway/tests/membership.rs
@@ -145,7 +145,7 @@
     let second = network(&[first.control]);
     let (_two, mut queues) = start(&second, Seat::Entry, 1).await;
     one.control()
-        .send(second.control, Frame::Lists(ListsWire::Revision(7)));
+        .send(second.control, Frame::Lists(ListsWire::Have(7)));
     let received = time::timeout(LIMIT, queues.lists.recv()).await.unwrap();
-    assert_eq!(received, Some((first.control, ListsWire::Revision(7))));
+    assert_eq!(received, Some((first.control, ListsWire::Have(7))));
 }
