--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -3,7 +3,7 @@
 mod flows;
 mod health;
 mod load;
-mod proxy;
+mod requests;
 mod tls;
 
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
@@ -25,7 +26,7 @@
 use marigoldway_net::quic::AgentSocket;
 
 use crate::agent::flows::Flows;
-use crate::agent::proxy::Proxy;
+use crate::agent::requests::Requests;
 use crate::entry::bind;
 use crate::entry::half;
 use crate::errors::Error;
@@ -63,12 +64,12 @@
     let _gatekeeper = Gatekeeper::start(
         membership.clone(),
         queues.shares,
-        catalogs,
+        catalogs.clone(),
         clock,
         settings.target.service,
         process.incarnation,
     );
-    let agent = Agent::start(&settings, &process, clock, membership.views())?;
+    let agent = Agent::start(&settings, &process, clock, membership.views(), catalogs)?;
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
         membership.clone(),
@@ -81,6 +82,7 @@
         membership.clone(),
         agent.gate.clone(),
         agent.flows.clone(),
+        process.status.clone(),
     ));
     health::first(&settings.target).await;
     tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
@@ -103,6 +105,7 @@
     endpoint: Endpoint,
     gate: Arc<Gate>,
     flows: Arc<Flows>,
+    requests: Arc<Requests>,
 }
 
 impl Agent {
@@ -114,6 +117,7 @@
         process: &Process,
         clock: Clock,
         views: watch::Receiver<Arc<RosterView>>,
+        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
     ) -> Result<Agent> {
         let own = Route {
             agent: settings.network.data,
@@ -135,21 +139,28 @@
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
-        let proxy = Proxy::new(&settings.target, settings.network.data);
-        let flows = Arc::new(Flows::new(proxy, process.shutdown.clone()));
+        let requests = Requests::new(settings, &own, clock, catalogs, process.metrics.clone());
+        let flows = Arc::new(Flows::new(requests.clone(), process.shutdown.clone()));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
             endpoint,
             gate,
             flows,
+            requests,
         })
     }
 
-    /// Waits until the flows have ended or `limit` has passed, and closes what is left. Gives back how many flows
-    /// were cut.
+    /// Waits until the flows have ended or `limit` has passed, and closes what
+    /// is left. Gives back how many flows were cut.
     async fn drain(&self, shutdown: &Shutdown, limit: Duration) -> usize {
+        self.requests.leave();
+        let ended = async {
+            self.flows.ended().await;
+            // Requests with a key, and those of peers, run without a flow.
+            self.requests.idle().await;
+        };
         tokio::select! {
-            () = self.flows.ended() => (),
+            () = ended => (),
             _ = timeout(limit, shutdown.ending()) => (),
         }
         let cut = self.flows.open();
