--- a/marigoldway/tests/lists.rs
+++ b/marigoldway/tests/lists.rs
@@ -205,6 +205,67 @@
     wait_in_force(&deployment, "allowances", 1);
 }
 
+/// Puts a change while a fault lasts, and waits for it to be in force.
+fn change_under_fault(query: &str) {
+    let deployment = start();
+    wait_in_force(&deployment, "plans", 1);
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    fault(&deployment, query);
+    let (outcome, code) = put(&deployment, "plans", &text, "one");
+    assert_eq!(code, 0, "{outcome}");
+    let accepted = Instant::now();
+    wait_in_force(&deployment, "plans", 2);
+    let took = accepted.elapsed().as_millis();
+    println!(
+        "{query}: in force {took} ms after the answer, goal {} ms",
+        GOAL.as_millis()
+    );
+}
+
+#[test]
+fn put_is_in_force_while_the_platform_is_slow() {
+    change_under_fault("kind=slow&ms=2000");
+}
+
+#[test]
+fn put_is_in_force_while_watches_are_cut() {
+    change_under_fault("kind=cut-watches&ms=2000");
+}
+
+#[test]
+fn frozen_processes_catch_up() {
+    let deployment = start();
+    wait_in_force(&deployment, "plans", 1);
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    deployment.entries[0].node.freeze();
+    deployment.targets[0].agent.freeze();
+    let (outcome, code) = put(&deployment, "plans", &text, "one");
+    deployment.entries[0].node.thaw();
+    deployment.targets[0].agent.thaw();
+    assert_eq!(code, 0, "{outcome}");
+    wait_in_force(&deployment, "plans", 2);
+}
+
+#[test]
+fn lists_outlive_a_replaced_fleet_while_the_platform_is_down() {
+    let mut deployment = start();
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    assert_eq!(put(&deployment, "plans", &text, "one").1, 0);
+    wait_in_force(&deployment, "plans", 2);
+    fault(&deployment, "kind=down&ms=600000");
+
+    // One after the other, each learns from those that were replaced before.
+    for index in 0..deployment.entries.len() {
+        let mut old = deployment.entries.remove(0);
+        old.node.kill();
+        deployment.add_entry(old.plan);
+        deployment.targets.remove(0).agent.kill();
+        deployment.add_target(&Plan::small().services[0], index as u8);
+        wait_in_force(&deployment, "plans", 2);
+        wait_in_force(&deployment, "allowances", 1);
+    }
+}
+
 #[test]
 fn restored_platform_lowers_no_revision() {
     let deployment = start();
