--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -32,6 +32,7 @@
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::lists;
 use crate::membership;
 use crate::membership::Membership;
 use crate::membership::Seat;
@@ -40,6 +41,7 @@
 use crate::process::Process;
 use crate::report;
 use crate::settings::AgentSettings;
+use crate::shares::Gatekeeper;
 use crate::shutdown::Shutdown;
 
 /// Time that the last packets to callers may take at the end.
@@ -60,7 +62,15 @@
         clock,
     )
     .await?;
-    let (_catalogs, catalogs) = watch::channel(None);
+    let catalogs = lists::start(&membership, queues.lists, &process, clock, None);
+    let _gatekeeper = Gatekeeper::start(
+        membership.clone(),
+        queues.shares,
+        catalogs.clone(),
+        clock,
+        settings.target.service,
+        process.incarnation,
+    );
     let agent = Agent::start(&settings, &process, clock, &membership, catalogs)?;
     tokio::spawn(agent.requests.clone().listen(queues.relay));
     report::roster(&process.status, membership.views());
