--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -60,6 +60,7 @@
     .await?;
     let (_catalogs, catalogs) = watch::channel(None);
     let agent = Agent::start(&settings, &process, clock, membership.views(), catalogs)?;
+    process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
         membership.clone(),
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -53,6 +53,7 @@
     .await?;
     let counters = start(&settings, membership.views())?;
     process.metrics.mirror(counters);
+    process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
         membership.clone(),
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -19,6 +19,8 @@
 use marigoldway_core::forward::DropReason;
 use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
+use marigoldway_net::control::Control;
+use marigoldway_net::control::ControlCounts;
 use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::counters::Passage;
 
@@ -33,7 +35,7 @@
 /// `Retry` says why a process tried something again or elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Retry {
-    /// The first candidate passed a new flow to the second.
+    /// The first candidate passed a datagram of a new flow to the second.
     FlowPassed,
     /// A request went to a peer because the own target is saturated.
     RelaySaturated,
@@ -45,7 +47,8 @@
     AnswerBroken,
     /// A connection to the target was opened anew before an octet was sent.
     TargetConnect,
-    /// A control connection to a peer was opened anew.
+    /// A control connection to a peer could not be opened, and is tried again
+    /// with the next message.
     ControlConnect,
     /// A call to the platform was made again.
     PlatformCall,
@@ -92,6 +95,8 @@
     Drop(DropReason),
     /// Datagrams that went on.
     Passage(Passage),
+    /// What the control channel carried or dropped.
+    Control(&'static str),
     /// Any other event.
     Event(&'static str),
 }
@@ -105,16 +110,57 @@
             Counter::Retry(reason) => format!("retry.{}", reason.as_str()),
             Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
             Counter::Passage(passage) => format!("packet.{}", passage.as_str()),
+            Counter::Control(name) => format!("control.{name}"),
             Counter::Event(name) => format!("event.{name}"),
         }
     }
 }
 
+/// A part of the process that counts for itself.
+enum Source {
+    Packets(Arc<PacketCounters>),
+    Control(Control),
+}
+
+impl Source {
+    fn counts(&self) -> Vec<(Counter, u64)> {
+        match self {
+            Source::Packets(packets) => count_packets(packets),
+            Source::Control(control) => count_control(&control.counts()),
+        }
+    }
+}
+
+fn count_packets(packets: &PacketCounters) -> Vec<(Counter, u64)> {
+    let passages = packets
+        .passages()
+        .map(|(it, count)| (Counter::Passage(it), count));
+    let drops = packets
+        .drops()
+        .map(|(it, count)| (Counter::Drop(it), count));
+    let passed = packets.passages().filter(|(it, _)| *it == Passage::Passed);
+    let retries = passed.map(|(_, count)| (Counter::Retry(Retry::FlowPassed), count));
+    passages.chain(drops).chain(retries).collect()
+}
+
+fn count_control(counts: &ControlCounts) -> Vec<(Counter, u64)> {
+    vec![
+        (Counter::Control("octets-in"), counts.octets_in),
+        (Counter::Control("octets-out"), counts.octets_out),
+        (Counter::Control("frames-in"), counts.frames_in),
+        (Counter::Control("frames-out"), counts.frames_out),
+        (Counter::Control("dropped"), counts.dropped),
+        (Counter::Control("stale"), counts.stale),
+        (Counter::Control("rejected"), counts.rejected),
+        (Counter::Retry(Retry::ControlConnect), counts.unreachable),
+    ]
+}
+
 /// `Metrics` holds the counters of a process.
 pub struct Metrics {
     client: StatsdClient,
     counters: RwLock<IndexMap<Counter, Arc<AtomicU64>>>,
-    packets: RwLock<Vec<Arc<PacketCounters>>>,
+    sources: RwLock<Vec<Source>>,
 }
 
 impl Metrics {
@@ -141,7 +187,7 @@
         Ok(Metrics {
             client,
             counters: RwLock::new(known.map(|counter| (counter, Arc::default())).collect()),
-            packets: RwLock::default(),
+            sources: RwLock::default(),
         })
     }
 
@@ -173,22 +219,24 @@
 
     /// Reports the counters of the packet path with the others.
     pub fn mirror(&self, packets: Arc<PacketCounters>) {
-        let mut mirrored = self.packets.write().unwrap_or_else(PoisonError::into_inner);
-        mirrored.push(packets);
+        self.add_source(Source::Packets(packets));
+    }
+
+    /// Reports the counters of the control channel with the others.
+    pub fn mirror_control(&self, control: Control) {
+        self.add_source(Source::Control(control));
     }
 
-    /// Takes over what the packet path counted.
+    fn add_source(&self, source: Source) {
+        let mut sources = self.sources.write().unwrap_or_else(PoisonError::into_inner);
+        sources.push(source);
+    }
+
+    /// Takes over what other parts counted.
     fn refresh(&self) {
-        let mirrored = self.packets.read().unwrap_or_else(PoisonError::into_inner);
-        for packets in mirrored.iter() {
-            for (passage, count) in packets.passages() {
-                let cell = self.cell(Counter::Passage(passage));
-                cell.store(count, Ordering::Relaxed);
-            }
-            for (reason, count) in packets.drops() {
-                self.cell(Counter::Drop(reason))
-                    .store(count, Ordering::Relaxed);
-            }
+        let sources = self.sources.read().unwrap_or_else(PoisonError::into_inner);
+        for (counter, count) in sources.iter().flat_map(Source::counts) {
+            self.cell(counter).store(count, Ordering::Relaxed);
         }
     }
 
