--- a/marigoldway/src/process.rs
+++ b/marigoldway/src/process.rs
@@ -101,6 +101,23 @@
     result
 }
 
+fn prepare(
+    role: &'static str,
+    settings: &ProcessSettings,
+    data: InstanceId,
+    shutdown: Shutdown,
+) -> Result<Process> {
+    let metrics = Metrics::new(settings.statsd).change_context(Error::Start("metrics"))?;
+    let metrics = Arc::new(metrics);
+    let status = Status::new(role, data.to_string(), metrics.clone(), shutdown.clone());
+    Ok(Process {
+        shutdown,
+        metrics,
+        status: Arc::new(status),
+        incarnation: membership::incarnation(SystemTime::now()),
+    })
+}
+
 async fn serve<F>(
     role: &'static str,
     settings: &ProcessSettings,
@@ -112,25 +129,15 @@
 {
     let (trigger, shutdown) = shutdown::channel();
     let trigger = Arc::new(trigger);
-    let metrics = Metrics::new(settings.statsd).change_context(Error::Start("metrics"))?;
-    let metrics = Arc::new(metrics);
-    let status = Status::new(role, data.to_string(), metrics.clone(), shutdown.clone());
-    let status = Arc::new(status);
-    let operator = Operator::bind(settings.operator, status.clone());
+    let process = prepare(role, settings, data, shutdown.clone())?;
+    let operator = Operator::bind(settings.operator, process.status.clone());
     let operator = operator.change_context(Error::Start("operator endpoints"))?;
     let signals = shutdown::listen(trigger.clone(), settings.drain_limit);
     let signals = signals.change_context(Error::Start("signal handlers"))?;
 
     tokio::spawn(signals);
-    let reports = tokio::spawn(metrics::run(metrics.clone(), shutdown.clone()));
+    let reports = tokio::spawn(metrics::run(process.metrics.clone(), shutdown.clone()));
     let endpoints = tokio::spawn(operator.run(shutdown.clone()));
-
-    let process = Process {
-        shutdown: shutdown.clone(),
-        metrics,
-        status,
-        incarnation: membership::incarnation(SystemTime::now()),
-    };
     let result = tokio::select! {
         result = run(process) => result,
         () = cut(&shutdown) => Ok(()),
--- a/marigoldway/src/settings/mod.rs
+++ b/marigoldway/src/settings/mod.rs
@@ -157,30 +157,39 @@
         else {
             continue;
         };
-
-        if services.iter().any(|other| other.id == service.id) {
-            let id = service.id.to_string();
-            reader.fault(
-                section,
-                "id",
-                Some(&id),
-                "a number that no other service has",
-            );
-        }
-        if services.iter().any(|other| other.listen == service.listen) {
-            let listen = service.listen.to_string();
-            reader.fault(
-                section,
-                "listen",
-                Some(&listen),
-                "an address that no other service has",
-            );
-        }
+        refuse_twice(reader, section, &service, &services);
         services.push(service);
     }
     services
 }
 
+/// Faults a number or an address that an earlier service has.
+fn refuse_twice(
+    reader: &mut Reader<'_>,
+    section: &str,
+    service: &ServiceSettings,
+    earlier: &[ServiceSettings],
+) {
+    if earlier.iter().any(|other| other.id == service.id) {
+        let id = service.id.to_string();
+        reader.fault(
+            section,
+            "id",
+            Some(&id),
+            "a number that no other service has",
+        );
+    }
+    if earlier.iter().any(|other| other.listen == service.listen) {
+        let listen = service.listen.to_string();
+        reader.fault(
+            section,
+            "listen",
+            Some(&listen),
+            "an address that no other service has",
+        );
+    }
+}
+
 fn load_keys(reader: &mut Reader<'_>, source: Option<KeySource>) -> Option<FleetKeys> {
     let dir = reader.file().parent().unwrap_or(Path::new(""));
     match FleetKeys::load(&source?, dir) {
