--- a/marigoldway/src/process.rs
+++ b/marigoldway/src/process.rs
@@ -138,6 +138,7 @@
     tokio::spawn(signals);
     let reports = tokio::spawn(metrics::run(process.metrics.clone(), shutdown.clone()));
     let endpoints = tokio::spawn(operator.run(shutdown.clone()));
+
     let result = tokio::select! {
         result = run(process) => result,
         () = cut(&shutdown) => Ok(()),
