--- a/marigoldway-client/tests/request.rs
+++ b/marigoldway-client/tests/request.rs
@@ -13,6 +13,7 @@
 use marigoldway_core::request::Outcome;
 use marigoldway_core::request::Refusal;
 
+use support::BodyEnd;
 use support::Service;
 
 /// Sends `request` to a fresh server. Gives the answer and how often the
@@ -23,7 +24,7 @@
     let client = Client::connect(service.options(&[&server]));
     let client = client.await.expect("client");
     let answer = client.request(request).await.expect("answer");
-    (answer, service.calls.load(Ordering::Relaxed))
+    (answer, service.shared.calls.load(Ordering::Relaxed))
 }
 
 fn keyed(path: &str) -> Request {
@@ -109,6 +110,25 @@
     assert_eq!(answer.reason, Some(Reason::Timeout));
 }
 
+#[tokio::test]
+async fn request_given_up_resets_upload() {
+    let service = Service::start();
+    let server = service.server();
+    let client = Client::connect(service.options(&[&server]));
+    let client = client.await.expect("client");
+    let request = Request {
+        deadline: Some(Duration::from_millis(100)),
+        ..Request::post("/slow", vec![b'x'; 8 << 20])
+    };
+    let answer = client.request(request).await.expect("answer");
+    assert_eq!(answer.outcome, Outcome::Unknown);
+
+    // A clean end would let the server take a part of the body for the whole.
+    let mut body = service.shared.body.subscribe();
+    let ended = body.wait_for(|end| *end != BodyEnd::Open).await;
+    assert_eq!(*ended.expect("server"), BodyEnd::Reset);
+}
+
 #[tokio::test]
 async fn request_server_gone() {
     let service = Service::start();
--- a/marigoldway-client/tests/support/mod.rs
+++ b/marigoldway-client/tests/support/mod.rs
@@ -36,10 +36,26 @@
 pub struct Service {
     certificate: CertificateDer<'static>,
     key: Vec<u8>,
+    /// What its servers share.
+    pub shared: Arc<Shared>,
+}
+
+/// What the servers of a service share.
+pub struct Shared {
     /// Number of the last event of the feed.
-    tick: Arc<AtomicU64>,
+    tick: AtomicU64,
     /// Requests whose head a server has read, but for feeds.
-    pub calls: Arc<AtomicU64>,
+    pub calls: AtomicU64,
+    /// How the body of the last request to `/slow` ended.
+    pub body: watch::Sender<BodyEnd>,
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    Open,
+    Clean,
+    Reset,
 }
 
 /// One server. Dropping it closes its connections.
@@ -55,19 +71,22 @@
     pub fn start() -> Service {
         let CertifiedKey { cert, signing_key } =
             rcgen::generate_simple_self_signed(["service.test".to_owned()]).expect("certificate");
-        let tick = Arc::new(AtomicU64::new(0));
-        let clock = tick.clone();
+        let shared = Arc::new(Shared {
+            tick: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+            body: watch::Sender::new(BodyEnd::Open),
+        });
+        let clock = shared.clone();
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(TICK).await;
-                clock.fetch_add(1, Ordering::Relaxed);
+                clock.tick.fetch_add(1, Ordering::Relaxed);
             }
         });
         Service {
             certificate: cert.der().clone(),
             key: signing_key.serialize_der(),
-            tick,
-            calls: Arc::default(),
+            shared,
         }
     }
 
@@ -79,7 +98,7 @@
         let (leave, leaving) = watch::channel(false);
         let open = Arc::new(AtomicBool::new(true));
         let door = open.clone();
-        let (tick, calls) = (self.tick.clone(), self.calls.clone());
+        let shared = self.shared.clone();
         let accepting = endpoint.clone();
         tokio::spawn(async move {
             while let Some(incoming) = accepting.accept().await {
@@ -87,10 +106,10 @@
                     incoming.refuse();
                     continue;
                 }
-                let (tick, calls, leaving) = (tick.clone(), calls.clone(), leaving.clone());
+                let (shared, leaving) = (shared.clone(), leaving.clone());
                 tokio::spawn(async move {
                     if let Ok(quic) = incoming.await {
-                        serve(quic, leaving, tick, calls).await;
+                        serve(quic, leaving, shared).await;
                     }
                 });
             }
@@ -151,12 +170,7 @@
     }
 }
 
-async fn serve(
-    quic: quinn::Connection,
-    mut leaving: watch::Receiver<bool>,
-    tick: Arc<AtomicU64>,
-    calls: Arc<AtomicU64>,
-) {
+async fn serve(quic: quinn::Connection, mut leaving: watch::Receiver<bool>, shared: Arc<Shared>) {
     let mut http = Connection::new(h3_quinn::Connection::new(quic.clone()))
         .await
         .expect("HTTP/3");
@@ -165,10 +179,10 @@
         tokio::select! {
             request = http.accept() => {
                 let Ok(Some(resolver)) = request else { return };
-                let (quic, tick, calls) = (quic.clone(), tick.clone(), calls.clone());
+                let (quic, shared) = (quic.clone(), shared.clone());
                 tokio::spawn(async move {
                     if let Ok((request, stream)) = resolver.resolve_request().await {
-                        answer(quic, request, stream, tick, calls).await;
+                        answer(quic, request, stream, shared).await;
                     }
                 });
             }
@@ -188,13 +202,12 @@
     quic: quinn::Connection,
     request: Request<()>,
     mut stream: Stream,
-    tick: Arc<AtomicU64>,
-    calls: Arc<AtomicU64>,
+    shared: Arc<Shared>,
 ) {
     if request.uri().path() == "/feed" {
-        return feed(request, stream, tick).await;
+        return feed(request, stream, &shared.tick).await;
     }
-    let call = calls.fetch_add(1, Ordering::Relaxed);
+    let call = shared.calls.fetch_add(1, Ordering::Relaxed);
     match (request.uri().path(), call) {
         ("/half", _) => {
             let head = Response::builder().header("content-length", 10);
@@ -215,6 +228,9 @@
             send_part(&mut stream, head.body(()).expect("head"), "missing").await;
             let _ = stream.finish().await;
         }
+        ("/slow", _) => {
+            shared.body.send_replace(slow(&mut stream).await);
+        }
         ("/hang", _) => std::future::pending().await,
         ("/.marigoldway/keys", _) => whole(&mut stream, "key-a\nkey-b\n").await,
         _ => echo(&mut stream).await,
@@ -253,8 +269,21 @@
     let _ = stream.finish().await;
 }
 
+/// Reads a body with a pause after its first part.
+async fn slow(stream: &mut Stream) -> BodyEnd {
+    let _ = stream.recv_data().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    loop {
+        match stream.recv_data().await {
+            Ok(Some(_)) => {}
+            Ok(None) => return BodyEnd::Clean,
+            Err(_) => return BodyEnd::Reset,
+        }
+    }
+}
+
 /// Sends every event from the one after `last-event-id` to the end.
-async fn feed(request: Request<()>, mut stream: Stream, tick: Arc<AtomicU64>) {
+async fn feed(request: Request<()>, mut stream: Stream, tick: &AtomicU64) {
     let last = request.headers().get("last-event-id");
     let last = last.map(|last| last.to_str().expect("text").parse::<u64>().expect("number"));
     let mut sent = last.unwrap_or_else(|| tick.load(Ordering::Relaxed));
