--- a/marigoldway/tests/lists.rs
+++ b/marigoldway/tests/lists.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
+
 use crate::common::Deployment;
 use crate::common::Plan;
 use crate::common::http;
@@ -285,3 +287,34 @@
         assert_eq!(generation(operator, "plans"), 2);
     }
 }
+
+/// Calls to the platform by path, after a burst of changes in a deployment of
+/// so many targets.
+fn calls_of_changes(targets: usize) -> Value {
+    let mut plan = Plan {
+        lists: Some(example()),
+        ..Plan::small()
+    };
+    plan.services[0].targets = targets;
+    let deployment = Deployment::start(&plan);
+    wait_in_force(&deployment, "plans", 1);
+    for edit in 0..10 {
+        let text = with_customer(&get(&deployment, "plans"), &format!("edit-{edit}"));
+        assert_eq!(put(&deployment, "plans", &text, "one").1, 0);
+    }
+    wait_in_force(&deployment, "plans", 11);
+    let (_, body) = http(deployment.platform_addr, "GET", "/calls", "");
+    serde_json::from_str(&body).unwrap()
+}
+
+#[test]
+fn platform_calls_do_not_grow_with_agents() {
+    let (few, many) = (calls_of_changes(2), calls_of_changes(8));
+    println!("2 agents: {few}, 8 agents: {many}");
+    // Each of the three entries is a watcher of its domain, and opens its watch
+    // anew after half a minute. Agents open none.
+    for calls in [&few, &many] {
+        let watches = calls["/v3/watch"].as_u64().unwrap();
+        assert!((3..=6).contains(&watches), "{calls}");
+    }
+}
