Keep customers within their allowances at the agents

The agent that a caller asks takes a connection for each flow and customer, and admits each request by rate and bulk work; a request with a key is counted by its issuer, which alone knows that it did not run before. Lowered connections cut no feed.

An entry that was a customer's holder in all sets of entries of late lends at once; the wait after any change of the set was needless.

--- a/marigoldway-core/src/share/lender.rs
+++ b/marigoldway-core/src/share/lender.rs
@@ -1,6 +1,8 @@
 //! The holders of one entry.
 
+use std::collections::VecDeque;
 use std::hash::Hasher;
+use std::mem;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -31,8 +33,10 @@
     options: ShareOptions,
     own: InstanceId,
     entries: Vec<InstanceId>,
-    /// The last time at which another entry may have lent.
-    changed: Timestamp,
+    /// Former sets of entries, each with the time until which it was current.
+    former: VecDeque<(Timestamp, Vec<InstanceId>)>,
+    /// The time at which this entry started, or last stood down.
+    started: Timestamp,
     awake: Timestamp,
     catalog: Option<Arc<Catalog>>,
     holders: IndexMap<String, Holder>,
@@ -45,7 +49,8 @@
             options,
             own,
             entries: vec![own],
-            changed: now,
+            former: VecDeque::new(),
+            started: now,
             awake: now,
             catalog: None,
             holders: IndexMap::new(),
@@ -64,8 +69,11 @@
         if self.entries == entries {
             return;
         }
-        self.entries = entries.to_vec();
-        self.changed = now;
+        let handover = self.options.handover;
+        self.former
+            .retain(|(until, _)| now.since(*until) < handover);
+        let former = mem::replace(&mut self.entries, entries.to_vec());
+        self.former.push_back((now, former));
         let own = self.own;
         self.holders
             .retain(|customer, _| holder_of(customer, entries) == Some(own));
@@ -82,11 +90,12 @@
         let customer = catalog.plans().customers.get(&report.customer)?;
         let allowance = Amounts::from(catalog.allowance(&customer.plan)?);
 
-        let (options, lends_from) = (self.options, self.changed + self.options.handover);
-        self.holders
-            .entry(report.customer.clone())
-            .or_insert_with(|| Holder::new(options, lends_from))
-            .report(now, from, report, allowance)
+        if !self.holders.contains_key(&report.customer) {
+            let holder = Holder::new(self.options, self.lends_from(&report.customer));
+            self.holders.insert(report.customer.clone(), holder);
+        }
+        let holder = self.holders.get_mut(&report.customer)?;
+        holder.report(now, from, report, allowance)
     }
 
     /// Does what time brings. It must be called more often than
@@ -109,11 +118,22 @@
         self.holders.is_empty()
     }
 
+    /// When no other holder of `customer` can have lent what is still in force.
+    fn lends_from(&self, customer: &str) -> Timestamp {
+        let other = self
+            .former
+            .iter()
+            .rev()
+            .find(|(_, entries)| holder_of(customer, entries) != Some(self.own));
+        let since = other.map_or(self.started, |(until, _)| self.started.max(*until));
+        since + self.options.handover
+    }
+
     /// Stands down after a sleep: another entry may have lent meanwhile.
     fn wake(&mut self, now: Timestamp) {
         if now.since(self.awake) > self.options.sleep {
             self.holders.clear();
-            self.changed = now;
+            self.started = now;
         }
         self.awake = now;
     }
--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::agent::requests::Requests;
+use crate::shares::Seats;
 use crate::shutdown::Shutdown;
 
 /// `Flows` accepts connections and serves their requests.
@@ -80,6 +81,7 @@
     async fn take(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
         // Its requests learn that a flow is gone when this is dropped.
         let (alive, gone) = watch::channel(());
+        let seats = Arc::new(Seats::default());
         let mut told = false;
         loop {
             let accepted = tokio::select! {
@@ -98,9 +100,10 @@
             };
             let requests = self.requests.clone();
             let gone = gone.clone();
+            let seats = seats.clone();
             tokio::spawn(async move {
                 if let Ok((request, stream)) = resolver.resolve_request().await {
-                    requests.serve(request, stream, gone).await;
+                    requests.serve(request, stream, gone, seats).await;
                 }
             });
         }
--- a/marigoldway/src/agent/requests/access.rs
+++ b/marigoldway/src/agent/requests/access.rs
@@ -1,12 +1,9 @@
 //! Who asks, and what the lists say of the request.
 
-use std::sync::Arc;
-
 use http::Method;
 use http::header;
 use sha2::Digest as _;
 use sha2::Sha256;
-use tokio::sync::watch;
 
 use marigoldway_core::admission::CustomerKey;
 use marigoldway_core::ids::ServiceId;
@@ -16,6 +13,10 @@
 use marigoldway_core::retry::Repeat;
 
 use crate::agent::requests::head::Head;
+use crate::lists::Catalogs;
+use crate::shares::Admitted;
+use crate::shares::Gatekeeper;
+use crate::shares::Seats;
 
 /// Length from which on a body makes its request a bulk one, in octets.
 const BULK_LENGTH: u64 = 1 << 20;
@@ -36,16 +37,18 @@
 /// `Access` looks requests up in the lists.
 pub(crate) struct Access {
     service: ServiceId,
-    catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+    catalogs: Catalogs,
+    gatekeeper: Gatekeeper,
 }
 
 impl Access {
     /// Makes the access of one service.
-    pub(crate) fn new(
-        service: ServiceId,
-        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
-    ) -> Access {
-        Access { service, catalogs }
+    pub(crate) fn new(service: ServiceId, catalogs: Catalogs, gatekeeper: Gatekeeper) -> Access {
+        Access {
+            service,
+            catalogs,
+            gatekeeper,
+        }
     }
 
     /// What a request may do. Until the first lists are accepted, everyone may
@@ -58,6 +61,25 @@
         }
     }
 
+    /// Counts a flow as a connection of the customer. A request with a key
+    /// isn't refused for it, since it may have run before.
+    pub(crate) async fn take_seat(&self, seats: &Seats, grant: &Grant) -> Result<(), Refusal> {
+        if grant.name.is_empty() {
+            return Ok(());
+        }
+        seats.take(&self.gatekeeper, &grant.name).await
+    }
+
+    /// Admits a request within the customer's allowance. Everything is
+    /// admitted while there are no lists.
+    pub(crate) async fn allow(&self, grant: &Grant) -> Result<Option<Admitted>, Refusal> {
+        if grant.name.is_empty() {
+            return Ok(None);
+        }
+        let admitted = self.gatekeeper.admit(&grant.name, grant.class).await;
+        admitted.map(Some).map_err(|denial| denial.refusal)
+    }
+
     fn look_up(&self, catalog: &Catalog, head: &Head) -> Result<Grant, Refusal> {
         let token = head.token.as_deref().unwrap_or_default();
         let customer = catalog.customer(token).ok_or(Refusal::UnknownCustomer)?;
--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h3::server::RequestStream;
@@ -58,6 +59,8 @@
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
+use crate::shares::Admitted;
+use crate::shares::Seats;
 
 pub(super) use crate::agent::requests::access::Access;
 pub(super) use crate::agent::requests::peers::Peers;
@@ -75,6 +78,9 @@
 /// Longest body that is held so that its request may go to a peer, in octets.
 const RELAY_BODY_MAX: u64 = 64 << 10;
 
+/// Time after which a customer whose allowance is used up may come back.
+const ALLOWANCE_RETRY: Duration = Duration::from_secs(1);
+
 /// The stream of a caller.
 pub(super) type ServerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
@@ -133,20 +139,24 @@
         self.local.slots.idle().await;
     }
 
-    /// Serves one request. `gone` is done when its caller is gone.
+    /// Serves one request. `gone` is done when its caller is gone, and `seats`
+    /// are those of its flow.
     pub(super) async fn serve(
         self: Arc<Self>,
         request: Request<()>,
         stream: ServerStream,
         mut gone: watch::Receiver<()>,
+        seats: Arc<Seats>,
     ) {
         let (mut send, receive) = stream.split();
         let work = async {
-            let reply = self.reply(request, receive).await;
+            // What is admitted lasts until the answer is sent.
+            let mut admitted = None;
+            let reply = self.reply(request, receive, &seats, &mut admitted).await;
             let retry = match &reply {
                 Reply::Refused(reason) => {
                     self.metrics.count(Counter::Refusal(*reason));
-                    Some(self.local.slots.retry_after())
+                    Some(self.retry_after(*reason))
                 }
                 Reply::Unknown(doubt) => {
                     self.metrics.count(Counter::Doubt(*doubt));
@@ -165,23 +175,43 @@
         }
     }
 
-    async fn reply(self: &Arc<Self>, request: Request<()>, receive: body::ReceiveHalf) -> Reply {
+    /// When a refused caller may come back.
+    fn retry_after(&self, reason: Refusal) -> Duration {
+        match reason {
+            Refusal::CustomerConnections | Refusal::RequestRate | Refusal::BulkLimit => {
+                ALLOWANCE_RETRY
+            }
+            _ => self.local.slots.retry_after(),
+        }
+    }
+
+    async fn reply(
+        self: &Arc<Self>,
+        request: Request<()>,
+        receive: body::ReceiveHalf,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
+    ) -> Reply {
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
             Ok(head) => head,
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
-            return self.issue(&head);
+            return self.issue(&head, seats).await;
         }
         match head.key.clone() {
             Some(key) => self.keyed(head, &key, receive).await,
-            None => self.plain(head, receive).await,
+            None => self.plain(head, receive, seats, admitted).await,
         }
     }
 
-    fn issue(&self, head: &Head) -> Reply {
-        if let Err(reason) = self.access.check(head) {
+    async fn issue(&self, head: &Head, seats: &Seats) -> Reply {
+        let checked = match self.access.check(head) {
+            Ok(grant) => self.access.take_seat(seats, &grant).await,
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = checked {
             return Reply::Refused(reason);
         }
         let count = head.query("count").map_or(Ok(1), str::parse);
@@ -195,11 +225,25 @@
 
     /// Runs a request that has no key. A short body is held whole, so that the
     /// request may go to a peer; a longer one is passed on as it comes.
-    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf) -> Reply {
+    async fn plain(
+        self: &Arc<Self>,
+        head: Head,
+        receive: body::ReceiveHalf,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
+    ) -> Reply {
         let grant = match self.access.check(&head) {
             Ok(grant) => grant,
             Err(reason) => return Reply::Refused(reason),
         };
+        let allowed = match self.access.take_seat(seats, &grant).await {
+            Ok(()) => self.access.allow(&grant).await,
+            Err(reason) => Err(reason),
+        };
+        match allowed {
+            Ok(allowed) => *admitted = allowed,
+            Err(reason) => return Reply::Refused(reason),
+        }
         self.budget().deposit();
         let short = body::is_empty(&head) || head.length.is_some_and(|it| it <= RELAY_BODY_MAX);
         if grant.class == Class::Feed || !short {
--- a/marigoldway/src/agent/requests/once.rs
+++ b/marigoldway/src/agent/requests/once.rs
@@ -113,6 +113,12 @@
             Ok(grant) => grant,
             Err(reason) => return Settled::NotRun(*reason),
         };
+        // It is counted here and not where its caller asked, since only the
+        // issuer knows that a request with this key did not run before.
+        let _admitted = match self.access.allow(grant).await {
+            Ok(admitted) => admitted,
+            Err(reason) => return Settled::NotRun(reason),
+        };
         match self.held(ask, grant, Patience::Longer(LATE_LIMIT)).await {
             Reply::Whole(answer) => Settled::Done(answer),
             Reply::Streamed(..) => Settled::Unknown(Doubt::AnswerNotKept),
--- a/marigoldway/src/shares/gatekeeper.rs
+++ b/marigoldway/src/shares/gatekeeper.rs
@@ -178,6 +178,14 @@
                     self.take_changes(&view);
                     self.report(&view);
                 }
+                changed = self.catalogs.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.catalogs.mark_changed();
+                    let view = views.borrow_and_update().clone();
+                    self.take_changes(&view);
+                }
                 message = messages.recv() => {
                     let Some((from, wire)) = message else {
                         return;
