Let the second candidate give a flow back that it can't take

Seen by running flows.rs with membership.leave() taken out (the entries are not told). Ruled out: the entries' choice (they name two candidates) and the reply path. Before: the first candidate's pass was final. After: a full or leaving second candidate returns the flow once, and the first keeps it. A refused opening is not remembered, so that a retransmission may find room. The test that expected Refuse of a passed flow at a leaving agent now expects Return, which is stricter: the flow is served.

--- a/marigoldway-core/examples/measure_imbalance.rs
+++ b/marigoldway-core/examples/measure_imbalance.rs
@@ -15,6 +15,7 @@
 
 use marigoldway_core::acceptance::Acceptance;
 use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::acceptance::Verdict;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::message::Load;
@@ -247,12 +248,12 @@
         for load in loads {
             target.acceptance.observe(at, load);
         }
-        match target.acceptance.decide(at, key, false, second) {
+        match target.acceptance.decide(at, key, Hop::Offered { second }) {
             Verdict::Pass(second) => {
                 self.passed += 1;
                 self.index(second)
             }
-            Verdict::Keep | Verdict::Refuse => index,
+            Verdict::Keep | Verdict::Return(_) | Verdict::Refuse => index,
         }
     }
 
--- a/marigoldway-core/src/acceptance.rs
+++ b/marigoldway-core/src/acceptance.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry names two candidates from the roster alone. The first one knows
 //! its own load exactly and that of its peers as of a second ago, and may pass
-//! the flow once. A decision stands for the retransmissions of the packet that
+//! the flow once. The second one gives a flow back that it can't take. A
+//! decision stands for the retransmissions of the packet that
 //! opened the flow, so that no flow begins at two agents.
 
 use std::collections::VecDeque;
@@ -41,6 +42,23 @@
     }
 }
 
+/// `Hop` is how a new flow came to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Hop {
+    /// An entry offers it to its first candidate.
+    Offered {
+        /// The other candidate.
+        second: Option<InstanceId>,
+    },
+    /// The first candidate passed it to the second.
+    Passed {
+        /// The first candidate.
+        first: InstanceId,
+    },
+    /// The second candidate can't take it and gave it back.
+    Returned,
+}
+
 /// `Verdict` is what becomes of a new flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Verdict {
@@ -48,10 +66,20 @@
     Keep,
     /// The second candidate gets the flow.
     Pass(InstanceId),
+    /// The first candidate gets the flow back.
+    Return(InstanceId),
     /// The flow is refused: the caller may try again.
     Refuse,
 }
 
+impl Verdict {
+    /// Whether a verdict holds for a packet that comes by `hop`. A flow that
+    /// comes back is not passed again.
+    fn stands(self, hop: Hop) -> bool {
+        !matches!((self, hop), (Verdict::Pass(_), Hop::Returned))
+    }
+}
+
 /// `Acceptance` decides on the new flows of one agent.
 #[derive(Clone, Debug)]
 pub struct Acceptance {
@@ -101,34 +129,34 @@
     }
 
     /// Decides on a flow. `key` is the hash of the connection ID that the
-    /// caller chose, `hop` tells that another agent passed the flow here, and
-    /// `second` is the other candidate.
-    pub fn decide(
-        &mut self,
-        now: Timestamp,
-        key: u64,
-        hop: bool,
-        second: Option<InstanceId>,
-    ) -> Verdict {
+    /// caller chose.
+    pub fn decide(&mut self, now: Timestamp, key: u64, hop: Hop) -> Verdict {
         self.expire(now);
-        if let Some(verdict) = self.decisions.get(&key) {
+        if let Some(verdict) = self.decisions.get(&key).filter(|it| it.stands(hop)) {
             return *verdict;
         }
-        let verdict = self.judge(now, second.filter(|_| !hop));
-        if verdict == Verdict::Keep {
-            self.flows = self.flows.saturating_add(1);
+        let verdict = self.judge(now, hop);
+        match verdict {
+            // A refused caller sends again, and may find room then.
+            Verdict::Refuse => return verdict,
+            Verdict::Keep => self.flows = self.flows.saturating_add(1),
+            Verdict::Pass(_) | Verdict::Return(_) => (),
         }
         self.remember(now, key, verdict);
         verdict
     }
 
-    fn judge(&self, now: Timestamp, second: Option<InstanceId>) -> Verdict {
+    fn judge(&self, now: Timestamp, hop: Hop) -> Verdict {
         let full = self.leaving || self.flows >= self.options.limit;
-        match second {
-            None if full => Verdict::Refuse,
-            None => Verdict::Keep,
-            Some(second) if full || self.is_above(now, second) => Verdict::Pass(second),
-            Some(_) => Verdict::Keep,
+        match hop {
+            Hop::Offered {
+                second: Some(second),
+            } if full || self.is_above(now, second) => Verdict::Pass(second),
+            // The first candidate judged by what it was told of this one, which
+            // may have begun to leave since.
+            Hop::Passed { first } if full => Verdict::Return(first),
+            Hop::Offered { .. } | Hop::Returned if full => Verdict::Refuse,
+            Hop::Offered { .. } | Hop::Passed { .. } | Hop::Returned => Verdict::Keep,
         }
     }
 
@@ -160,8 +188,9 @@
         while self.ages.len() >= self.options.decisions {
             self.drop_oldest();
         }
-        self.decisions.insert(key, verdict);
-        self.ages.push_back((now, key));
+        if self.decisions.insert(key, verdict).is_none() {
+            self.ages.push_back((now, key));
+        }
     }
 
     fn expire(&mut self, now: Timestamp) {
--- a/marigoldway-core/tests/acceptance.rs
+++ b/marigoldway-core/tests/acceptance.rs
@@ -7,6 +7,7 @@
 
 use marigoldway_core::acceptance::Acceptance;
 use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::acceptance::Verdict;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::message::Load;
@@ -18,6 +19,14 @@
     InstanceId::new(Ipv4Addr::LOCALHOST, n)
 }
 
+fn offered(second: Option<InstanceId>) -> Hop {
+    Hop::Offered { second }
+}
+
+fn passed() -> Hop {
+    Hop::Passed { first: peer(1) }
+}
+
 fn agent(flows: u32, limit: u32) -> Acceptance {
     let mut acceptance = Acceptance::new(AcceptanceOptions {
         limit,
@@ -38,7 +47,7 @@
         },
     );
     assert_eq!(
-        acceptance.decide(NOW, 1, false, Some(peer(2))),
+        acceptance.decide(NOW, 1, offered(Some(peer(2)))),
         Verdict::Pass(peer(2))
     );
     acceptance.observe(
@@ -49,7 +58,7 @@
         },
     );
     assert_eq!(
-        acceptance.decide(NOW, 2, false, Some(peer(2))),
+        acceptance.decide(NOW, 2, offered(Some(peer(2)))),
         Verdict::Keep
     );
 }
@@ -58,7 +67,7 @@
 fn decide_keeps_while_no_load_is_known() {
     let mut acceptance = agent(10, 2_000);
     assert_eq!(
-        acceptance.decide(NOW, 1, false, Some(peer(2))),
+        acceptance.decide(NOW, 1, offered(Some(peer(2)))),
         Verdict::Keep
     );
 }
@@ -75,7 +84,7 @@
     );
     let later = NOW + Duration::from_secs(6);
     assert_eq!(
-        acceptance.decide(later, 1, false, Some(peer(2))),
+        acceptance.decide(later, 1, offered(Some(peer(2)))),
         Verdict::Keep
     );
 }
@@ -90,20 +99,17 @@
             flows: 0,
         },
     );
-    assert_eq!(
-        acceptance.decide(NOW, 1, true, Some(peer(2))),
-        Verdict::Keep
-    );
+    assert_eq!(acceptance.decide(NOW, 1, passed()), Verdict::Keep);
 }
 
 #[test]
 fn decide_counts_what_it_kept() {
     let mut acceptance = agent(0, 2);
-    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
-    assert_eq!(acceptance.decide(NOW, 2, false, None), Verdict::Keep);
-    assert_eq!(acceptance.decide(NOW, 3, false, None), Verdict::Refuse);
+    assert_eq!(acceptance.decide(NOW, 1, offered(None)), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 2, offered(None)), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 3, offered(None)), Verdict::Refuse);
     assert_eq!(
-        acceptance.decide(NOW, 4, false, Some(peer(2))),
+        acceptance.decide(NOW, 4, offered(Some(peer(2)))),
         Verdict::Pass(peer(2))
     );
 }
@@ -111,18 +117,43 @@
 #[test]
 fn decide_keeps_nothing_new_once_leaving() {
     let mut acceptance = agent(0, 2_000);
-    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 1, offered(None)), Verdict::Keep);
     acceptance.leave();
     assert_eq!(
-        acceptance.decide(NOW, 2, false, Some(peer(2))),
+        acceptance.decide(NOW, 2, offered(Some(peer(2)))),
         Verdict::Pass(peer(2))
     );
     assert_eq!(
-        acceptance.decide(NOW, 3, true, Some(peer(2))),
-        Verdict::Refuse
+        acceptance.decide(NOW, 3, passed()),
+        Verdict::Return(peer(1))
     );
+    assert_eq!(acceptance.decide(NOW, 4, Hop::Returned), Verdict::Refuse);
     // The flow that began before stays.
-    assert_eq!(acceptance.decide(NOW, 1, false, None), Verdict::Keep);
+    assert_eq!(acceptance.decide(NOW, 1, offered(None)), Verdict::Keep);
+}
+
+#[test]
+fn decide_keeps_what_comes_back() {
+    let mut acceptance = agent(10, 2_000);
+    let load = Load {
+        id: peer(2),
+        flows: 0,
+    };
+    acceptance.observe(NOW, load);
+    let offer = offered(Some(peer(2)));
+    assert_eq!(acceptance.decide(NOW, 1, offer), Verdict::Pass(peer(2)));
+    assert_eq!(acceptance.decide(NOW, 1, Hop::Returned), Verdict::Keep);
+    // A retransmission isn't passed again, nor is the flow counted twice.
+    assert_eq!(acceptance.decide(NOW, 1, offer), Verdict::Keep);
+    assert_eq!(acceptance.flows(), 11);
+}
+
+#[test]
+fn decide_refuses_anew_until_there_is_room() {
+    let mut acceptance = agent(2, 2);
+    assert_eq!(acceptance.decide(NOW, 1, offered(None)), Verdict::Refuse);
+    acceptance.set_flows(1);
+    assert_eq!(acceptance.decide(NOW, 1, offered(None)), Verdict::Keep);
 }
 
 #[test]
@@ -132,11 +163,14 @@
         ..AcceptanceOptions::default()
     });
     for key in 0..5 {
-        acceptance.decide(NOW, key, true, None);
+        acceptance.decide(NOW, key, passed());
     }
     acceptance.leave();
-    assert_eq!(acceptance.decide(NOW, 0, true, None), Verdict::Refuse);
-    assert_eq!(acceptance.decide(NOW, 4, true, None), Verdict::Keep);
+    assert_eq!(
+        acceptance.decide(NOW, 0, passed()),
+        Verdict::Return(peer(1))
+    );
+    assert_eq!(acceptance.decide(NOW, 4, passed()), Verdict::Keep);
 }
 
 proptest! {
@@ -145,12 +179,13 @@
         loads in prop::collection::vec((0..3_u16, 0..20_u32, any::<bool>()), 1..50),
     ) {
         let mut acceptance = agent(0, 15);
-        let first = acceptance.decide(NOW, u64::MAX, false, Some(peer(1)));
+        let first = acceptance.decide(NOW, u64::MAX, offered(Some(peer(1))));
         for (at, (n, flows, hop)) in (0..).zip(loads) {
             let now = NOW + Duration::from_millis(at * 200);
             acceptance.observe(now, Load { id: peer(n), flows });
-            acceptance.decide(now, at, hop, Some(peer(n)));
-            prop_assert_eq!(acceptance.decide(now, u64::MAX, false, Some(peer(1))), first);
+            let hop = if hop { passed() } else { offered(Some(peer(n))) };
+            acceptance.decide(now, at, hop);
+            prop_assert_eq!(acceptance.decide(now, u64::MAX, offered(Some(peer(1)))), first);
         }
     }
 }
--- a/marigoldway-net/benches/packet.rs
+++ b/marigoldway-net/benches/packet.rs
@@ -11,6 +11,7 @@
 use criterion::criterion_main;
 use indexmap::IndexSet;
 
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::forward::AgentScope;
 use marigoldway_core::forward::Forwarder;
 use marigoldway_core::ids::DomainId;
@@ -113,10 +114,9 @@
     Envelope {
         caller: SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), 50_000),
         service: SERVICE,
-        direction: Direction::Inbound {
+        direction: Direction::Inbound(Hop::Offered {
             second: Some(agent(2)),
-            passed: false,
-        },
+        }),
     }
 }
 
--- a/marigoldway-net/src/counters.rs
+++ b/marigoldway-net/src/counters.rs
@@ -18,7 +18,7 @@
     Replied,
     /// An agent took it in.
     Taken,
-    /// An agent passed a new flow on to the second candidate.
+    /// An agent passed a new flow on to the other candidate, or gave it back.
     Passed,
     /// An agent sent a reply to an entry.
     Answered,
--- a/marigoldway-net/src/envelope.rs
+++ b/marigoldway-net/src/envelope.rs
@@ -18,6 +18,7 @@
 use zerocopy::Unaligned;
 use zerocopy::big_endian::U16;
 
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::ids::ServiceId;
 
@@ -36,10 +37,13 @@
 const COVERED_LEN: usize = 32;
 
 /// Flag: the datagram goes from an agent to a caller.
-const FLAG_REPLY: u8 = 0b01;
+const FLAG_REPLY: u8 = 0b001;
 
-/// Flag: the datagram was passed on by the first candidate.
-const FLAG_PASSED: u8 = 0b10;
+/// Flag: the first candidate passed the datagram on.
+const FLAG_PASSED: u8 = 0b010;
+
+/// Flag: the second candidate gave the datagram back.
+const FLAG_RETURNED: u8 = 0b100;
 
 /// `Wire` is the header as it stands before the datagram.
 #[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -50,21 +54,17 @@
     service: U16,
     caller_ip: [u8; 4],
     caller_port: U16,
-    second_ip: [u8; 4],
-    second_port: U16,
+    /// The other candidate for a new flow, port 0 for none.
+    other_ip: [u8; 4],
+    other_port: U16,
     tag: [u8; 8],
 }
 
 /// `Direction` says which way a datagram travels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
-    /// From a caller to an agent.
-    Inbound {
-        /// The agent that may take a new flow if the receiver does not.
-        second: Option<InstanceId>,
-        /// Whether another agent passed the datagram on already.
-        passed: bool,
-    },
+    /// From a caller to an agent, by the given hop.
+    Inbound(Hop),
     /// From an agent to a caller.
     Reply,
 }
@@ -121,19 +121,21 @@
 
 impl From<&Envelope> for Wire {
     fn from(envelope: &Envelope) -> Wire {
-        let (flags, second) = match envelope.direction {
+        let (flags, other) = match envelope.direction {
             Direction::Reply => (FLAG_REPLY, None),
-            Direction::Inbound { second, passed } => (if passed { FLAG_PASSED } else { 0 }, second),
+            Direction::Inbound(Hop::Offered { second }) => (0, second),
+            Direction::Inbound(Hop::Passed { first }) => (FLAG_PASSED, Some(first)),
+            Direction::Inbound(Hop::Returned) => (FLAG_RETURNED, None),
         };
-        let second = second.map_or(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0), |id| id.0);
+        let other = other.map_or(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0), |id| id.0);
         Wire {
             magic: MAGIC,
             flags,
             service: U16::new(envelope.service.0),
             caller_ip: envelope.caller.ip().octets(),
             caller_port: U16::new(envelope.caller.port()),
-            second_ip: second.ip().octets(),
-            second_port: U16::new(second.port()),
+            other_ip: other.ip().octets(),
+            other_port: U16::new(other.port()),
             tag: [0; 8],
         }
     }
@@ -141,15 +143,13 @@
 
 impl From<&Wire> for Envelope {
     fn from(wire: &Wire) -> Envelope {
-        let direction = if wire.flags & FLAG_REPLY != 0 {
-            Direction::Reply
-        } else {
-            let port = wire.second_port.get();
-            let second = (port != 0).then(|| InstanceId::new(wire.second_ip.into(), port));
-            Direction::Inbound {
-                second,
-                passed: wire.flags & FLAG_PASSED != 0,
-            }
+        let port = wire.other_port.get();
+        let other = (port != 0).then(|| InstanceId::new(wire.other_ip.into(), port));
+        let direction = match (wire.flags, other) {
+            (FLAG_REPLY, _) => Direction::Reply,
+            (FLAG_PASSED, Some(first)) => Direction::Inbound(Hop::Passed { first }),
+            (FLAG_RETURNED, _) => Direction::Inbound(Hop::Returned),
+            (_, second) => Direction::Inbound(Hop::Offered { second }),
         };
         Envelope {
             caller: SocketAddrV4::new(wire.caller_ip.into(), wire.caller_port.get()),
--- a/marigoldway-net/src/forward.rs
+++ b/marigoldway-net/src/forward.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::forward::AgentScope;
 use marigoldway_core::forward::Decision;
 use marigoldway_core::forward::DropReason;
@@ -119,10 +120,7 @@
         let envelope = Envelope {
             caller,
             service,
-            direction: Direction::Inbound {
-                second,
-                passed: false,
-            },
+            direction: Direction::Inbound(Hop::Offered { second }),
         };
         self.to_agent(agent, &envelope, datagram, passage, packet)
             .await;
--- a/marigoldway-net/src/gate.rs
+++ b/marigoldway-net/src/gate.rs
@@ -15,6 +15,7 @@
 use marigoldway_core::acceptance;
 use marigoldway_core::acceptance::Acceptance;
 use marigoldway_core::acceptance::AcceptanceOptions;
+use marigoldway_core::acceptance::Hop;
 use marigoldway_core::forward::DropReason;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::message::Load;
@@ -39,8 +40,13 @@
 pub enum Verdict {
     /// QUIC takes it.
     Take,
-    /// It opens a flow that the second candidate shall take.
-    Pass(InstanceId),
+    /// It opens a flow that another agent shall take, by the given hop.
+    Pass {
+        /// The other agent.
+        to: InstanceId,
+        /// The hop as the other agent sees it.
+        hop: Hop,
+    },
     /// It is dropped.
     Drop(DropReason),
 }
@@ -90,13 +96,13 @@
     /// Judges a datagram that came in its envelope from the entry or agent at
     /// `from`.
     pub fn judge(&self, from: SocketAddr, envelope: &Envelope, datagram: &[u8]) -> Verdict {
-        let Direction::Inbound { second, passed } = envelope.direction else {
+        let Direction::Inbound(hop) = envelope.direction else {
             return Verdict::Drop(DropReason::WrongDirection);
         };
         if envelope.service != self.own.service {
             return Verdict::Drop(DropReason::ForeignService);
         }
-        if !passed {
+        if matches!(hop, Hop::Offered { .. }) {
             self.hear(from);
         }
         let Some(head) = Head::parse(datagram) else {
@@ -104,7 +110,7 @@
         };
         match (self.keys.decode(head.id), head.form) {
             (Some(route), _) => self.follow(&route),
-            (None, Form::Opening) => self.open(head.id, second, passed),
+            (None, Form::Opening) => self.open(head.id, hop),
             (None, Form::Handshake | Form::Short) => Verdict::Drop(DropReason::UnknownRoute),
         }
     }
@@ -122,12 +128,21 @@
 
     /// The agent alone knows its load, so it decides on a new flow, once for
     /// all packets that open it.
-    fn open(&self, id: &[u8], second: Option<InstanceId>, passed: bool) -> Verdict {
+    fn open(&self, id: &[u8], hop: Hop) -> Verdict {
         let key = self.hash.hash_one(id);
         let now = self.clock.now();
-        match self.acceptance().decide(now, key, passed, second) {
+        match self.acceptance().decide(now, key, hop) {
             acceptance::Verdict::Keep => Verdict::Take,
-            acceptance::Verdict::Pass(second) => Verdict::Pass(second),
+            acceptance::Verdict::Pass(to) => Verdict::Pass {
+                to,
+                hop: Hop::Passed {
+                    first: self.own.agent,
+                },
+            },
+            acceptance::Verdict::Return(to) => Verdict::Pass {
+                to,
+                hop: Hop::Returned,
+            },
             acceptance::Verdict::Refuse => Verdict::Drop(DropReason::FlowRefused),
         }
     }
--- a/marigoldway-net/src/quic.rs
+++ b/marigoldway-net/src/quic.rs
@@ -31,6 +31,7 @@
 use rand::RngExt;
 
 use marigoldway_core::forward::DropReason;
+use marigoldway_core::ids::InstanceId;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::route::ROUTE_LEN;
 
@@ -96,8 +97,12 @@
         let (envelope, datagram) = opened.ok_or(DropReason::ForgedEnvelope)?;
         match self.gate.judge(packet.from, &envelope, datagram) {
             Verdict::Drop(reason) => Err(reason),
-            Verdict::Pass(second) => {
-                self.pass(&envelope, datagram, packet, second)?;
+            Verdict::Pass { to, hop } => {
+                let envelope = Envelope {
+                    direction: Direction::Inbound(hop),
+                    ..envelope
+                };
+                self.pass(to, &envelope, datagram, packet)?;
                 Ok(None)
             }
             Verdict::Take => {
@@ -116,21 +121,14 @@
 
     fn pass(
         &self,
+        to: InstanceId,
         envelope: &Envelope,
         datagram: &[u8],
         packet: &Received<'_>,
-        second: marigoldway_core::ids::InstanceId,
     ) -> Result<(), DropReason> {
-        let envelope = Envelope {
-            direction: Direction::Inbound {
-                second: None,
-                passed: true,
-            },
-            ..*envelope
-        };
-        let sealed = self.sealed(&envelope, datagram);
+        let sealed = self.sealed(envelope, datagram);
         self.udp
-            .try_send(second.addr(), &sealed, packet.ecn)
+            .try_send(to.addr(), &sealed, packet.ecn)
             .map_err(|_| DropReason::SendFailed)?;
         self.counters.count(Passage::Passed);
         Ok(())
