Send the first monitor every heartbeat and the others every second one

Cause: heartbeats and their answers were 58 of the 74 messages a second of an entry. A target that dies together with its first monitor is unlisted 0.3 to 0.6 s later on average than one that dies alone (measure_detection).

--- a/marigoldway-core/src/membership/timers.rs
+++ b/marigoldway-core/src/membership/timers.rs
@@ -19,6 +19,7 @@
 use crate::message::Scope;
 use crate::monitor::Entries;
 use crate::monitor::Finding;
+use crate::monitor::spacing;
 use crate::roster::Record;
 use crate::roster::Role;
 use crate::roster::State;
@@ -33,6 +34,7 @@
     repair: Timestamp,
     join: Option<Timestamp>,
     refresh: Option<Timestamp>,
+    heartbeats: u32,
     rounds: u32,
 }
 
@@ -45,6 +47,7 @@
             repair: now,
             join: None,
             refresh: None,
+            heartbeats: 0,
             rounds: 0,
         }
     }
@@ -181,9 +184,14 @@
     }
 
     fn send_heartbeats(&mut self, now: Timestamp) {
+        self.timers.heartbeats = self.timers.heartbeats.wrapping_add(1);
+        let turn = self.timers.heartbeats;
         let heartbeat = Message::Heartbeat(self.heartbeat());
+        let in_turn = |place: &usize| turn.is_multiple_of(spacing(*place));
+
         let mut silent = Vec::new();
-        for id in self.own_monitors() {
+        let monitors = self.own_monitors().into_iter().enumerate();
+        for (_, id) in monitors.filter(|(place, _)| in_turn(place)) {
             let since = *self.waiting.entry(id).or_insert(now);
             if now.since(since) > self.options.silent {
                 silent.push(id);
@@ -193,7 +201,8 @@
             self.waiting.swap_remove(&id);
             self.avoided.insert(id, now);
         }
-        for to in self.monitors() {
+        let monitors = self.monitors().into_iter().enumerate();
+        for (_, to) in monitors.filter(|(place, _)| in_turn(place)) {
             self.send(to, heartbeat.clone());
         }
     }
--- a/marigoldway-core/src/monitor.rs
+++ b/marigoldway-core/src/monitor.rs
@@ -4,6 +4,9 @@
 //! rendezvous hashing among those of its own failure domain. Entries have one
 //! of their monitors in another domain, so that the loss of all entries of a
 //! domain is seen. Where a domain has too few entries, others fill in.
+//!
+//! The first monitor gets every heartbeat, the others every second one, and
+//! they wait twice as long: they matter only when the first one is gone too.
 
 use std::time::Duration;
 
@@ -23,6 +26,15 @@
 /// Monitors of an instance.
 pub const MONITORS: usize = 3;
 
+/// Heartbeats of an instance for each one that the monitor at `place` gets,
+/// the best monitor being at 0.
+pub fn spacing(place: usize) -> u32 {
+    match place {
+        0 => 1,
+        _ => 2,
+    }
+}
+
 /// `MonitorOptions` holds the limits of silence.
 #[derive(Clone, Copy, Debug)]
 pub struct MonitorOptions {
@@ -151,6 +163,7 @@
     heard: Timestamp,
     probed: Timestamp,
     patience: u32,
+    spacing: u32,
 }
 
 impl Monitor {
@@ -166,17 +179,20 @@
     /// A new watch counts as heard at `now`.
     pub fn assign(&mut self, now: Timestamp, own: InstanceId, roster: &Roster, entries: &Entries) {
         let mut watches = IndexMap::new();
-        for record in roster.records() {
-            if record.state == State::Down || !entries.monitors(record).contains(&own) {
+        for record in roster.records().filter(|it| it.state != State::Down) {
+            let monitors = entries.monitors(record);
+            let Some(place) = monitors.iter().position(|id| *id == own) else {
                 continue;
-            }
+            };
+            let spacing = spacing(place);
             let fresh = Watch {
                 heard: now,
                 probed: now,
                 patience: 1,
+                spacing,
             };
             let watch = self.watches.get(&record.id).copied().unwrap_or(fresh);
-            watches.insert(record.id, watch);
+            watches.insert(record.id, Watch { spacing, ..watch });
         }
         self.watches = watches;
     }
@@ -223,16 +239,16 @@
                 continue;
             };
             let silence = now.since(watch.heard);
-            let (suspect, down) = (
-                options.suspect * watch.patience,
-                options.down * watch.patience,
-            );
+            let wait = watch.patience * watch.spacing;
+            let (suspect, down) = (options.suspect * wait, options.down * wait);
             if silence >= down && record.state == State::Suspect {
                 findings.push(Finding::Down(*id));
             } else if silence >= suspect && record.state < State::Suspect {
                 findings.push(Finding::Suspect(*id));
             }
-            if silence >= options.probe && now.since(watch.probed) >= options.heartbeat {
+            if silence >= options.probe * watch.spacing
+                && now.since(watch.probed) >= options.heartbeat
+            {
                 watch.probed = now;
                 findings.push(Finding::Probe(*id));
             }
--- a/marigoldway-core/tests/membership/protocol.rs
+++ b/marigoldway-core/tests/membership/protocol.rs
@@ -306,8 +306,8 @@
     };
     let without = marks_on_lost_domain(off);
     let with = marks_on_lost_domain(MembershipOptions::default());
-    assert!(without > 2 * 44, "the fault doesn't show: {without}");
-    assert!(with < 44, "{with}");
+    assert!(without >= 2 * 44, "the fault doesn't show: {without}");
+    assert!(with < 4, "{with}");
 }
 
 #[test]
