--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -17,7 +17,6 @@
 use marigoldway_core::acceptance::AcceptanceOptions;
 use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
-use marigoldway_core::roster::RosterView;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 use marigoldway_net::envelope::EnvelopeKey;
@@ -26,18 +25,23 @@
 use marigoldway_net::quic::AgentSocket;
 
 use crate::agent::flows::Flows;
+use crate::agent::requests::Access;
+use crate::agent::requests::Peers;
 use crate::agent::requests::Requests;
 use crate::entry::bind;
 use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::lists;
 use crate::membership;
+use crate::membership::Membership;
 use crate::membership::Seat;
 use crate::membership::keep_directory;
 use crate::platform;
 use crate::process::Process;
 use crate::report;
 use crate::settings::AgentSettings;
+use crate::shares::Gatekeeper;
 use crate::shutdown::Shutdown;
 
 /// Time that the last packets to callers may take at the end.
@@ -49,7 +53,7 @@
 pub async fn run(settings: AgentSettings, process: Process) -> Result<()> {
     let clock = Clock::start();
     let seat = Seat::Agent(settings.target.service);
-    let (membership, _queues) = membership::start(
+    let (membership, queues) = membership::start(
         &settings.process,
         &settings.network,
         &settings.keys,
@@ -58,8 +62,18 @@
         clock,
     )
     .await?;
-    let (_catalogs, catalogs) = watch::channel(None);
-    let agent = Agent::start(&settings, &process, clock, membership.views(), catalogs)?;
+    let catalogs = lists::start(&membership, queues.lists, &process, clock, None);
+    let _gatekeeper = Gatekeeper::start(
+        membership.clone(),
+        queues.shares,
+        catalogs.clone(),
+        clock,
+        settings.target.service,
+        process.incarnation,
+    );
+    let agent = Agent::start(&settings, &process, clock, &membership, catalogs)?;
+    tokio::spawn(agent.requests.clone().listen(queues.relay));
+    process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
         membership.clone(),
@@ -106,7 +120,7 @@
         settings: &AgentSettings,
         process: &Process,
         clock: Clock,
-        views: watch::Receiver<Arc<RosterView>>,
+        membership: &Membership,
         catalogs: watch::Receiver<Option<Arc<Catalog>>>,
     ) -> Result<Agent> {
         let own = Route {
@@ -119,7 +133,7 @@
             ..AcceptanceOptions::default()
         };
         let route = settings.keys.route.clone();
-        let gate = Arc::new(Gate::new(own, route, clock, views, options));
+        let gate = Arc::new(Gate::new(own, route, clock, membership.views(), options));
         let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
         let udp = bind(settings.network.data.addr())?;
         let socket = Arc::new(AgentSocket::new(udp, key, gate.clone()));
@@ -129,7 +143,11 @@
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
-        let requests = Requests::new(settings, &own, clock, catalogs, process.metrics.clone());
+        let access = Access::new(own.service, catalogs);
+        let control = membership.control().clone();
+        let peers = Peers::new(own, control, clock, membership.views());
+        let metrics = process.metrics.clone();
+        let requests = Requests::new(settings, own, clock, access, peers, metrics);
         let flows = Arc::new(Flows::new(requests.clone(), process.shutdown.clone()));
         tokio::spawn(flows.clone().accept(endpoint.clone()));
         Ok(Agent {
