Keep a leaving agent's idle flow open until its caller closes it

Seen: a graceful replacement of all agents left 2, 2 and 8 of 13,000 orders without a key in doubt (three runs), though nothing ran half way. Cause: the agent closed a flow as soon as its last request ended, while a new request was on its way; a rejected stream tells the caller that it did not run, a closed flow does not. Ruled out: the drain limit, the relay and the control channel (none of the three showed in the logs). The caller library also called a refusal of the service unknown, where an earlier try with the same key was in doubt. The agent's refusal settles the key, so it stands; one that is not the service's still does not (test kept, case added).

--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -52,16 +52,22 @@
     /// earlier ones, and says whether the request may be sent again.
     ///
     /// Once a try has ended in doubt, no refusal of a later one proves that the
-    /// request did not run.
+    /// request did not run, unless the service refused its idempotency key: that
+    /// settles the key for every try.
     pub fn judge(&mut self, sent: Sent, answer: &mut Answer) -> bool {
         let again = self.may_retry(sent, answer);
-        if self.doubt && answer.outcome == Outcome::NotRun {
+        if self.doubt && answer.outcome == Outcome::NotRun && !self.is_settled(answer) {
             answer.outcome = Outcome::Unknown;
         }
         self.doubt |= answer.outcome == Outcome::Unknown;
         again
     }
 
+    /// Whether the service itself answered for the idempotency key.
+    fn is_settled(&self, answer: &Answer) -> bool {
+        self.keyed && answer.status.is_some()
+    }
+
     fn may_retry(&self, sent: Sent, answer: &Answer) -> bool {
         let told = answer.status.is_some() || answer.outcome != Outcome::Unknown;
         let outcome = told.then_some(answer.outcome);
@@ -72,6 +78,7 @@
             Advice::Again if self.repeat == Repeat::Idempotent => answer.reason.is_none_or(passes),
             // A refusal settles the key, and a new one is the caller's to take.
             // Only where an earlier try is in doubt, the same key may tell more.
+            Advice::Again if self.is_settled(answer) => false,
             Advice::Again => self.keyed && self.doubt && answer.reason.is_none_or(passes),
         }
     }
--- a/marigoldway-client/tests/retry.rs
+++ b/marigoldway-client/tests/retry.rs
@@ -77,11 +77,20 @@
     assert!(!course.judge(Sent::Octets, &mut refused.clone()));
     assert!(course.judge(Sent::Octets, &mut answer(Outcome::Unknown, Reason::Broken)));
 
-    // The refusal of the second try does not prove that the first did not run.
+    // A refusal that is not the service's does not prove that the first try did
+    // not run.
     let mut second = refused.clone();
     assert!(course.judge(Sent::Octets, &mut second));
     assert_eq!(second.outcome, Outcome::Unknown);
 
+    // The service's own refusal of the key settles it for both.
+    let mut settled = Answer {
+        status: Some(http::StatusCode::SERVICE_UNAVAILABLE),
+        ..refused.clone()
+    };
+    assert!(!course.judge(Sent::Octets, &mut settled));
+    assert_eq!(settled.outcome, Outcome::NotRun);
+
     let mut done = answer(Outcome::Done, Reason::Broken);
     assert!(!course.judge(Sent::Octets, &mut done));
     assert_eq!(done.outcome, Outcome::Done);
--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h3::server::Connection;
@@ -10,10 +11,17 @@
 use quinn::Incoming;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::agent::requests::Requests;
 use crate::shutdown::Shutdown;
 
+/// Longest time for which a leaving agent keeps a flow without requests, and the
+/// time between two looks at it.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_STEP: Duration = Duration::from_millis(20);
+
 /// `Flows` accepts connections and serves their requests.
 pub(super) struct Flows {
     requests: Arc<Requests>,
@@ -92,9 +100,10 @@
                     continue;
                 }
             };
-            let Ok(Some(resolver)) = accepted else {
-                drop(alive);
-                return;
+            let resolver = match accepted {
+                Ok(Some(resolver)) => resolver,
+                Ok(None) if told => break linger(&mut connection).await,
+                Ok(None) | Err(_) => break,
             };
             let requests = self.requests.clone();
             let gone = gone.clone();
@@ -104,5 +113,21 @@
                 }
             });
         }
+        drop(alive);
+    }
+}
+
+/// Keeps a flow without requests open until its caller closes it, or for a
+/// while. A request that crossed the news of the leave on its way is rejected
+/// within that time, which tells its caller that it did not run; a closed flow
+/// would leave it in doubt.
+async fn linger(connection: &mut Connection<h3_quinn::Connection, Bytes>) {
+    let end = Instant::now() + LINGER;
+    while Instant::now() < end {
+        // Rejects what came in the meantime.
+        if connection.accept().await.is_err() {
+            return;
+        }
+        sleep(LINGER_STEP).await;
     }
 }
--- a/marigoldway/tests/common/transfers.rs
+++ b/marigoldway/tests/common/transfers.rs
@@ -32,6 +32,8 @@
     /// With an idempotency key: the same one after a doubt, a new one after a
     /// refusal. This many keys are fetched at a time.
     Keys(usize),
+    /// Without a key, and only after a refusal.
+    Plain,
     /// Without a key, whatever the outcome.
     Careless,
 }
@@ -45,8 +47,8 @@
 }
 
 impl Callers {
-    /// Starts `count` callers.
-    pub fn start(options: &ClientOptions, count: usize, rule: Rule) -> Callers {
+    /// Starts `count` callers. `name` begins the ids of their transfers.
+    pub fn start(options: &ClientOptions, name: &'static str, count: usize, rule: Rule) -> Callers {
         let told = Arc::new(Mutex::new(IndexMap::new()));
         let doubts = Arc::new(AtomicUsize::new(0));
         let stop = Arc::new(AtomicBool::new(false));
@@ -62,7 +64,7 @@
                 keys: Vec::new(),
                 doubts: doubts.clone(),
             };
-            tokio::spawn(caller.run(number, told.clone(), stop.clone()))
+            tokio::spawn(caller.run(format!("{name}-{number}"), told.clone(), stop.clone()))
         });
         Callers {
             tasks: tasks.collect(),
@@ -115,7 +117,7 @@
 impl Caller {
     async fn run(
         mut self,
-        number: usize,
+        name: String,
         told: Arc<Mutex<IndexMap<String, Outcome>>>,
         stop: Arc<AtomicBool>,
     ) {
@@ -123,7 +125,7 @@
             if stop.load(Ordering::Acquire) {
                 return;
             }
-            let id = format!("transfer-{number}-{serial}");
+            let id = format!("{name}-{serial}");
             let outcome = self.transfer(&id).await;
             lock(&told).insert(id, outcome);
         }
@@ -149,6 +151,9 @@
             };
             let answer = client.request(request).await.unwrap();
             last = answer.outcome;
+            if last == Outcome::Unknown {
+                println!("id={id} {answer}");
+            }
             let doubt = usize::from(last == Outcome::Unknown);
             self.doubts.fetch_add(doubt, Ordering::AcqRel);
             match (answer.outcome, self.rule) {
@@ -156,6 +161,7 @@
                 // The service kept the refusal, so the key is used up.
                 (Outcome::NotRun, _) => key = None,
                 (Outcome::Unknown, Rule::Keys(_)) if answer.status.is_some() => return last,
+                (Outcome::Unknown, Rule::Plain) => return last,
                 (Outcome::Unknown, _) => self.client = None,
             }
         }
--- a/marigoldway/tests/requests.rs
+++ b/marigoldway/tests/requests.rs
@@ -34,7 +34,7 @@
 
 /// Uploads at a time, and the length of each in octets.
 const UPLOADERS: usize = 3;
-const UPLOAD_LEN: usize = 200_000;
+const UPLOAD_LEN: usize = 1_200_000;
 
 /// Tries in doubt for which a process stays frozen.
 const DOUBTS: usize = 4;
@@ -68,7 +68,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn transfer_under_kills_and_freezes_runs_once() {
     let mut deployment = Deployment::start(&Plan::small());
-    let callers = Callers::start(&deployment.client("ordering"), CALLERS, Rule::Keys(10));
+    let callers = Callers::start(
+        &deployment.client("ordering"),
+        "transfer",
+        CALLERS,
+        Rule::Keys(10),
+    );
     block_in_place(|| break_everything(&mut deployment, &callers));
     let told = callers.stop().await;
 
@@ -82,7 +87,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn transfer_without_keys_runs_twice() {
     let deployment = Deployment::start(&Plan::small());
-    let callers = Callers::start(&deployment.client("ordering"), CALLERS, Rule::Careless);
+    let callers = Callers::start(
+        &deployment.client("ordering"),
+        "transfer",
+        CALLERS,
+        Rule::Careless,
+    );
     block_in_place(|| {
         callers.wait_more(STEP);
         deployment.targets[0].target.freeze();
@@ -119,7 +129,8 @@
     let plan = Plan::small();
     let mut deployment = Deployment::start(&plan);
     let options = deployment.client("ordering");
-    let callers = Callers::start(&options, CALLERS, Rule::Keys(1));
+    let callers = Callers::start(&options, "transfer", CALLERS, Rule::Keys(1));
+    let plain = Callers::start(&options, "order", CALLERS, Rule::Plain);
     let stop = Arc::new(AtomicBool::new(false));
     let uploads: Vec<_> = (0..UPLOADERS)
         .map(|_| upload(options.clone(), stop.clone()))
@@ -133,7 +144,8 @@
         callers.wait_more(STEP);
     });
     stop.store(true, Ordering::Release);
-    let told = callers.stop().await;
+    let mut told = callers.stop().await;
+    told.extend(plain.stop().await);
     let mut count = 0;
     for upload in uploads {
         for answer in upload.await.unwrap() {
