--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -58,6 +58,7 @@
     .await?;
     let counters = start(&settings, membership.views())?;
     process.metrics.mirror(counters);
+    process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     start_lists(&settings, &process, &membership, queues, clock);
     tokio::spawn(keep_directory(
