--- a/marigoldway-net/examples/measure_capacity.rs
+++ b/marigoldway-net/examples/measure_capacity.rs
@@ -41,11 +41,15 @@
 use marigoldway_core::roster::Record;
 use marigoldway_core::roster::Role;
 use marigoldway_core::roster::State;
+use marigoldway_core::share::Grant;
+use marigoldway_core::share::Report;
+use marigoldway_core::share::amounts::Amounts;
 use marigoldway_core::time::Timestamp;
 
 use marigoldway_net::wire;
 use marigoldway_net::wire::Frame;
 use marigoldway_net::wire::membership::MembershipWire;
+use marigoldway_net::wire::shares::SharesWire;
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
@@ -70,8 +74,8 @@
 /// Copies that one figure for memory is taken over.
 const COPIES: usize = 16;
 
-/// Rounds of encoding and decoding.
-const ROUNDS: u32 = 20_000;
+/// Octets that are encoded and decoded for one figure.
+const CODEC_OCTETS: u32 = 2_000_000;
 
 fn main() -> Result<()> {
     let mut csv = String::from("what,size,figure,value\n");
@@ -246,9 +250,14 @@
         ("delta, 7 beats", Message::Delta(beats)),
         ("digest of 14,500", Message::Digest(sums)),
     ];
+    let membership = all
+        .iter()
+        .map(|(name, message)| (*name, Frame::Membership(MembershipWire::from(message))));
+    let frames = membership.chain(shares());
+
     println!("{:<20} octets  encode ns  decode ns", "message");
-    for (name, message) in &all {
-        let (octets, encode, decode) = codec(message)?;
+    for (name, frame) in frames {
+        let (octets, encode, decode) = codec(&frame)?;
         println!("{name:<20} {octets:>6}  {encode:>9}  {decode:>9}");
         let name = name.replace(',', "");
         writeln!(csv, "{name},1,octets,{octets}")?;
@@ -258,15 +267,41 @@
     Ok(())
 }
 
-/// Length of a message as a frame, and the time to encode and to decode it.
-fn codec(message: &Message) -> Result<(usize, u128, u128)> {
-    let frame = || Frame::Membership(MembershipWire::from(message));
-    let octets = wire::encode(&frame())?;
-    let rounds = (ROUNDS / octets.len() as u32).max(20);
+/// The messages by which a share of one customer's allowance is lent.
+fn shares() -> [(&'static str, Frame); 2] {
+    let amounts = Amounts {
+        rate: 50_000,
+        connections: 200,
+        bulk: 2,
+    };
+    let report = Report {
+        customer: "agrovet-000001".to_owned(),
+        number: 1 << 33,
+        want: amounts,
+        open: amounts,
+        share: amounts,
+        applied: 1 << 33,
+    };
+    let grant = Grant {
+        customer: "agrovet-000001".to_owned(),
+        number: 1 << 33,
+        share: amounts,
+        term: Duration::from_secs(2),
+    };
+    [
+        ("share report", Frame::Shares(SharesWire::from(&report))),
+        ("share grant", Frame::Shares(SharesWire::from(&grant))),
+    ]
+}
+
+/// Length of a frame, and the time to encode and to decode it.
+fn codec(frame: &Frame) -> Result<(usize, u128, u128)> {
+    let octets = wire::encode(frame)?;
+    let rounds = (CODEC_OCTETS / octets.len() as u32).max(20);
 
     let start = Instant::now();
     for _ in 0..rounds {
-        black_box(wire::encode(&frame())?);
+        black_box(wire::encode(frame)?);
     }
     let encode = start.elapsed().as_nanos() / u128::from(rounds);
 
