--- a/marigoldway-client/src/client.rs
+++ b/marigoldway-client/src/client.rs
@@ -18,6 +18,8 @@
 
 use crate::answer::Answer;
 use crate::answer::Reason;
+use crate::counters::ClientStats;
+use crate::counters::Counters;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::exchange;
@@ -48,6 +50,7 @@
     endpoint: Endpoint,
     link: tokio::sync::Mutex<Option<Link>>,
     budget: Mutex<RetryBudget>,
+    counters: Counters,
 }
 
 impl Client {
@@ -62,6 +65,7 @@
                 endpoint,
                 link: tokio::sync::Mutex::new(None),
                 budget: Mutex::default(),
+                counters: Counters::default(),
             }),
         };
         client.link().await?;
@@ -80,19 +84,26 @@
         let mut course = Course::new(&request);
         self.budget().deposit();
 
+        let counters = &self.shared.counters;
         loop {
             let mut end = self.attempt(&request, deadline).await?;
-            if !course.judge(end.sent, &mut end.answer) {
-                return Ok(end.answer);
-            }
+            let again = course.judge(end.sent, &mut end.answer);
             let pause = course.pause(end.answer.retry_after, &mut rand::rng());
-            if Instant::now() + pause >= deadline || !self.budget().withdraw() {
+            let in_time = Instant::now() + pause < deadline;
+            if !again || !in_time || !self.budget().withdraw() {
+                counters.ended(&end.answer);
                 return Ok(end.answer);
             }
+            counters.retried(&end.answer);
             sleep(pause).await;
         }
     }
 
+    /// What became of the requests so far.
+    pub fn stats(&self) -> ClientStats {
+        self.shared.counters.snapshot()
+    }
+
     /// Fetches `count` idempotency keys from the service.
     pub async fn keys(&self, count: usize) -> Result<Vec<Key>> {
         let request = Request {
@@ -129,6 +140,7 @@
         }
         *slot = None;
         let link = self.dial().await?;
+        self.shared.counters.connected();
         *slot = Some(link.clone());
         tokio::spawn(release(link.watch(), Arc::downgrade(&self.shared)));
         Ok(link)
--- a/marigoldway-client/src/lib.rs
+++ b/marigoldway-client/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod answer;
 pub mod client;
+pub mod counters;
 pub mod errors;
 mod exchange;
 pub mod feed;
--- a/marigoldway-client/tests/request.rs
+++ b/marigoldway-client/tests/request.rs
@@ -87,6 +87,21 @@
     assert_eq!(calls, 2);
 }
 
+#[tokio::test]
+async fn stats_by_reason() {
+    let service = Service::start();
+    let server = service.server();
+    let client = Client::connect(service.options(&[&server]));
+    let client = client.await.expect("client");
+    for request in [Request::get("/refuse-once"), Request::post("/refuse", "")] {
+        client.request(request).await.expect("answer");
+    }
+    let stats = client.stats();
+    assert_eq!((stats.requests, stats.connections), (2, 1));
+    assert_eq!(stats.retries.get("queue-full"), Some(&1));
+    assert_eq!(stats.failures.get("queue-full"), Some(&1));
+}
+
 #[tokio::test]
 async fn request_refused_after_cut() {
     // The first try may have run, so the refusal of a later one proves nothing.
