Keep customers within their allowances at the agent

Each flow counts as a connection of its customer, each request against the rate, bulk work against its limit, held until the target has ended it. A request with a key is counted after its key was claimed, so that a refusal settles the key.

--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -10,10 +10,10 @@
 use quinn::Endpoint;
 use quinn::Incoming;
 use tokio::sync::Notify;
-use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::agent::requests::Flow;
 use crate::agent::requests::Requests;
 use crate::shutdown::Shutdown;
 
@@ -86,8 +86,7 @@
     /// Serves the requests of one flow. When the agent leaves, the caller is
     /// told so, and the flow ends with the last request that it has open.
     async fn take(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
-        // Its requests learn that a flow is gone when this is dropped.
-        let (alive, gone) = watch::channel(());
+        let (alive, flow) = Flow::open();
         let mut told = false;
         loop {
             let accepted = tokio::select! {
@@ -106,10 +105,10 @@
                 Ok(None) | Err(_) => break,
             };
             let requests = self.requests.clone();
-            let gone = gone.clone();
+            let flow = flow.clone();
             tokio::spawn(async move {
                 if let Ok((request, stream)) = resolver.resolve_request().await {
-                    requests.serve(request, stream, gone).await;
+                    requests.serve(request, stream, flow).await;
                 }
             });
         }
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -11,11 +11,9 @@
 
 use error_stack::ResultExt;
 use quinn::Endpoint;
-use tokio::sync::watch;
 use tokio::time::timeout;
 
 use marigoldway_core::acceptance::AcceptanceOptions;
-use marigoldway_core::lists::catalog::Catalog;
 use marigoldway_core::reset::ResetKey;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
@@ -63,7 +61,7 @@
     )
     .await?;
     let catalogs = lists::start(&membership, queues.lists, &process, clock, None);
-    let _gatekeeper = Gatekeeper::start(
+    let gatekeeper = Gatekeeper::start(
         membership.clone(),
         queues.shares,
         catalogs.clone(),
@@ -71,7 +69,8 @@
         settings.target.service,
         process.incarnation,
     );
-    let agent = Agent::start(&settings, &process, clock, &membership, catalogs)?;
+    let access = Access::new(settings.target.service, catalogs, gatekeeper);
+    let agent = Agent::start(&settings, &process, clock, &membership, access)?;
     tokio::spawn(agent.requests.clone().listen(queues.relay));
     process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
@@ -121,7 +120,7 @@
         process: &Process,
         clock: Clock,
         membership: &Membership,
-        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+        access: Access,
     ) -> Result<Agent> {
         let own = Route {
             agent: settings.network.data,
@@ -143,7 +142,6 @@
         let server = tls::server_config(&settings.tls)?;
         let endpoint = quic::agent_endpoint(socket, reset, server)
             .change_context_lazy(|| Error::Start("QUIC endpoint"))?;
-        let access = Access::new(own.service, catalogs);
         let control = membership.control().clone();
         let peers = Peers::new(own, control, clock, membership.views());
         let metrics = process.metrics.clone();
--- a/marigoldway/src/agent/requests/access.rs
+++ b/marigoldway/src/agent/requests/access.rs
@@ -15,13 +15,16 @@
 use marigoldway_core::request::Refusal;
 use marigoldway_core::retry::Repeat;
 
+use crate::agent::requests::flow::Flow;
 use crate::agent::requests::head::Head;
+use crate::shares::Admitted;
+use crate::shares::Gatekeeper;
 
 /// Length from which on a body makes its request a bulk one, in octets.
 const BULK_LENGTH: u64 = 1 << 20;
 
 /// `Grant` is what a request may do.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Grant {
     /// Name of the customer, empty while there are no lists.
     pub(crate) name: String,
@@ -31,12 +34,15 @@
     pub(crate) class: Class,
     /// Whether it may run more than once.
     pub(crate) repeat: Repeat,
+    /// What the request uses of its customer's allowance, until its end.
+    pub(crate) permit: Option<Arc<Admitted>>,
 }
 
-/// `Access` looks requests up in the lists.
+/// `Access` looks requests up in the lists, and keeps customers within them.
 pub(crate) struct Access {
     service: ServiceId,
     catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+    gatekeeper: Gatekeeper,
 }
 
 impl Access {
@@ -44,13 +50,41 @@
     pub(crate) fn new(
         service: ServiceId,
         catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+        gatekeeper: Gatekeeper,
     ) -> Access {
-        Access { service, catalogs }
+        Access {
+            service,
+            catalogs,
+            gatekeeper,
+        }
+    }
+
+    /// What a request that came over `flow` may do. The flow counts as a
+    /// connection of its customer from then on.
+    pub(crate) async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
+        let grant = self.check(head)?;
+        if !grant.name.is_empty() {
+            flow.seat(&self.gatekeeper, &grant.name).await?;
+        }
+        Ok(grant)
+    }
+
+    /// Takes a request out of its customer's allowance.
+    pub(crate) async fn spend(&self, grant: &Grant) -> Result<Grant, Refusal> {
+        if grant.name.is_empty() {
+            return Ok(grant.clone());
+        }
+        let permit = self.gatekeeper.admit(&grant.name, grant.class).await;
+        let permit = permit.map_err(|denial| denial.refusal)?;
+        Ok(Grant {
+            permit: Some(Arc::new(permit)),
+            ..grant.clone()
+        })
     }
 
     /// What a request may do. Until the first lists are accepted, everyone may
     /// ask, and the method tells the class.
-    pub(crate) fn check(&self, head: &Head) -> Result<Grant, Refusal> {
+    fn check(&self, head: &Head) -> Result<Grant, Refusal> {
         let catalog = self.catalogs.borrow().clone();
         match catalog {
             Some(catalog) => self.look_up(&catalog, head),
@@ -76,6 +110,7 @@
             customer: customer_key(&customer.name),
             class,
             repeat: repeat(rule.repeatable),
+            permit: None,
         })
     }
 }
@@ -89,6 +124,7 @@
         customer: customer_key(head.token.as_deref().unwrap_or_default()),
         class: by_length(class, head),
         repeat: repeat(matches!(head.method, Method::GET | Method::HEAD)),
+        permit: None,
     }
 }
 
--- a/marigoldway/src/agent/requests/ask.rs
+++ b/marigoldway/src/agent/requests/ask.rs
@@ -28,7 +28,7 @@
 use crate::agent::requests::reply::Reply;
 
 /// `Ask` is a request with its whole body.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Ask {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
@@ -129,6 +129,7 @@
             true => Repeat::Idempotent,
             false => Repeat::Once,
         },
+        permit: None,
     }
 }
 
--- a/marigoldway/src/agent/requests/local.rs
+++ b/marigoldway/src/agent/requests/local.rs
@@ -26,6 +26,7 @@
 use crate::agent::requests::slots::Slots;
 use crate::agent::requests::target::OutBody;
 use crate::agent::requests::target::Target;
+use crate::shares::Admitted;
 
 /// Time past its deadline for which a caller is kept waiting, for admission to
 /// tell it that nothing ran.
@@ -68,7 +69,7 @@
         };
 
         let request = self.outgoing(head, grant, &slot, body);
-        let reply = self.start(request, slot, hold);
+        let reply = self.start(request, slot, hold, grant.permit.clone());
         let deadline = match patience {
             Patience::Caller => deadline,
             Patience::Longer(time) => deadline.map(|deadline| deadline + time),
@@ -102,6 +103,7 @@
         request: Request<OutBody>,
         slot: Slot,
         hold: usize,
+        permit: Option<Arc<Admitted>>,
     ) -> oneshot::Receiver<Reply> {
         let (sender, receiver) = oneshot::channel();
         let target = self.target;
@@ -111,6 +113,7 @@
             request,
             slot,
             hold,
+            permit,
         };
         tokio::spawn(async move {
             if run::run(job, sender).await == Reached::No {
--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -7,6 +7,7 @@
 mod access;
 mod ask;
 mod body;
+mod flow;
 mod head;
 mod headers;
 mod held;
@@ -35,7 +36,6 @@
 use http::header;
 use sha2::Digest as _;
 use sha2::Sha256;
-use tokio::sync::watch;
 
 use marigoldway_core::admission::AdmissionOptions;
 use marigoldway_core::duplicates::Digest;
@@ -45,6 +45,7 @@
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 
+use crate::agent::requests::access::Grant;
 use crate::agent::requests::ask::Ask;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::ISSUE_MAX;
@@ -60,6 +61,7 @@
 use crate::settings::AgentSettings;
 
 pub(super) use crate::agent::requests::access::Access;
+pub(super) use crate::agent::requests::flow::Flow;
 pub(super) use crate::agent::requests::peers::Peers;
 
 /// Path that hands out idempotency keys.
@@ -133,16 +135,17 @@
         self.local.slots.idle().await;
     }
 
-    /// Serves one request. `gone` is done when its caller is gone.
+    /// Serves one request of a flow, until the flow is gone.
     pub(super) async fn serve(
         self: Arc<Self>,
         request: Request<()>,
         stream: ServerStream,
-        mut gone: watch::Receiver<()>,
+        mut flow: Flow,
     ) {
         let (mut send, receive) = stream.split();
+        let context = flow.clone();
         let work = async {
-            let reply = self.reply(request, receive).await;
+            let reply = self.reply(request, receive, &context).await;
             let retry = match &reply {
                 Reply::Refused(reason) => {
                     self.metrics.count(Counter::Refusal(*reason));
@@ -160,28 +163,32 @@
             sent = work => if let Err(err) = sent {
                 log::debug!("event=answer-failed error={err:?}");
             },
-            // The sender never sends; it is dropped with the flow.
-            _ = gone.changed() => {}
+            () = flow.gone() => {}
         }
     }
 
-    async fn reply(self: &Arc<Self>, request: Request<()>, receive: body::ReceiveHalf) -> Reply {
+    async fn reply(
+        self: &Arc<Self>,
+        request: Request<()>,
+        receive: body::ReceiveHalf,
+        flow: &Flow,
+    ) -> Reply {
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
             Ok(head) => head,
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
-            return self.issue(&head);
+            return self.issue(&head, flow).await;
         }
         match head.key.clone() {
-            Some(key) => self.keyed(head, &key, receive).await,
-            None => self.plain(head, receive).await,
+            Some(key) => self.keyed(head, &key, receive, flow).await,
+            None => self.plain(head, receive, flow).await,
         }
     }
 
-    fn issue(&self, head: &Head) -> Reply {
-        if let Err(reason) = self.access.check(head) {
+    async fn issue(&self, head: &Head, flow: &Flow) -> Reply {
+        if let Err(reason) = self.access.enter(head, flow).await {
             return Reply::Refused(reason);
         }
         let count = head.query("count").map_or(Ok(1), str::parse);
@@ -195,8 +202,8 @@
 
     /// Runs a request that has no key. A short body is held whole, so that the
     /// request may go to a peer; a longer one is passed on as it comes.
-    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf) -> Reply {
-        let grant = match self.access.check(&head) {
+    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf, flow: &Flow) -> Reply {
+        let grant = match self.enter(&head, flow).await {
             Ok(grant) => grant,
             Err(reason) => return Reply::Refused(reason),
         };
@@ -225,6 +232,11 @@
         self.held(&ask, &grant, Patience::Caller).await
     }
 
+    async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
+        let grant = self.access.enter(head, flow).await?;
+        self.access.spend(&grant).await
+    }
+
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/marigoldway/src/agent/requests/once.rs
+++ b/marigoldway/src/agent/requests/once.rs
@@ -17,6 +17,7 @@
 use crate::agent::requests::ask::Ask;
 use crate::agent::requests::body;
 use crate::agent::requests::digest;
+use crate::agent::requests::flow::Flow;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::Claimed;
 use crate::agent::requests::keys::Turn;
@@ -44,13 +45,14 @@
         head: Head,
         text: &str,
         receive: body::ReceiveHalf,
+        flow: &Flow,
     ) -> Reply {
         let body = match body::collect(receive, KEYED_BODY_MAX).await {
             Ok(body) => body,
             Err(fault) => return fault.into(),
         };
         let ask = Ask {
-            access: self.access.check(&head),
+            access: self.access.enter(&head, flow).await,
             digest: digest(&head, &body),
             head,
             body,
@@ -110,10 +112,14 @@
     /// Runs the request of a key to its end, whoever waits for it.
     async fn settle(self: &Arc<Self>, ask: &Ask) -> Settled<Answer> {
         let grant = match &ask.access {
+            Ok(grant) => self.access.spend(grant).await,
+            Err(reason) => Err(*reason),
+        };
+        let grant = match grant {
             Ok(grant) => grant,
-            Err(reason) => return Settled::NotRun(*reason),
+            Err(reason) => return Settled::NotRun(reason),
         };
-        match self.held(ask, grant, Patience::Longer(LATE_LIMIT)).await {
+        match self.held(ask, &grant, Patience::Longer(LATE_LIMIT)).await {
             Reply::Whole(answer) => Settled::Done(answer),
             Reply::Streamed(..) => Settled::Unknown(Doubt::AnswerNotKept),
             Reply::Refused(reason) => Settled::NotRun(reason),
--- a/marigoldway/src/agent/requests/run.rs
+++ b/marigoldway/src/agent/requests/run.rs
@@ -1,5 +1,7 @@
 //! A request at the target, from its first octet to the end of the answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::Request;
@@ -24,6 +26,7 @@
 use crate::agent::requests::slots::Slot;
 use crate::agent::requests::target::OutBody;
 use crate::agent::requests::target::Target;
+use crate::shares::Admitted;
 
 /// Pieces of a body that wait for a slow caller.
 const PIECES: usize = 8;
@@ -36,6 +39,8 @@
     /// Octets of an answer that are held back until it is whole. What is longer
     /// is passed on in pieces.
     pub(crate) hold: usize,
+    /// Held until the end.
+    pub(crate) permit: Option<Arc<Admitted>>,
 }
 
 /// `Failure` is an answer that did not come.
@@ -59,6 +64,7 @@
         request,
         slot,
         hold,
+        permit: _permit,
     } = job;
     let Ok(sender) = target.connect().await else {
         slot.finish(Ended::Broken);
