--- a/marigoldway/tests/outcomes.rs
+++ b/marigoldway/tests/outcomes.rs
@@ -234,6 +234,45 @@
     }
 }
 
+/// A number that a target tells of itself.
+fn count(deployment: &Deployment, name: &str) -> u64 {
+    let addr = deployment.targets[0].plan.target;
+    let (_, body) = block_in_place(|| http(addr, "GET", "/counts", ""));
+    let counts: serde_json::Value = serde_json::from_str(&body).unwrap();
+    counts[name].as_u64().unwrap()
+}
+
+/// Starts a request and goes away once it runs.
+async fn start_and_leave(deployment: &Deployment, request: Request) {
+    let before = count(deployment, "started");
+    let client = client(deployment).await;
+    let caller = client.clone();
+    let task = tokio::spawn(async move { caller.request(request).await });
+    wait_for("a request that runs", || {
+        count(deployment, "started") > before
+    });
+    task.abort();
+    client.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_leaves_frees_the_slot_if_the_target_stops() {
+    let deployment = deployment(1);
+    let upload = Request::post("/upload?ms=600000", "x");
+    start_and_leave(&deployment, upload).await;
+    wait_for("an upload that stops", || {
+        count(&deployment, "stopped") == 1
+    });
+
+    // An order can't be stopped: it holds its slot to the end, and runs once.
+    let order = Request::post("/order?ms=1000", "a");
+    start_and_leave(&deployment, order).await;
+    assert_eq!(count(&deployment, "finished"), 0);
+    wait_for("an order that ends", || count(&deployment, "finished") == 1);
+    assert_eq!(count(&deployment, "stopped"), 1);
+    assert_eq!(runs_of(&deployment, "a"), 1);
+}
+
 /// A target that sends a head and a part of the body that it promised.
 fn half_target(promised: usize, sent: usize) -> SocketAddrV4 {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
