--- a/marigoldway-core/src/request.rs
+++ b/marigoldway-core/src/request.rs
@@ -64,6 +64,8 @@
     RequestRate,
     /// The customer runs as much bulk work as the plan allows.
     BulkLimit,
+    /// The agent holds no lists yet, so it can't tell who may do what.
+    NoLists,
     /// The token belongs to no customer.
     UnknownCustomer,
     /// The customer's plan doesn't include the service or the class.
@@ -86,7 +88,7 @@
 
 impl Refusal {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Refusal; 16] = [
+    pub const ALL: [Refusal; 17] = [
         Refusal::Leaving,
         Refusal::QueueFull,
         Refusal::Deadline,
@@ -94,6 +96,7 @@
         Refusal::CustomerConnections,
         Refusal::RequestRate,
         Refusal::BulkLimit,
+        Refusal::NoLists,
         Refusal::UnknownCustomer,
         Refusal::NotInPlan,
         Refusal::KeyInvalid,
@@ -116,6 +119,7 @@
             Refusal::CustomerConnections => "customer-connections",
             Refusal::RequestRate => "request-rate",
             Refusal::BulkLimit => "bulk-limit",
+            Refusal::NoLists => "no-lists",
             Refusal::UnknownCustomer => "unknown-customer",
             Refusal::NotInPlan => "not-in-plan",
             Refusal::KeyInvalid => "key-invalid",
