Count the datagrams that overflow a receive buffer

The crest is where a lost Initial costs a caller a second, and until now a full receive buffer showed nowhere. The kernel's table of UDP sockets tells the drops of each. Without a StatsD address nothing is read for reports.

--- a/marigoldway-net/src/lib.rs
+++ b/marigoldway-net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod errors;
 pub mod forward;
 pub mod gate;
+pub mod overflow;
 pub mod platform;
 pub mod quic;
 pub mod udp;
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -73,6 +73,9 @@
     );
     let agent = Agent::start(&settings, &process, clock, &membership, catalogs)?;
     tokio::spawn(agent.requests.clone().listen(queues.relay));
+    process
+        .metrics
+        .mirror_sockets(vec![settings.network.data.0]);
     process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The `entry` process: a balancer that holds no state for any flow.
 
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,6 +59,7 @@
     .await?;
     let counters = start(&settings, membership.views())?;
     process.metrics.mirror(counters);
+    process.metrics.mirror_sockets(addresses(&settings));
     process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     start_lists(&settings, &process, &membership, queues, clock);
@@ -152,6 +154,12 @@
     ));
 }
 
+/// The UDP addresses of an entry.
+fn addresses(settings: &EntrySettings) -> Vec<SocketAddrV4> {
+    let services = settings.services.iter().map(|service| service.listen);
+    services.chain([settings.network.data.0]).collect()
+}
+
 fn keys(settings: &EntrySettings) -> EntryKeys {
     let envelope = half(&settings.keys.envelope.0, 0);
     let hash = half(&settings.keys.envelope.0, 1);
--- a/marigoldway/src/metrics.rs
+++ b/marigoldway/src/metrics.rs
@@ -12,7 +12,6 @@
 
 use cadence::BufferedUdpMetricSink;
 use cadence::Counted;
-use cadence::NopMetricSink;
 use cadence::StatsdClient;
 use indexmap::IndexMap;
 
@@ -23,6 +22,7 @@
 use marigoldway_net::control::ControlCounts;
 use marigoldway_net::counters::PacketCounters;
 use marigoldway_net::counters::Passage;
+use marigoldway_net::overflow::overflows;
 
 use crate::shutdown::Shutdown;
 
@@ -97,6 +97,8 @@
     Passage(Passage),
     /// What the control channel carried or dropped.
     Control(&'static str),
+    /// What the kernel did at the UDP sockets of the process.
+    Socket(&'static str),
     /// Any other event.
     Event(&'static str),
 }
@@ -111,6 +113,7 @@
             Counter::Drop(reason) => format!("drop.{}", reason.as_str()),
             Counter::Passage(passage) => format!("packet.{}", passage.as_str()),
             Counter::Control(name) => format!("control.{name}"),
+            Counter::Socket(name) => format!("socket.{name}"),
             Counter::Event(name) => format!("event.{name}"),
         }
     }
@@ -120,6 +123,7 @@
 enum Source {
     Packets(Arc<PacketCounters>),
     Control(Control),
+    Sockets(Vec<SocketAddrV4>),
 }
 
 impl Source {
@@ -127,6 +131,9 @@
         match self {
             Source::Packets(packets) => count_packets(packets),
             Source::Control(control) => count_control(&control.counts()),
+            Source::Sockets(addrs) => {
+                vec![(Counter::Socket("receive-overflows"), overflows(addrs))]
+            }
         }
     }
 }
@@ -158,7 +165,7 @@
 
 /// `Metrics` holds the counters of a process.
 pub struct Metrics {
-    client: StatsdClient,
+    client: Option<StatsdClient>,
     counters: RwLock<IndexMap<Counter, Arc<AtomicU64>>>,
     sources: RwLock<Vec<Source>>,
 }
@@ -174,9 +181,9 @@
                 let socket = UdpSocket::bind("0.0.0.0:0")?;
                 socket.set_nonblocking(true)?;
                 let sink = BufferedUdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
-                StatsdClient::from_sink(PREFIX, sink)
+                Some(StatsdClient::from_sink(PREFIX, sink))
             }
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => None,
         };
 
         let refusals = Refusal::ALL.into_iter().map(Counter::Refusal);
@@ -227,6 +234,12 @@
         self.add_source(Source::Control(control));
     }
 
+    /// Reports the datagrams that the kernel drops at the UDP sockets bound to
+    /// `addrs` with the others.
+    pub fn mirror_sockets(&self, addrs: Vec<SocketAddrV4>) {
+        self.add_source(Source::Sockets(addrs));
+    }
+
     fn add_source(&self, source: Source) {
         let mut sources = self.sources.write().unwrap_or_else(PoisonError::into_inner);
         sources.push(source);
@@ -252,15 +265,18 @@
 
     /// Sends what was added since `sent`, and brings `sent` up to date.
     fn report(&self, sent: &mut IndexMap<String, u64>) {
+        let Some(client) = &self.client else {
+            return;
+        };
         for (name, count) in self.snapshot() {
             let before = sent.insert(name.clone(), count).unwrap_or_default();
             let added = i64::try_from(count.saturating_sub(before)).unwrap_or(i64::MAX);
             if added > 0 {
                 // StatsD is lossy by design, and the counters stay readable here.
-                let _ = self.client.count(&name, added);
+                let _ = client.count(&name, added);
             }
         }
-        let _ = self.client.flush();
+        let _ = client.flush();
     }
 }
 
