--- a/marigoldway/src/membership/directory.rs
+++ b/marigoldway/src/membership/directory.rs
@@ -41,28 +41,87 @@
     own: InstanceId,
     domain: DomainId,
 ) {
-    let mut written: Option<String> = None;
+    let mut directory = Directory::new(platform, seat, own, domain);
     loop {
         time::sleep(PERIOD).await;
+        directory.look(&membership).await;
+    }
+}
+
+/// `Directory` is the platform's list of entries, as one process uses it.
+pub struct Directory<P> {
+    platform: P,
+    seat: Seat,
+    own: InstanceId,
+    domain: DomainId,
+    written: Option<String>,
+}
+
+impl<P: Platform> Directory<P> {
+    /// Makes the directory of the process `own`, which stands in `domain`.
+    pub fn new(platform: P, seat: Seat, own: InstanceId, domain: DomainId) -> Directory<P> {
+        Directory {
+            platform,
+            seat,
+            own,
+            domain,
+            written: None,
+        }
+    }
+
+    /// Looks at the roster once, and reads or writes what it calls for.
+    pub async fn look(&mut self, membership: &Membership) {
         let view = membership.views().borrow().clone();
-        if is_alone(&view, own) {
-            read(&membership, &platform).await;
-            continue;
+        if is_alone(&view, self.own) {
+            return self.read(membership).await;
         }
-        if seat != Seat::Entry || !is_keeper(&view, own, domain) {
-            written = None;
-            continue;
+        if self.seat != Seat::Entry || !is_keeper(&view, self.own, self.domain) {
+            self.written = None;
+            return;
         }
-        let wanted = addresses(&view, domain);
-        if written.as_ref() == Some(&wanted) {
-            continue;
+        let wanted = addresses(&view, self.domain);
+        if self.written.as_ref() == Some(&wanted) {
+            return;
         }
-        match write(&platform, domain, &wanted).await {
-            Ok(()) => written = Some(wanted),
+        match self.write(&wanted).await {
+            Ok(()) => self.written = Some(wanted),
             // The next look tries again, and reads what stands first.
             Err(error) => log::warn!("event=directory-write result=\"{error}\""),
         }
     }
+
+    async fn read(&self, membership: &Membership) {
+        let read = match self.platform.get(Range::Prefix(PREFIX)).await {
+            Ok(read) => read,
+            Err(error) => return log::warn!("event=directory-read result=\"{error}\""),
+        };
+        let contacts: Vec<SocketAddrV4> = read
+            .found
+            .iter()
+            .filter_map(|stored| str::from_utf8(&stored.value).ok())
+            .flat_map(str::split_whitespace)
+            .filter_map(|address| address.parse().ok())
+            .collect();
+        log::info!("event=directory-read contacts={}", contacts.len());
+        membership.add_contacts(contacts).await;
+    }
+
+    async fn write(&self, wanted: &str) -> Result<()> {
+        let key = format!("{PREFIX}{}", self.domain.0);
+        let read = self.platform.get(Range::Key(&key)).await?;
+        let stored = read.found.first();
+        if stored.is_some_and(|it| it.value == wanted.as_bytes()) {
+            return Ok(());
+        }
+        let swap = Swap {
+            compares: vec![(key.clone(), stored.map_or(0, |it| it.revision))],
+            puts: vec![(key, wanted.as_bytes().to_vec())],
+            lease: None,
+        };
+        // A refusal means that another entry wrote, whose view is as good.
+        self.platform.compare_and_swap(&swap).await?;
+        Ok(())
+    }
 }
 
 /// Tells whether no entry but this process is known.
@@ -86,36 +145,3 @@
         .collect();
     addresses.join(" ")
 }
-
-async fn read(membership: &Membership, platform: &impl Platform) {
-    let read = match platform.get(Range::Prefix(PREFIX)).await {
-        Ok(read) => read,
-        Err(error) => return log::warn!("event=directory-read result=\"{error}\""),
-    };
-    let contacts: Vec<SocketAddrV4> = read
-        .found
-        .iter()
-        .filter_map(|stored| str::from_utf8(&stored.value).ok())
-        .flat_map(str::split_whitespace)
-        .filter_map(|address| address.parse().ok())
-        .collect();
-    log::info!("event=directory-read contacts={}", contacts.len());
-    membership.add_contacts(contacts).await;
-}
-
-async fn write(platform: &impl Platform, domain: DomainId, wanted: &str) -> Result<()> {
-    let key = format!("{PREFIX}{}", domain.0);
-    let read = platform.get(Range::Key(&key)).await?;
-    let stored = read.found.first();
-    if stored.is_some_and(|it| it.value == wanted.as_bytes()) {
-        return Ok(());
-    }
-    let swap = Swap {
-        compares: vec![(key.clone(), stored.map_or(0, |it| it.revision))],
-        puts: vec![(key, wanted.as_bytes().to_vec())],
-        lease: None,
-    };
-    // A refusal means that another entry wrote, whose view is as good.
-    platform.compare_and_swap(&swap).await?;
-    Ok(())
-}
--- a/marigoldway/src/membership/mod.rs
+++ b/marigoldway/src/membership/mod.rs
@@ -40,11 +40,13 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::membership::task::Publishers;
 use crate::membership::task::Task;
 use crate::settings::FleetKeys;
 use crate::settings::NetworkSettings;
 use crate::settings::ProcessSettings;
 
+pub use crate::membership::directory::Directory;
 pub use crate::membership::directory::keep_directory;
 
 /// Start of the count of incarnations: 2026-01-01 UTC, in seconds since the
@@ -83,6 +85,7 @@
     inputs: mpsc::Sender<Input>,
     events: broadcast::Sender<Event>,
     control: Control,
+    replaced: watch::Receiver<bool>,
 }
 
 /// The incarnation of a process that starts at `now`, in tenths of a second.
@@ -114,14 +117,27 @@
     let (view, views) = watch::channel(Arc::default());
     let (inputs, input_queue) = mpsc::channel(INPUTS);
     let events = broadcast::Sender::new(EVENTS);
-    let task = Task::new(own, network.contacts.clone(), clock, control.clone());
-    tokio::spawn(task.run(input_queue, channels.membership, view, events.clone()));
+    let (replace, replaced) = watch::channel(false);
+    let publishers = Publishers {
+        views: view,
+        events: events.clone(),
+        replaced: replace,
+    };
+    let task = Task::new(
+        own,
+        network.contacts.clone(),
+        clock,
+        control.clone(),
+        publishers,
+    );
+    tokio::spawn(task.run(input_queue, channels.membership));
 
     let membership = Membership {
         views,
         inputs,
         events,
         control,
+        replaced,
     };
     let queues = Queues {
         lists: channels.lists,
@@ -171,6 +187,16 @@
         self.events.subscribe()
     }
 
+    /// Waits until a later life of this instance is known. The process has to
+    /// end then: it is no longer listed, and says nothing more to peers.
+    pub async fn replaced(&self) {
+        let mut replaced = self.replaced.clone();
+        if replaced.wait_for(|replaced| *replaced).await.is_err() {
+            // The task has ended without being replaced.
+            std::future::pending().await
+        }
+    }
+
     /// Has the process listed as serving.
     pub async fn serve(&self) {
         self.input(Input::State(State::Serving)).await;
--- a/marigoldway/src/membership/task.rs
+++ b/marigoldway/src/membership/task.rs
@@ -29,12 +29,20 @@
 /// Messages that are taken before the view is published.
 const BATCH: usize = 64;
 
+/// `Publishers` holds where the task says what it knows.
+pub(super) struct Publishers {
+    pub(super) views: watch::Sender<Arc<RosterView>>,
+    pub(super) events: broadcast::Sender<Event>,
+    pub(super) replaced: watch::Sender<bool>,
+}
+
 /// `Task` runs the state machine.
 pub(super) struct Task {
     membership: Membership,
     options: MembershipOptions,
     clock: Clock,
     control: Control,
+    publishers: Publishers,
     rng: StdRng,
     changed: bool,
 }
@@ -45,6 +53,7 @@
         contacts: Vec<SocketAddrV4>,
         clock: Clock,
         control: Control,
+        publishers: Publishers,
     ) -> Task {
         let options = MembershipOptions::default();
         Task {
@@ -52,6 +61,7 @@
             options,
             clock,
             control,
+            publishers,
             rng: StdRng::from_rng(&mut rand::rng()),
             changed: true,
         }
@@ -61,8 +71,6 @@
         mut self,
         mut inputs: mpsc::Receiver<Input>,
         mut messages: Received<MembershipWire>,
-        views: watch::Sender<Arc<RosterView>>,
-        events: broadcast::Sender<Event>,
     ) {
         let mut tick = time::interval(self.options.tick);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -70,53 +78,46 @@
             tokio::select! {
                 // The tick goes first, since it notices that the process slept.
                 biased;
-                _ = tick.tick() => self.take(Input::Tick, &events),
+                _ = tick.tick() => self.take(Input::Tick),
                 input = inputs.recv() => match input {
-                    Some(input) => self.take(input, &events),
+                    Some(input) => self.take(input),
                     None => return,
                 },
                 message = messages.recv() => match message {
                     Some((from, wire)) => {
-                        self.receive(from, wire, &events);
-                        self.receive_ready(&mut messages, &events);
+                        self.receive(from, wire);
+                        self.receive_ready(&mut messages);
                     }
                     None => return,
                 },
             }
             if self.changed {
                 self.changed = false;
-                views.send_replace(Arc::new(self.membership.view()));
+                self.publishers
+                    .views
+                    .send_replace(Arc::new(self.membership.view()));
             }
         }
     }
 
     /// Takes messages that wait already, so that many of them cost one view.
-    fn receive_ready(
-        &mut self,
-        messages: &mut Received<MembershipWire>,
-        events: &broadcast::Sender<Event>,
-    ) {
+    fn receive_ready(&mut self, messages: &mut Received<MembershipWire>) {
         for _ in 0..BATCH {
             let Ok((from, wire)) = messages.try_recv() else {
                 return;
             };
-            self.receive(from, wire, events);
+            self.receive(from, wire);
         }
     }
 
-    fn receive(
-        &mut self,
-        from: SocketAddrV4,
-        wire: MembershipWire,
-        events: &broadcast::Sender<Event>,
-    ) {
+    fn receive(&mut self, from: SocketAddrV4, wire: MembershipWire) {
         match Message::try_from(wire) {
-            Ok(message) => self.take(Input::Receive { from, message }, events),
+            Ok(message) => self.take(Input::Receive { from, message }),
             Err(error) => log::warn!("event=roster-malformed peer={from} reason=\"{error}\""),
         }
     }
 
-    fn take(&mut self, input: Input, events: &broadcast::Sender<Event>) {
+    fn take(&mut self, input: Input) {
         let now = self.clock.now();
         for output in self.membership.handle(now, input, &mut self.rng) {
             match output {
@@ -127,8 +128,11 @@
                 Output::View => self.changed = true,
                 Output::Event(event) => {
                     report(event);
+                    if event == Event::Replaced {
+                        self.publishers.replaced.send_replace(true);
+                    }
                     // Nobody has to listen.
-                    let _ = events.send(event);
+                    let _ = self.publishers.events.send(event);
                 }
             }
         }
--- a/marigoldway/tests/membership.rs
+++ b/marigoldway/tests/membership.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::SystemTime;
 
+use indexmap::IndexMap;
 use log::LevelFilter;
 use tokio::time;
 
 use marigoldway::membership;
+use marigoldway::membership::Directory;
 use marigoldway::membership::Membership;
 use marigoldway::membership::Queues;
 use marigoldway::membership::Seat;
@@ -26,6 +30,16 @@
 use marigoldway_core::roster::RosterView;
 use marigoldway_core::roster::State;
 use marigoldway_net::clock::Clock;
+use marigoldway_net::platform::LeaseId;
+use marigoldway_net::platform::Platform;
+use marigoldway_net::platform::Range;
+use marigoldway_net::platform::Read;
+use marigoldway_net::platform::Stored;
+use marigoldway_net::platform::Swap;
+use marigoldway_net::platform::Swapped;
+use marigoldway_net::platform::Watch;
+use marigoldway_net::platform::errors::Error;
+use marigoldway_net::platform::errors::Result;
 use marigoldway_net::wire::Frame;
 use marigoldway_net::wire::lists::ListsWire;
 
@@ -149,3 +163,101 @@
     let received = time::timeout(LIMIT, queues.lists.recv()).await.unwrap();
     assert_eq!(received, Some((first.control, ListsWire::Have(7))));
 }
+
+/// A platform with nothing but a map.
+#[derive(Clone, Default)]
+struct Map(Arc<Mutex<IndexMap<String, Stored>>>);
+
+impl Platform for Map {
+    async fn get(&self, range: Range<'_>) -> Result<Read> {
+        let matches = |key: &str| match range {
+            Range::Key(wanted) => key == wanted,
+            Range::Prefix(prefix) | Range::Newest(prefix, _) => key.starts_with(prefix),
+        };
+        let map = self.0.lock().unwrap();
+        let found = map.values().filter(|it| matches(&it.key)).cloned();
+        Ok(Read {
+            found: found.collect(),
+            revision: map.len() as u64,
+        })
+    }
+
+    async fn compare_and_swap(&self, swap: &Swap) -> Result<Swapped> {
+        let mut map = self.0.lock().unwrap();
+        let revision = |key: &String| map.get(key).map_or(0, |it| it.revision);
+        if swap.compares.iter().any(|(key, it)| revision(key) != *it) {
+            return Ok(Swapped::Refused);
+        }
+        for (key, value) in swap.puts.clone() {
+            let revision = map.len() as u64 + 1;
+            let stored = Stored {
+                key: key.clone(),
+                value,
+                revision,
+            };
+            map.insert(key, stored);
+        }
+        Ok(Swapped::Applied(map.len() as u64))
+    }
+
+    async fn lease(&self, _: Duration) -> Result<LeaseId> {
+        Err(Error::LeaseLost)
+    }
+
+    async fn keep_alive(&self, _: LeaseId) -> Result<()> {
+        Err(Error::LeaseLost)
+    }
+
+    async fn watch(&self, _: &str, _: u64) -> Result<Watch> {
+        Err(Error::LeaseLost)
+    }
+}
+
+#[tokio::test]
+async fn directory_introduces_a_process_without_contacts() {
+    let first = network(&[]);
+    let second = network(&[first.control]);
+    let (one, _queues) = start(&first, Seat::Entry, 1).await;
+    let (two, _queues) = start(&second, Seat::Entry, 1).await;
+    let both = |it: &RosterView| {
+        let serving = it.records().filter(|it| it.state == State::Serving);
+        serving.count() == 2
+    };
+    wait_for(&one, both).await;
+    wait_for(&two, both).await;
+
+    // One of the two keeps the key of their domain, whoever looks first.
+    let map = Map::default();
+    let domain = DomainId(1);
+    for (membership, network) in [(&one, &first), (&two, &second)] {
+        let mut directory = Directory::new(map.clone(), Seat::Entry, network.data, domain);
+        directory.look(membership).await;
+    }
+    assert_eq!(map.0.lock().unwrap().len(), 1);
+
+    let stranger = network(&[]);
+    let seat = Seat::Agent(SERVICE);
+    let (three, _queues) = start(&stranger, seat, 2).await;
+    let mut directory = Directory::new(map, seat, stranger.data, DomainId(2));
+    directory.look(&three).await;
+    wait_for(&three, |it| it.entries().len() == 2).await;
+    wait_for(&one, |it| state(it, stranger.data) == Some(State::Serving)).await;
+}
+
+#[tokio::test]
+async fn replaced_process_learns_that_it_has_to_end() {
+    let first = network(&[]);
+    let (_entry, _queues) = start(&first, Seat::Entry, 1).await;
+    let old = network(&[first.control]);
+    let (before, _queues) = start(&old, Seat::Agent(SERVICE), 1).await;
+    wait_for(&before, |it| it.entries().len() == 1).await;
+
+    // The later life has the name of the old one at another control address.
+    let new = NetworkSettings {
+        data: old.data,
+        ..network(&[first.control])
+    };
+    time::sleep(Duration::from_millis(200)).await;
+    let (_after, _queues) = start(&new, Seat::Agent(SERVICE), 1).await;
+    time::timeout(LIMIT, before.replaced()).await.unwrap();
+}
