Bring a newcomer a large roster in parts

Cause: an answer was cut at 2,000 records, and the rest came at the pace of the repairs: at 14,500 records minutes. A newcomer also passed on all it had learned to its neighbours, and sorted that queue every tick.

--- a/marigoldway-core/src/digest.rs
+++ b/marigoldway-core/src/digest.rs
@@ -30,11 +30,15 @@
 
 /// Makes a digest of `roster` with a number of buckets that suits its size.
 pub fn digest(roster: &Roster, scope: Scope) -> Digest {
-    let count = roster.records().filter(|it| scope.covers(it)).count();
-    let buckets = (count / BUCKET_RECORDS).next_power_of_two();
+    let buckets = (count(roster, scope) / BUCKET_RECORDS).next_power_of_two();
     digest_with(roster, scope, buckets.min(BUCKETS_MAX))
 }
 
+/// Number of records in `scope`.
+pub fn count(roster: &Roster, scope: Scope) -> usize {
+    roster.records().filter(|it| scope.covers(it)).count()
+}
+
 /// Makes a digest with `buckets` buckets, a power of two.
 pub fn digest_with(roster: &Roster, scope: Scope, buckets: usize) -> Digest {
     let mut sums = vec![0; buckets];
--- a/marigoldway-core/src/membership/mod.rs
+++ b/marigoldway-core/src/membership/mod.rs
@@ -209,6 +209,7 @@
     fn announce(&mut self, now: Timestamp) {
         let own = self.own.clone();
         self.merge(now, own.clone());
+        self.spread(own.id, own.state);
         for to in self.monitors() {
             self.send_records(to, vec![own.clone()]);
         }
@@ -217,7 +218,14 @@
         }
     }
 
-    /// Merges a record, and queues it for other processes if it is new.
+    /// Queues a record for other processes.
+    fn spread(&mut self, id: InstanceId, state: State) {
+        if self.own.role == Role::Entry {
+            self.gossip.push(id, state);
+        }
+    }
+
+    /// Merges a record and tells whether that changed the roster.
     fn merge(&mut self, now: Timestamp, record: Record) -> bool {
         let id = record.id;
         if id == self.own.id && record != self.own {
@@ -250,9 +258,6 @@
         if merge == Merge::New || is_entry || fell {
             self.dirty = true;
         }
-        if self.own.role == Role::Entry {
-            self.gossip.push(id, state);
-        }
         self.output_view();
         true
     }
--- a/marigoldway-core/src/membership/receive.rs
+++ b/marigoldway-core/src/membership/receive.rs
@@ -24,7 +24,8 @@
 use crate::roster::State;
 use crate::time::Timestamp;
 
-/// Records in one answer to a newcomer, which the budget doesn't bound.
+/// Records in one answer to a newcomer, which lacks a tenth of the records and
+/// which the budget doesn't bound.
 const BULK_RECORDS: usize = 2_000;
 
 /// Heartbeats with a differing sum before a monitor repairs: changes that are
@@ -48,7 +49,7 @@
                 self.send(from, Message::Heartbeat(heartbeat));
             }
             Message::Inquiry { id, number } => self.send_ack(from, id, number),
-            Message::Delta(delta) => self.take_delta(now, delta),
+            Message::Delta(delta) => self.take_delta(now, from, delta),
             Message::Digest(digest) => self.take_digest(now, from, &digest, rng),
             Message::Load(load) => self.event(Event::Peer(load)),
         }
@@ -152,15 +153,22 @@
         }
     }
 
-    fn take_delta(&mut self, now: Timestamp, delta: Delta) {
+    fn take_delta(&mut self, now: Timestamp, from: SocketAddrV4, delta: Delta) {
         for beat in delta.beats {
             self.beats.merge(now, beat);
         }
+        let is_part = delta.records.len() >= self.options.gossip.batch;
         let others = delta.records.iter().any(|it| it.id != self.own.id);
         let mut urgent = false;
         for record in delta.records {
-            let state = record.state;
-            if self.keeps(&record) && self.merge(now, record) {
+            let (id, state) = (record.id, record.state);
+            if !self.keeps(&record) || !self.merge(now, record) {
+                continue;
+            }
+            // What comes in such numbers is news to this process alone, or
+            // comes to others by their own repairs.
+            if !is_part {
+                self.spread(id, state);
                 urgent |= state > State::Serving;
             }
         }
@@ -171,6 +179,11 @@
             self.phase = Phase::Joined;
             self.event(Event::Joined);
         }
+        if is_part {
+            // More is to come, and need not wait for the next repair.
+            let digest = digest::digest(&self.roster, self.scope());
+            self.send(from, Message::Digest(digest));
+        }
     }
 
     /// An agent holds the entries and the agents of its own service only.
@@ -196,7 +209,8 @@
 
         let differing = digest::differing(&self.roster, digest);
         let mut records: Vec<Record> = differing.into_iter().cloned().collect();
-        let newcomer = (digest.count as usize) < self.roster.len() / 2;
+        let held = digest::count(&self.roster, digest.scope);
+        let newcomer = u64::from(digest.count) * 10 < held as u64 * 9;
         let limit = match newcomer {
             true => BULK_RECORDS,
             false => self.gossip.room(now),
--- a/marigoldway-core/src/membership/timers.rs
+++ b/marigoldway-core/src/membership/timers.rs
@@ -257,6 +257,7 @@
         record.state = state;
         let to = record.control;
         if self.merge(now, record.clone()) {
+            self.spread(id, state);
             self.event(Event::Marked { id, state });
             self.send_records(to, vec![record]);
             self.flush(now);
--- a/marigoldway-core/tests/membership/protocol.rs
+++ b/marigoldway-core/tests/membership/protocol.rs
@@ -9,6 +9,8 @@
 use marigoldway_core::membership::Event;
 use marigoldway_core::membership::Input;
 use marigoldway_core::membership::MembershipOptions;
+use marigoldway_core::message::Delta;
+use marigoldway_core::message::Message;
 use marigoldway_core::roster::State;
 
 use crate::fleet::Fleet;
@@ -19,6 +21,7 @@
 const NEVER: Duration = Duration::from_secs(1_000_000);
 
 const SECOND: Duration = Duration::from_secs(1);
+const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn settled(seed: u64, options: MembershipOptions, domains: u8, entries: u32, agents: u32) -> Fleet {
     let mut fleet = Fleet::new(seed, options);
@@ -341,3 +344,22 @@
     assert!(without > 20, "the fault doesn't show: {without}");
     assert!(with <= 8, "{with}");
 }
+
+#[test]
+fn newcomer_learns_a_large_roster_at_once() {
+    let mut fleet = Fleet::new(14, MembershipOptions::default());
+    fleet.start(record(10_000, None, 1, 1));
+    let records = (0..7_000).map(|n| record(20_000 + n, Some(1), 2, 1));
+    let message = Message::Delta(Delta {
+        records: records.collect(),
+        beats: Vec::new(),
+    });
+    let from = record(20_000, Some(1), 2, 1).control;
+    fleet.input(instance(10_000), Input::Receive { from, message });
+
+    // Before anyone finds the instances silent, which don't run.
+    fleet.start(record(10_001, None, 1, 1));
+    fleet.run(1_500 * MILLISECOND);
+    let newcomer = &fleet.processes[&instance(10_001)].membership;
+    assert_eq!(newcomer.roster().len(), 7_002);
+}
