Pass a new flow only if the second candidate holds 1/256 less

Cause: with 1,400 flows a target an agent passed half of its new flows for differences of a flow or two, and each pass costs the first packets another hop. Loads below 256, as on slots, behave as before.

--- a/marigoldway-core/examples/measure_imbalance.rs
+++ b/marigoldway-core/examples/measure_imbalance/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run --release --example measure_imbalance -- FILE.csv`
 
+mod tally;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
@@ -23,6 +25,8 @@
 use marigoldway_core::placement::PlacementTable;
 use marigoldway_core::time::Timestamp;
 
+use crate::tally::Tally;
+
 const TARGETS: usize = 7;
 /// Failure domain of each target.
 const DOMAINS: [usize; TARGETS] = [0, 0, 0, 1, 1, 2, 2];
@@ -82,21 +86,30 @@
     /// Knows every load at once: a bound, which no policy reaches.
     Perfect,
     Ours {
-        slack: u32,
+        tolerance: u32,
     },
     OwnDomainFirst {
-        slack: u32,
+        tolerance: u32,
     },
 }
 
-const POLICIES: [(&str, Policy); 7] = [
+const POLICIES: [(&str, Policy); 8] = [
     ("random", Policy::Random),
     ("hashing", Policy::Hashing),
     ("least-reported", Policy::LeastReported),
     ("perfect-knowledge", Policy::Perfect),
-    ("ours", Policy::Ours { slack: 0 }),
-    ("ours-slack-1", Policy::Ours { slack: 1 }),
-    ("own-domain-first", Policy::OwnDomainFirst { slack: 0 }),
+    ("ours", Policy::Ours { tolerance: 256 }),
+    (
+        "ours-exact",
+        Policy::Ours {
+            tolerance: u32::MAX,
+        },
+    ),
+    ("ours-64", Policy::Ours { tolerance: 64 }),
+    (
+        "own-domain-first",
+        Policy::OwnDomainFirst { tolerance: 256 },
+    ),
 ];
 
 /// The load of a target over time.
@@ -150,13 +163,13 @@
 
 impl Run {
     fn new(workload: Workload, policy: Policy, seed: u64) -> Run {
-        let slack = match policy {
-            Policy::Ours { slack } | Policy::OwnDomainFirst { slack } => slack,
+        let tolerance = match policy {
+            Policy::Ours { tolerance } | Policy::OwnDomainFirst { tolerance } => tolerance,
             _ => 0,
         };
         let options = AcceptanceOptions {
             limit: u32::MAX,
-            slack,
+            tolerance,
             ..AcceptanceOptions::default()
         };
         let ids: Vec<_> = (1..=TARGETS as u16)
@@ -279,12 +292,12 @@
         target.note(now);
     }
 
-    fn run(&mut self, policy: Policy) -> Result {
+    fn run(&mut self, policy: Policy) -> Tally {
         let workload = self.workload;
         let mean = workload.mean * (1.0 + 9.0 * workload.stragglers);
         let rate = USE * (workload.slots * TARGETS) as f64 / mean;
         let warm = 5.0 * workload.mean + WINDOW;
-        let mut result = Result::default();
+        let mut result = Tally::default();
         let mut next = self.draw(1.0 / rate);
         let mut sample = warm;
         while sample < warm + workload.length {
@@ -317,54 +330,6 @@
     }
 }
 
-/// Sums over the samples of a run.
-#[derive(Default)]
-struct Result {
-    window: [f64; TARGETS],
-    windows: f64,
-    count: usize,
-    window_peak: f64,
-    window_variation: f64,
-    peak: f64,
-    variation: f64,
-    samples: f64,
-    waiting: f64,
-    passed: f64,
-}
-
-/// Largest over mean, and standard deviation over mean.
-fn spread(loads: &[f64; TARGETS]) -> (f64, f64) {
-    let mean = loads.iter().sum::<f64>() / TARGETS as f64;
-    let largest = loads.iter().copied().fold(0.0, f64::max);
-    let square = loads.iter().map(|it| (it - mean).powi(2)).sum::<f64>();
-    (largest / mean, (square / TARGETS as f64).sqrt() / mean)
-}
-
-impl Result {
-    fn sample(&mut self, loads: impl Iterator<Item = u32>) {
-        let mut now = [0.0; TARGETS];
-        for (index, load) in loads.enumerate() {
-            now[index] = f64::from(load);
-            self.window[index] += f64::from(load);
-        }
-        if now.iter().sum::<f64>() > 0.0 {
-            let (peak, variation) = spread(&now);
-            self.peak += peak;
-            self.variation += variation;
-            self.samples += 1.0;
-        }
-        self.count += 1;
-        if self.count == (WINDOW / SAMPLE) as usize {
-            let (peak, variation) = spread(&self.window);
-            self.window_peak += peak;
-            self.window_variation += variation;
-            self.windows += 1.0;
-            self.window = [0.0; TARGETS];
-            self.count = 0;
-        }
-    }
-}
-
 fn main() {
     let mut csv = String::from(
         "workload,policy,window_peak,window_variation,peak,variation,waiting,passed\n",
--- /dev/null
+++ b/marigoldway-core/examples/measure_imbalance/tally.rs
@@ -0,0 +1,53 @@
+//! How uneven the loads of a run are.
+
+use crate::SAMPLE;
+use crate::TARGETS;
+use crate::WINDOW;
+
+/// Sums over the samples of a run.
+#[derive(Default)]
+pub struct Tally {
+    window: [f64; TARGETS],
+    pub windows: f64,
+    count: usize,
+    pub window_peak: f64,
+    pub window_variation: f64,
+    pub peak: f64,
+    pub variation: f64,
+    pub samples: f64,
+    pub waiting: f64,
+    pub passed: f64,
+}
+
+/// Largest over mean, and standard deviation over mean.
+fn spread(loads: &[f64; TARGETS]) -> (f64, f64) {
+    let mean = loads.iter().sum::<f64>() / TARGETS as f64;
+    let largest = loads.iter().copied().fold(0.0, f64::max);
+    let square = loads.iter().map(|it| (it - mean).powi(2)).sum::<f64>();
+    (largest / mean, (square / TARGETS as f64).sqrt() / mean)
+}
+
+impl Tally {
+    pub fn sample(&mut self, loads: impl Iterator<Item = u32>) {
+        let mut now = [0.0; TARGETS];
+        for (index, load) in loads.enumerate() {
+            now[index] = f64::from(load);
+            self.window[index] += f64::from(load);
+        }
+        if now.iter().sum::<f64>() > 0.0 {
+            let (peak, variation) = spread(&now);
+            self.peak += peak;
+            self.variation += variation;
+            self.samples += 1.0;
+        }
+        self.count += 1;
+        if self.count == (WINDOW / SAMPLE) as usize {
+            let (peak, variation) = spread(&self.window);
+            self.window_peak += peak;
+            self.window_variation += variation;
+            self.windows += 1.0;
+            self.window = [0.0; TARGETS];
+            self.count = 0;
+        }
+    }
+}
--- a/marigoldway-core/src/acceptance.rs
+++ b/marigoldway-core/src/acceptance.rs
@@ -20,8 +20,10 @@
 pub struct AcceptanceOptions {
     /// Flows that the target holds at most.
     pub limit: u32,
-    /// Flows above the second candidate's that are kept all the same.
-    pub slack: u32,
+    /// Flows of the second candidate for each flow by which this agent may
+    /// hold more and keep a new one all the same. A pass costs the first
+    /// packets of a flow another hop, so slight differences aren't worth it.
+    pub tolerance: u32,
     /// Age at which a peer's load no longer counts.
     pub stale: Duration,
     /// Time for which a decision stands: longer than a caller retransmits.
@@ -34,7 +36,7 @@
     fn default() -> AcceptanceOptions {
         AcceptanceOptions {
             limit: 2_000,
-            slack: 0,
+            tolerance: 256,
             stale: Duration::from_secs(5),
             expiry: Duration::from_secs(15),
             decisions: 65_536,
@@ -168,7 +170,8 @@
             Some((since, flows)) if fresh(since) => Some(*flows),
             _ => self.mean(now),
         };
-        other.is_some_and(|other| self.flows > other.saturating_add(self.options.slack))
+        let tolerance = self.options.tolerance.max(1);
+        other.is_some_and(|other| self.flows > other.saturating_add(other / tolerance))
     }
 
     /// Mean number of flows over the peers that told it lately, rounded up.
--- a/marigoldway-net/examples/measure_roster.rs
+++ b/marigoldway-net/examples/measure_roster.rs
@@ -32,9 +32,11 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Entries and agents in each of three domains.
-const SIZES: [(u32, u32); 3] = [(2, 15), (7, 60), (27, 240)];
+const SIZES: [(u32, u32); 4] = [(2, 15), (7, 60), (27, 240), (80, 720)];
 /// Agents of a service in a domain.
 const SERVICE_AGENTS: u32 = 3;
+/// Longest time in which all processes, started at once, find each other.
+const SETTLE: u32 = 300;
 /// Time over which steady traffic is measured.
 const STEADY: u32 = 60;
 /// Time over which the loss of a domain is measured.
@@ -103,11 +105,13 @@
         let ledger = Ledger::default();
         let started = Instant::now();
         let mut fleet = populate(entries, agents, &ledger);
-        fleet.run(90 * SECOND);
-        let whole = fleet
-            .entries()
-            .all(|it| it.roster().len() as u32 == records);
-        assert!(whole, "the fleet didn't settle");
+        let whole = |fleet: &Fleet| {
+            let mut entries = fleet.entries();
+            entries.all(|it| it.roster().len() as u32 == records)
+        };
+        let settled = fleet.run_until(SETTLE * SECOND, whole);
+        let settled = settled.expect("the fleet settles");
+        fleet.run(30 * SECOND);
 
         ledger.borrow_mut().clear();
         fleet.run(STEADY * SECOND);
@@ -147,7 +151,8 @@
             let _ = writeln!(csv, "{records},{name},loss-sum,{sum:.1},");
         }
         eprintln!(
-            "{records} records took {:.1} s",
+            "{records} records settled after {:.0} s of modelled time, took {:.1} s",
+            settled.as_secs_f64(),
             started.elapsed().as_secs_f64()
         );
     }
