--- a/marigoldway-core/src/membership/mod.rs
+++ b/marigoldway-core/src/membership/mod.rs
@@ -33,7 +33,6 @@
 use crate::monitor::Entries;
 use crate::monitor::MONITORS;
 use crate::monitor::Monitor;
-use crate::roster::Merge;
 use crate::roster::Record;
 use crate::roster::Role;
 use crate::roster::Roster;
@@ -232,34 +231,39 @@
             self.answer_for_own(now, &record);
             return false;
         }
-        let before = self.roster.record(id).map(|it| it.state);
-        let (state, control, domain) = (record.state, record.control, record.domain);
-        let raised = self.roster.record(id).is_some_and(|held| {
-            (held.incarnation, held.version) < (record.incarnation, record.version)
-        });
-        let merge = self.roster.merge(record);
-        if !merge.changed() {
+        let before = self.roster.record(id).cloned();
+        if !self.roster.merge(record.clone()).changed() {
             return false;
         }
+        self.note_change(now, before.as_ref(), &record);
+        true
+    }
 
-        self.addresses.insert(control, id);
-        self.beats.learn(now, domain);
-        if state == State::Down {
+    /// Brings what depends on the roster in step with a record that changed.
+    fn note_change(&mut self, now: Timestamp, before: Option<&Record>, record: &Record) {
+        let id = record.id;
+        self.addresses.insert(record.control, id);
+        self.beats.learn(now, record.domain);
+        let is_down = record.state == State::Down;
+        if is_down {
             self.fallen.insert(id, now);
         } else {
             self.fallen.swap_remove(&id);
         }
+
         // Only its owner raises a version, so the owner lives.
-        if raised && state < State::Suspect {
+        let is_raised = before.is_some_and(|before| {
+            (before.incarnation, before.version) < (record.incarnation, record.version)
+        });
+        if is_raised && record.state < State::Suspect {
             self.monitor.hear_of(now, id);
         }
-        let is_entry = self.roster.record(id).map(|it| it.role) == Some(Role::Entry);
-        let fell = before.is_some_and(|it| (it == State::Down) != (state == State::Down));
-        if merge == Merge::New || is_entry || fell {
+
+        let is_known = before.is_some_and(|it| (it.state == State::Down) == is_down);
+        if !is_known || record.role == Role::Entry {
             self.dirty = true;
         }
         self.output_view();
-        true
     }
 
     /// Answers a record of this instance that this life of it didn't make.
--- a/marigoldway-core/tests/roster.rs
+++ b/marigoldway-core/tests/roster.rs
@@ -112,6 +112,19 @@
         prop_assert_eq!(candidates.second.is_some(), serving > 1);
     }
 
+    #[test]
+    fn candidates_are_alike_at_entries_that_learned_in_another_order(
+        (records, shuffled) in arb_records()
+            .prop_flat_map(|it| (Just(it.clone()), Just(it).prop_shuffle())),
+        key: u64,
+    ) {
+        let choose = |records: &[Record]| {
+            let view = roster(records).view(&IndexSet::new());
+            view.candidates(ServiceId(1), key)
+        };
+        prop_assert_eq!(choose(&records), choose(&shuffled));
+    }
+
     #[test]
     fn candidates_avoid_lost_domains(records in arb_records(), key: u64) {
         let roster = roster(&records);
