End a process whose name a later one has taken

Cause: such a process said nothing more to peers but went on to run, unlisted. It now ends with an error, which a supervisor answers with a new start.

--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -92,7 +92,7 @@
     membership.serve().await;
     process.status.set_ready(true);
 
-    process.shutdown.leaving().await;
+    membership.leaving(&process.shutdown).await?;
     agent.gate.leave();
     membership.leave().await;
     let cut = agent
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -71,7 +71,7 @@
     membership.serve().await;
     process.status.set_ready(true);
 
-    process.shutdown.leaving().await;
+    membership.leaving(&process.shutdown).await?;
     membership.leave().await;
     linger(&process.shutdown).await;
     membership.stop().await;
--- a/marigoldway/src/errors.rs
+++ b/marigoldway/src/errors.rs
@@ -26,6 +26,8 @@
     Certificate(PathBuf),
     /// A part of the process failed while it ran.
     Run(&'static str),
+    /// A later process has taken the name of this one in the roster.
+    Replaced,
     /// A file could not be written.
     Write(String),
     /// Another process could not be asked.
@@ -47,6 +49,7 @@
             Error::Bind(addr) => write!(f, "{addr} could not be bound"),
             Error::Certificate(file) => write!(f, "{} could not be used", file.display()),
             Error::Run(part) => write!(f, "{part} failed"),
+            Error::Replaced => f.write_str("a later process has the same data address"),
             Error::Write(file) => write!(f, "{file} could not be written"),
             Error::Ask(addr) => write!(f, "{addr} could not be asked"),
         }
--- a/marigoldway/src/membership/mod.rs
+++ b/marigoldway/src/membership/mod.rs
@@ -8,12 +8,14 @@
 mod directory;
 mod task;
 
+use std::future;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use error_stack::Report;
 use error_stack::ResultExt;
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
@@ -45,6 +47,7 @@
 use crate::settings::FleetKeys;
 use crate::settings::NetworkSettings;
 use crate::settings::ProcessSettings;
+use crate::shutdown::Shutdown;
 
 pub use crate::membership::directory::Directory;
 pub use crate::membership::directory::keep_directory;
@@ -187,13 +190,25 @@
         self.events.subscribe()
     }
 
-    /// Waits until a later life of this instance is known. The process has to
-    /// end then: it is no longer listed, and says nothing more to peers.
-    pub async fn replaced(&self) {
+    /// Waits until the process is to leave.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Replaced`] once a later life of this instance is known. The
+    /// process has to end then: it is no longer listed, and peers hear nothing
+    /// more of it.
+    pub async fn leaving(&self, shutdown: &Shutdown) -> Result<()> {
+        tokio::select! {
+            () = shutdown.leaving() => Ok(()),
+            () = self.replaced() => Err(Report::new(Error::Replaced)),
+        }
+    }
+
+    async fn replaced(&self) {
         let mut replaced = self.replaced.clone();
         if replaced.wait_for(|replaced| *replaced).await.is_err() {
             // The task has ended without being replaced.
-            std::future::pending().await
+            future::pending().await
         }
     }
 
--- a/marigoldway/tests/membership.rs
+++ b/marigoldway/tests/membership.rs
@@ -13,6 +13,7 @@
 use log::LevelFilter;
 use tokio::time;
 
+use marigoldway::errors;
 use marigoldway::membership;
 use marigoldway::membership::Directory;
 use marigoldway::membership::Membership;
@@ -23,6 +24,7 @@
 use marigoldway::settings::KeySource;
 use marigoldway::settings::NetworkSettings;
 use marigoldway::settings::ProcessSettings;
+use marigoldway::shutdown;
 use marigoldway_core::ids::DomainId;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::ids::RegionId;
@@ -259,5 +261,9 @@
     };
     time::sleep(Duration::from_millis(200)).await;
     let (_after, _queues) = start(&new, Seat::Agent(SERVICE), 1).await;
-    time::timeout(LIMIT, before.replaced()).await.unwrap();
+    let (_trigger, shutdown) = shutdown::channel();
+    let end = time::timeout(LIMIT, before.leaving(&shutdown))
+        .await
+        .unwrap();
+    assert_eq!(*end.unwrap_err().current_context(), errors::Error::Replaced);
 }
