--- a/marigoldway/src/membership/mod.rs
+++ b/marigoldway/src/membership/mod.rs
@@ -8,12 +8,14 @@
 mod directory;
 mod task;
 
+use std::future;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use error_stack::Report;
 use error_stack::ResultExt;
 use tokio::sync::broadcast;
 use tokio::sync::mpsc;
@@ -40,11 +42,14 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::membership::task::Publishers;
 use crate::membership::task::Task;
 use crate::settings::FleetKeys;
 use crate::settings::NetworkSettings;
 use crate::settings::ProcessSettings;
+use crate::shutdown::Shutdown;
 
+pub use crate::membership::directory::Directory;
 pub use crate::membership::directory::keep_directory;
 
 /// Start of the count of incarnations: 2026-01-01 UTC, in seconds since the
@@ -83,6 +88,7 @@
     inputs: mpsc::Sender<Input>,
     events: broadcast::Sender<Event>,
     control: Control,
+    replaced: watch::Receiver<bool>,
 }
 
 /// The incarnation of a process that starts at `now`, in tenths of a second.
@@ -114,14 +120,27 @@
     let (view, views) = watch::channel(Arc::default());
     let (inputs, input_queue) = mpsc::channel(INPUTS);
     let events = broadcast::Sender::new(EVENTS);
-    let task = Task::new(own, network.contacts.clone(), clock, control.clone());
-    tokio::spawn(task.run(input_queue, channels.membership, view, events.clone()));
+    let (replace, replaced) = watch::channel(false);
+    let publishers = Publishers {
+        views: view,
+        events: events.clone(),
+        replaced: replace,
+    };
+    let task = Task::new(
+        own,
+        network.contacts.clone(),
+        clock,
+        control.clone(),
+        publishers,
+    );
+    tokio::spawn(task.run(input_queue, channels.membership));
 
     let membership = Membership {
         views,
         inputs,
         events,
         control,
+        replaced,
     };
     let queues = Queues {
         lists: channels.lists,
@@ -171,6 +190,28 @@
         self.events.subscribe()
     }
 
+    /// Waits until the process is to leave.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Replaced`] once a later life of this instance is known. The
+    /// process has to end then: it is no longer listed, and peers hear nothing
+    /// more of it.
+    pub async fn leaving(&self, shutdown: &Shutdown) -> Result<()> {
+        tokio::select! {
+            () = shutdown.leaving() => Ok(()),
+            () = self.replaced() => Err(Report::new(Error::Replaced)),
+        }
+    }
+
+    async fn replaced(&self) {
+        let mut replaced = self.replaced.clone();
+        if replaced.wait_for(|replaced| *replaced).await.is_err() {
+            // The task has ended without being replaced.
+            future::pending().await
+        }
+    }
+
     /// Has the process listed as serving.
     pub async fn serve(&self) {
         self.input(Input::State(State::Serving)).await;
