Double a monitor's patience only when a mark is refuted

Cause: each raise of an instance's version doubled the patience of its monitors, and a target that warms up raises it five times within seconds. One that died then was suspect after 18 s and down after 64 s. Ruled out: the kill (the process was gone), the domain's beat (it went on). Before: the new test fails, flows.rs waits in vain for the dead agent. After: both pass, and broken_path_to_one_monitor_marks_ever_less still holds.

--- a/marigoldway-core/src/membership/mod.rs
+++ b/marigoldway-core/src/membership/mod.rs
@@ -256,7 +256,8 @@
             (before.incarnation, before.version) < (record.incarnation, record.version)
         });
         if is_raised && record.state < State::Suspect {
-            self.monitor.hear_of(now, id);
+            let was_marked = before.is_some_and(|before| before.state >= State::Suspect);
+            self.monitor.hear_of(now, id, was_marked);
         }
 
         let is_known = before.is_some_and(|it| (it.state == State::Down) == is_down);
--- a/marigoldway-core/src/monitor.rs
+++ b/marigoldway-core/src/monitor.rs
@@ -210,14 +210,17 @@
         }
     }
 
-    /// Takes note that others know an instance to live. If that goes on while
-    /// the instance doesn't speak to this entry, the path between the two is
-    /// at fault, and this entry waits longer each time before it marks it; the
-    /// other monitors don't.
-    pub fn hear_of(&mut self, now: Timestamp, id: InstanceId) {
+    /// Takes note that an instance raised its version, which this entry may
+    /// have learned from others. If it refuted a mark, the path between the two
+    /// may be at fault, and this entry waits longer each time before it marks
+    /// the instance again; the other monitors don't.
+    pub fn hear_of(&mut self, now: Timestamp, id: InstanceId, refuted: bool) {
         let most = self.options.patience;
-        if let Some(watch) = self.watches.get_mut(&id) {
-            watch.heard = now;
+        let Some(watch) = self.watches.get_mut(&id) else {
+            return;
+        };
+        watch.heard = now;
+        if refuted {
             watch.patience = watch.patience.saturating_mul(2).min(most);
         }
     }
--- a/marigoldway-core/tests/membership/protocol.rs
+++ b/marigoldway-core/tests/membership/protocol.rs
@@ -119,6 +119,21 @@
     );
 }
 
+#[test]
+fn target_that_dies_while_it_warms_up_is_suspect_within_three_seconds() {
+    let options = MembershipOptions::default();
+    let mut fleet = settled(7, options, 3, 1, 3);
+    let dead = instance(15_000);
+    // Each step of the ramp raises the version, which says nothing of a fault.
+    for weight in [20, 40, 60, 80, 100] {
+        fleet.input(dead, Input::Weight(weight));
+        fleet.run(50 * MILLISECOND);
+    }
+    fleet.kill(dead);
+    fleet.run(3 * SECOND);
+    assert!(fleet.lists(dead, State::Suspect));
+}
+
 #[test]
 fn dead_entry_is_seen_and_its_agents_stay() {
     // One entry a domain: its agents find monitors in the other domains.
