--- a/marigoldway/tests/lists.rs
+++ b/marigoldway/tests/lists.rs
@@ -7,10 +7,17 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::Value;
+use tokio::task::block_in_place;
+
+use marigoldway_client::client::Client;
+use marigoldway_client::request::Request;
 
 use crate::common::Deployment;
 use crate::common::Plan;
@@ -107,20 +114,77 @@
         GOAL.as_millis()
     );
 
-    let mut args = vec!["wait".to_owned()];
+    let (text, code) = wait(&deployment, "2", "30");
+    assert_eq!(code, 0, "{text}");
+    let all = operators(&deployment).len();
+    assert!(text.contains(&format!("instances={all}")), "{text}");
+}
+
+/// Runs `marigoldway lists wait` and gives what it says and the exit code.
+fn wait(deployment: &Deployment, generation: &str, limit: &str) -> (String, i32) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marigoldway"));
+    command.args(["lists", "wait", "--limit", limit]);
     for entry in &deployment.entries {
-        args.extend(["--operator".to_owned(), entry.plan.operator.to_string()]);
+        let operator = entry.plan.operator.to_string();
+        command.args(["--operator", &operator]);
     }
-    args.extend(["plans".to_owned(), "2".to_owned()]);
-    let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
-        .arg("lists")
-        .args(&args)
-        .output()
-        .unwrap();
+    let output = command.args(["plans", generation]).output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(output.status.success(), "{text}");
-    let all = operators(&deployment).len();
-    assert!(text.contains(&format!("instances={all}")), "{text}");
+    (text, output.status.code().unwrap())
+}
+
+#[test]
+fn wait_names_those_that_lag() {
+    let deployment = start();
+    let (text, code) = wait(&deployment, "1", "30");
+    assert_eq!(code, 0, "{text}");
+
+    let frozen = &deployment.targets[0];
+    frozen.agent.freeze();
+    let text = with_customer(&get(&deployment, "plans"), "newcomer");
+    assert_eq!(put(&deployment, "plans", &text, "one").1, 0);
+    let (text, code) = wait(&deployment, "2", "3");
+    frozen.agent.thaw();
+    assert_eq!(code, 1, "{text}");
+    let line = format!("instance={} generation=1", frozen.plan.control);
+    assert_eq!(text.lines().skip(1).collect::<Vec<_>>(), [line], "{text}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_break_no_flow() {
+    let deployment = start();
+    let client = Client::connect(deployment.client("ordering"))
+        .await
+        .unwrap();
+    let mut feed = client.feed("/feed").await.unwrap();
+    let mut last = feed.next().await.unwrap().id.unwrap();
+    let done = Arc::new(AtomicBool::new(false));
+    let stop = done.clone();
+    let reader = tokio::spawn(async move {
+        while !stop.load(Ordering::Acquire) {
+            let id = feed.next().await.unwrap().id.unwrap();
+            assert_eq!(id, last + 1, "an event is missing");
+            last = id;
+            let answer = client.request(Request::get("/load")).await.unwrap();
+            assert!(answer.is_success(), "{answer:?}");
+        }
+    });
+
+    let changes = block_in_place(|| {
+        for edit in 0..10 {
+            let text = with_customer(&get(&deployment, "plans"), &format!("edit-{edit}"));
+            assert_eq!(put(&deployment, "plans", &text, "one").1, 0);
+            let text = get(&deployment, "allowances");
+            let text = text.replace("bulk=4", &format!("bulk={}", 5 + edit));
+            assert_eq!(put(&deployment, "allowances", &text, "one").1, 0);
+        }
+        wait_in_force(&deployment, "plans", 11);
+        wait_in_force(&deployment, "allowances", 2);
+        reader.is_finished()
+    });
+    assert!(!changes, "the callers ended early");
+    done.store(true, Ordering::Release);
+    reader.await.unwrap();
 }
 
 #[test]
