--- a/marigoldway-core/src/share/lender.rs
+++ b/marigoldway-core/src/share/lender.rs
@@ -23,8 +23,9 @@
 pub fn holder_of(customer: &str, entries: &[InstanceId]) -> Option<InstanceId> {
     let mut hasher = SipHasher13::new();
     hasher.write(customer.as_bytes());
-    let ranked = placement::rank(hasher.finish(), entries.iter().copied(), 1);
-    ranked.first().copied()
+    let key = hasher.finish();
+    let score = |id: &&InstanceId| (placement::mix(key ^ placement::mix(id.to_u64())), **id);
+    entries.iter().min_by_key(score).copied()
 }
 
 /// `Lender` answers reports about every customer whose holder this entry is.
--- a/marigoldway/src/lists/mod.rs
+++ b/marigoldway/src/lists/mod.rs
@@ -67,8 +67,9 @@
     let (catalogs, receiver) = watch::channel(None);
     let (seen, seen_queue) = mpsc::channel(QUEUE);
     let (repairs, repair_queue) = mpsc::channel(QUEUE);
+    let platform = watching.as_ref().map(|it| Arc::new(connect(it.platform)));
     let task = Task::new(
-        watching.is_some(),
+        platform.clone(),
         membership.clone(),
         clock,
         process.status.clone(),
@@ -77,9 +78,9 @@
     );
     tokio::spawn(task.run(messages, seen_queue));
 
-    if let Some(watching) = watching {
+    if let (Some(watching), Some(platform)) = (watching, platform) {
         let watcher = Watcher {
-            platform: Arc::new(connect(watching.platform)),
+            platform,
             own: watching.own,
             domain: watching.domain,
             views: membership.views(),
--- a/marigoldway/src/lists/task.rs
+++ b/marigoldway/src/lists/task.rs
@@ -27,6 +27,8 @@
 use marigoldway_core::roster::State;
 use marigoldway_net::clock::Clock;
 use marigoldway_net::control::Received;
+use marigoldway_net::platform::calls::CallKind;
+use marigoldway_net::platform::etcd::EtcdPlatform;
 use marigoldway_net::wire::Frame;
 use marigoldway_net::wire::lists::ListsWire;
 
@@ -41,8 +43,8 @@
 /// `Task` runs the core's state machine.
 pub(super) struct Task {
     spread: Spread,
-    /// Whether the process is an entry, which passes lists on to others.
-    entry: bool,
+    /// The client of the platform, in an entry, which passes lists on to others.
+    platform: Option<Arc<EtcdPlatform>>,
     membership: Membership,
     clock: Clock,
     status: Arc<Status>,
@@ -55,7 +57,7 @@
 
 impl Task {
     pub(super) fn new(
-        entry: bool,
+        platform: Option<Arc<EtcdPlatform>>,
         membership: Membership,
         clock: Clock,
         status: Arc<Status>,
@@ -64,7 +66,7 @@
     ) -> Task {
         Task {
             spread: Spread::new(SpreadOptions::default()),
-            entry,
+            platform,
             membership,
             clock,
             status,
@@ -114,7 +116,9 @@
 
     async fn hear(&mut self, from: SocketAddrV4, revision: u64) {
         let theirs = Revisions::from_u64(revision);
-        self.heard.insert(from, theirs);
+        if self.platform.is_some() {
+            self.heard.insert(from, theirs);
+        }
         let output = self.spread.heard(self.clock.now(), from, theirs);
         self.act(output.into_iter().collect()).await;
     }
@@ -166,7 +170,7 @@
 
     /// Entries that a new revision is passed on to. Agents pass nothing on.
     fn peers(&self) -> Vec<SocketAddrV4> {
-        if !self.entry {
+        if self.platform.is_none() {
             return Vec::new();
         }
         let views = self.membership.views();
@@ -180,11 +184,14 @@
     }
 
     /// Tells operators what is in force at the instances whose heartbeats come
-    /// here, this one among them.
+    /// here, this one among them, and what the platform was asked.
     fn report_peers(&mut self) {
-        if !self.entry {
+        let Some(platform) = &self.platform else {
             return;
-        }
+        };
+        let calls = CallKind::ALL.map(|kind| (kind.as_str(), platform.calls().of(kind)));
+        self.status
+            .set_fact("platform-calls", Value::from_iter(calls));
         let views = self.membership.views();
         let view = views.borrow();
         let live: Vec<SocketAddrV4> = view
