Pass on the lines that changed instead of whole lists

The first try with a table of common lines gave whole lists: the header and the end both change, and the 2,000 lines between are too many for a table.

--- a/marigoldway-core/src/lists/mod.rs
+++ b/marigoldway-core/src/lists/mod.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod change;
 pub mod document;
+pub mod patch;
 pub mod plans;
 pub mod revisions;
 pub mod spread;
--- a/marigoldway-core/src/lists/revisions.rs
+++ b/marigoldway-core/src/lists/revisions.rs
@@ -49,6 +49,17 @@
         }
     }
 
+    /// These revisions with no revision of one list.
+    pub fn without(self, kind: ListKind) -> Revisions {
+        match kind {
+            ListKind::Plans => Revisions { plans: 0, ..self },
+            ListKind::Allowances => Revisions {
+                allowances: 0,
+                ..self
+            },
+        }
+    }
+
     /// The lists of which `self` states a higher revision than `other`.
     pub fn above(self, other: Revisions) -> impl Iterator<Item = ListKind> {
         ListKind::ALL
--- a/marigoldway-core/src/lists/spread.rs
+++ b/marigoldway-core/src/lists/spread.rs
@@ -3,10 +3,12 @@
 //! A process that puts a new revision in force tells a few random peers. Every
 //! heartbeat carries the revisions in force, so whoever missed that notice
 //! learns of the gap from the next heartbeat. The process that lags asks one
-//! peer at a time; nobody is sent a list unasked.
+//! peer at a time, and gets the lines that changed, or the whole list if it lags
+//! by much. Nobody is sent a list unasked.
 //!
 //! Peers are named by the addresses of their control channels.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,11 +17,15 @@
 use rand::RngExt;
 
 use crate::lists::ListKind;
+use crate::lists::patch::Patch;
 use crate::lists::revisions::Holdings;
 use crate::lists::revisions::Offered;
 use crate::lists::revisions::Revisions;
 use crate::time::Timestamp;
 
+/// Former states that are kept. A process that lags by more gets the list.
+const FORMER_STATES: usize = 8;
+
 /// `Message` travels between two processes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
@@ -34,6 +40,15 @@
         /// Its text.
         text: Arc<str>,
     },
+    /// The difference between two states of one list.
+    Patch {
+        /// Which list.
+        kind: ListKind,
+        /// Number of the revision that it was made from.
+        base: u32,
+        /// The difference.
+        patch: Patch,
+    },
 }
 
 /// `Output` is what the process does next.
@@ -89,6 +104,8 @@
     options: SpreadOptions,
     holdings: Holdings,
     asked: Option<Asked>,
+    /// Former states, by list and number, from which patches are made.
+    former: VecDeque<(ListKind, u32, Arc<str>)>,
 }
 
 impl Spread {
@@ -144,10 +161,25 @@
         match message {
             Message::Have(theirs) => self.heard(now, from, *theirs).into_iter().collect(),
             Message::Ask(theirs) => self.lists_above(from, *theirs),
-            Message::List { kind, text } => {
-                let peers: Vec<SocketAddrV4> =
-                    peers.iter().copied().filter(|id| *id != from).collect();
-                self.offer(*kind, text, &peers, rng)
+            Message::List { kind, text } => self.offer(*kind, text, &others(peers, from), rng),
+            Message::Patch { kind, base, patch } => {
+                let held = self.holdings.held();
+                let Some(text) = self
+                    .holdings
+                    .text(*kind)
+                    .filter(|_| held.of(*kind) == *base)
+                else {
+                    // It is late, and another answer was faster.
+                    return Vec::new();
+                };
+                match patch.apply(text) {
+                    Some(text) => self.offer(*kind, &text, &others(peers, from), rng),
+                    // Two texts have the same number: only the whole list helps.
+                    None => vec![Output::Send {
+                        to: from,
+                        message: Message::Ask(held.without(*kind)),
+                    }],
+                }
             }
         }
     }
@@ -187,13 +219,30 @@
             .held()
             .above(theirs)
             .filter_map(|kind| {
-                let text = self.holdings.text(kind)?.clone();
-                let message = Message::List { kind, text };
+                let message = self.message(kind, theirs.of(kind))?;
                 Some(Output::Send { to, message })
             })
             .collect()
     }
 
+    /// What brings a process that holds revision `theirs` of a list to the one
+    /// held here: a patch where it is shorter, and else the list.
+    fn message(&self, kind: ListKind, theirs: u32) -> Option<Message> {
+        let text = self.holdings.text(kind)?.clone();
+        let base = self
+            .former
+            .iter()
+            .find(|(k, number, _)| (*k, *number) == (kind, theirs));
+        if let Some((_, base, former)) = base {
+            let patch = Patch::new(former, &text);
+            if patch.len() < text.len() / 2 {
+                let base = *base;
+                return Some(Message::Patch { kind, base, patch });
+            }
+        }
+        Some(Message::List { kind, text })
+    }
+
     fn offer(
         &mut self,
         kind: ListKind,
@@ -201,7 +250,14 @@
         peers: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Vec<Output> {
-        match self.holdings.offer(kind, text) {
+        let former = self.holdings.text(kind).cloned();
+        let number = self.holdings.held().of(kind);
+        let offered = self.holdings.offer(kind, text);
+        if let Some(former) = former.filter(|_| self.holdings.held().of(kind) > number) {
+            self.former.push_front((kind, number, former));
+            self.former.truncate(FORMER_STATES);
+        }
+        match offered {
             Offered::Accepted => {
                 let ours = self.holdings.in_force();
                 let told = choose(peers, self.options.fanout, rng);
@@ -216,6 +272,10 @@
     }
 }
 
+fn others(peers: &[SocketAddrV4], from: SocketAddrV4) -> Vec<SocketAddrV4> {
+    peers.iter().copied().filter(|id| *id != from).collect()
+}
+
 /// Chooses `count` different peers, or all if there are fewer.
 fn choose(peers: &[SocketAddrV4], count: usize, rng: &mut impl Rng) -> Vec<SocketAddrV4> {
     let mut pool = peers.to_vec();
--- a/marigoldway-net/src/wire/lists.rs
+++ b/marigoldway-net/src/wire/lists.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 
 use marigoldway_core::lists::ListKind;
+use marigoldway_core::lists::patch::Hunk;
+use marigoldway_core::lists::patch::Patch;
 use marigoldway_core::lists::revisions::Revisions;
 use marigoldway_core::lists::spread::Message;
 
@@ -22,8 +24,15 @@
     /// The text of the allowances.
     #[serde(rename = "l")]
     Allowances(String),
+    /// Whether it is the plans, base, hunks, sum.
+    #[serde(rename = "d")]
+    Patch(bool, u32, Vec<HunkWire>, u64),
 }
 
+/// `HunkWire` is a [`Hunk`] on the wire: keep, drop, add.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HunkWire(u32, u32, Vec<String>);
+
 impl From<&Message> for ListsWire {
     fn from(message: &Message) -> ListsWire {
         match message {
@@ -33,6 +42,12 @@
                 ListKind::Plans => ListsWire::Plans(text.to_string()),
                 ListKind::Allowances => ListsWire::Allowances(text.to_string()),
             },
+            Message::Patch { kind, base, patch } => {
+                let hunks = patch.hunks.iter().cloned();
+                let hunks = hunks.map(|it| HunkWire(it.keep, it.drop, it.add));
+                let plans = *kind == ListKind::Plans;
+                ListsWire::Patch(plans, *base, hunks.collect(), patch.sum)
+            }
         }
     }
 }
@@ -48,6 +63,22 @@
             ListsWire::Ask(bits) => Message::Ask(Revisions::from_u64(bits)),
             ListsWire::Plans(text) => list(ListKind::Plans, text),
             ListsWire::Allowances(text) => list(ListKind::Allowances, text),
+            ListsWire::Patch(plans, base, hunks, sum) => {
+                let hunks = hunks.into_iter();
+                let hunks = hunks.map(|HunkWire(keep, drop, add)| Hunk { keep, drop, add });
+                Message::Patch {
+                    kind: if plans {
+                        ListKind::Plans
+                    } else {
+                        ListKind::Allowances
+                    },
+                    base,
+                    patch: Patch {
+                        hunks: hunks.collect(),
+                        sum,
+                    },
+                }
+            }
         }
     }
 }
