--- a/marigoldway-core/tests/revisions.rs
+++ b/marigoldway-core/tests/revisions.rs
@@ -127,7 +127,9 @@
     members: Vec<Spread>,
     loss: f64,
     rng: StdRng,
-    sent: u64,
+    /// Members from this one on hear nothing of those before, and they nothing
+    /// of them.
+    cut: Option<usize>,
 }
 
 impl Fleet {
@@ -136,7 +138,7 @@
             members: vec![Spread::default(); size],
             loss,
             rng: StdRng::seed_from_u64(seed),
-            sent: 0,
+            cut: None,
         }
     }
 
@@ -148,6 +150,10 @@
         usize::from(id.port())
     }
 
+    fn is_cut(&self, one: usize, two: usize) -> bool {
+        self.cut.is_some_and(|cut| (one < cut) != (two < cut))
+    }
+
     /// Hands out `outputs` of member `from` and all that follows from them.
     fn deliver(&mut self, now: Timestamp, from: usize, outputs: Vec<Output>) {
         let mut queue: Vec<(usize, usize, Message)> = Vec::new();
@@ -159,8 +165,7 @@
         };
         queue.extend(sends(from, outputs));
         while let Some((from, to, message)) = queue.pop() {
-            self.sent += 1;
-            if self.rng.random_bool(self.loss) {
+            if self.is_cut(from, to) || self.rng.random_bool(self.loss) {
                 continue;
             }
             let peers: Vec<SocketAddrV4> = (0..self.members.len())
@@ -177,6 +182,9 @@
     fn heartbeat(&mut self, now: Timestamp) {
         for n in 0..self.members.len() {
             let peer = self.rng.random_range(0..self.members.len());
+            if self.is_cut(n, peer) {
+                continue;
+            }
             let theirs = self.members[peer].holdings().in_force();
             let output = self.members[n].heard(now, Fleet::id(peer), theirs);
             self.deliver(now, n, output.into_iter().collect());
@@ -222,6 +230,35 @@
     }
 }
 
+#[test]
+fn members_that_were_cut_off_catch_up() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(60, 0.1, seed);
+        fleet.publish(Timestamp::ZERO, 1);
+        let mut second = 0;
+        let mut run = |fleet: &mut Fleet, seconds: u64| {
+            for _ in 0..seconds {
+                second += 1;
+                fleet.heartbeat(Timestamp::ZERO + Duration::from_secs(second));
+            }
+        };
+        run(&mut fleet, 20);
+        assert_eq!(fleet.lagging(1), 0, "seed {seed}");
+
+        fleet.cut = Some(40);
+        for generation in 2..=4 {
+            fleet.publish(Timestamp::ZERO, generation);
+        }
+        run(&mut fleet, 20);
+        assert_eq!(fleet.lagging(4), 20, "seed {seed}");
+        assert_eq!(fleet.lagging(1), 40, "seed {seed}");
+
+        fleet.cut = None;
+        run(&mut fleet, 5);
+        assert_eq!(fleet.lagging(4), 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn read_repairs_a_restored_platform() {
     let mut spread = Spread::default();
--- a/marigoldway/src/lists/watcher.rs
+++ b/marigoldway/src/lists/watcher.rs
@@ -34,6 +34,9 @@
 /// Time after which a watcher reads again.
 const REREAD: Duration = Duration::from_secs(30);
 
+/// Time after which a watch counts as steady.
+const STEADY: Duration = Duration::from_secs(5);
+
 /// `Seen` is a list as it stands in the platform.
 #[derive(Debug)]
 pub(super) struct Seen {
@@ -72,15 +75,19 @@
             }
             match self.open().await {
                 Ok(watch) => {
-                    backoff.reset();
+                    let opened = time::Instant::now();
                     self.follow(watch).await;
+                    // A platform that ends each watch at once must not be
+                    // flooded.
+                    if opened.elapsed() >= STEADY {
+                        backoff.reset();
+                    }
                 }
                 Err(error) => {
                     log::warn!("event=platform-failed call=watch result=\"{error}\"");
                     self.metrics.count(Counter::Retry(Retry::PlatformCall));
                 }
             }
-            // A platform that ends each watch at once must not be flooded.
             let wait = backoff.next_wait(&mut rand::rng());
             time::sleep(wait).await;
         }
