--- a/marigoldway-core/src/share/borrower.rs
+++ b/marigoldway-core/src/share/borrower.rs
@@ -74,7 +74,9 @@
     used: Timestamp,
     reported: Amounts,
     pressed: bool,
-    lowered: bool,
+    /// Whether a report is due at once: nothing was asked for yet, or the holder
+    /// waits to hear that a share was let go of.
+    urgent: bool,
 }
 
 impl Borrower {
@@ -98,7 +100,7 @@
             used: now,
             reported: Amounts::default(),
             pressed: true,
-            lowered: false,
+            urgent: true,
         }
     }
 
@@ -189,7 +191,7 @@
     /// The next report, if it is due. `number` is its number.
     pub fn report(&mut self, now: Timestamp, customer: &str, number: u64) -> Option<Report> {
         let elapsed = now.since(self.since);
-        if elapsed < self.options.changing && !self.lowered {
+        if elapsed < self.options.changing && !self.urgent {
             return None;
         }
         if elapsed >= self.options.changing {
@@ -201,11 +203,11 @@
         let short = self.pressed && !self.reported.fits(self.lent(now));
         // A lost message must not hold back for long what others wait for.
         let lost = (1..=LOST_REPORTS).contains(&self.pending.len());
-        if !due && !short && !lost && !self.lowered && !self.differs(want) {
+        if !due && !short && !lost && !self.urgent && !self.differs(want) {
             return None;
         }
 
-        self.lowered = false;
+        self.urgent = false;
         self.pressed = false;
         self.reported = want;
         self.sent = now;
@@ -239,7 +241,7 @@
         }
         // The holder lends the difference on only once it knows that this
         // agent has let go of it.
-        self.lowered |= !self.lent(now).fits(grant.share);
+        self.urgent |= !self.lent(now).fits(grant.share);
         self.share = grant.share;
         self.until = until;
         self.applied = grant.number;
--- a/marigoldway-core/src/share/holder.rs
+++ b/marigoldway-core/src/share/holder.rs
@@ -53,8 +53,7 @@
 /// `Holder` lends the allowance of one customer.
 ///
 /// With few agents the division is made anew for each report. With many it is
-/// made at most once in [`PLAN_PERIOD`], and a report costs about the same
-/// whatever their number. What may be lent is exact either way.
+/// made every 100 ms, and a report costs about the same whatever their number. What may be lent is exact either way.
 #[derive(Clone, Debug)]
 pub struct Holder {
     options: ShareOptions,
