--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -7,6 +7,7 @@
 mod access;
 mod ask;
 mod body;
+mod flow;
 mod head;
 mod headers;
 mod held;
@@ -24,7 +25,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use bytes::Bytes;
 use h3::server::RequestStream;
@@ -36,7 +36,6 @@
 use http::header;
 use sha2::Digest as _;
 use sha2::Sha256;
-use tokio::sync::watch;
 
 use marigoldway_core::admission::AdmissionOptions;
 use marigoldway_core::duplicates::Digest;
@@ -46,6 +45,7 @@
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 
+use crate::agent::requests::access::Grant;
 use crate::agent::requests::ask::Ask;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::ISSUE_MAX;
@@ -59,10 +59,9 @@
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
-use crate::shares::Admitted;
-use crate::shares::Seats;
 
 pub(super) use crate::agent::requests::access::Access;
+pub(super) use crate::agent::requests::flow::Flow;
 pub(super) use crate::agent::requests::peers::Peers;
 
 /// Path that hands out idempotency keys.
@@ -78,9 +77,6 @@
 /// Longest body that is held so that its request may go to a peer, in octets.
 const RELAY_BODY_MAX: u64 = 64 << 10;
 
-/// Time after which a customer whose allowance is used up may come back.
-const ALLOWANCE_RETRY: Duration = Duration::from_secs(1);
-
 /// The stream of a caller.
 pub(super) type ServerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
@@ -139,24 +135,21 @@
         self.local.slots.idle().await;
     }
 
-    /// Serves one request. `gone` is done when its caller is gone, and `seats`
-    /// are those of its flow.
+    /// Serves one request of a flow, until the flow is gone.
     pub(super) async fn serve(
         self: Arc<Self>,
         request: Request<()>,
         stream: ServerStream,
-        mut gone: watch::Receiver<()>,
-        seats: Arc<Seats>,
+        mut flow: Flow,
     ) {
         let (mut send, receive) = stream.split();
+        let context = flow.clone();
         let work = async {
-            // What is admitted lasts until the answer is sent.
-            let mut admitted = None;
-            let reply = self.reply(request, receive, &seats, &mut admitted).await;
+            let reply = self.reply(request, receive, &context).await;
             let retry = match &reply {
                 Reply::Refused(reason) => {
                     self.metrics.count(Counter::Refusal(*reason));
-                    Some(self.retry_after(*reason))
+                    Some(self.local.slots.retry_after())
                 }
                 Reply::Unknown(doubt) => {
                     self.metrics.count(Counter::Doubt(*doubt));
@@ -170,18 +163,7 @@
             sent = work => if let Err(err) = sent {
                 log::debug!("event=answer-failed error={err:?}");
             },
-            // The sender never sends; it is dropped with the flow.
-            _ = gone.changed() => {}
-        }
-    }
-
-    /// When a refused caller may come back.
-    fn retry_after(&self, reason: Refusal) -> Duration {
-        match reason {
-            Refusal::CustomerConnections | Refusal::RequestRate | Refusal::BulkLimit => {
-                ALLOWANCE_RETRY
-            }
-            _ => self.local.slots.retry_after(),
+            () = flow.gone() => {}
         }
     }
 
@@ -189,8 +171,7 @@
         self: &Arc<Self>,
         request: Request<()>,
         receive: body::ReceiveHalf,
-        seats: &Seats,
-        admitted: &mut Option<Admitted>,
+        flow: &Flow,
     ) -> Reply {
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
@@ -198,20 +179,16 @@
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
-            return self.issue(&head, seats).await;
+            return self.issue(&head, flow).await;
         }
         match head.key.clone() {
-            Some(key) => self.keyed(head, &key, receive).await,
-            None => self.plain(head, receive, seats, admitted).await,
+            Some(key) => self.keyed(head, &key, receive, flow).await,
+            None => self.plain(head, receive, flow).await,
         }
     }
 
-    async fn issue(&self, head: &Head, seats: &Seats) -> Reply {
-        let checked = match self.access.check(head) {
-            Ok(grant) => self.access.take_seat(seats, &grant).await,
-            Err(reason) => Err(reason),
-        };
-        if let Err(reason) = checked {
+    async fn issue(&self, head: &Head, flow: &Flow) -> Reply {
+        if let Err(reason) = self.access.enter(head, flow).await {
             return Reply::Refused(reason);
         }
         let count = head.query("count").map_or(Ok(1), str::parse);
@@ -225,25 +202,11 @@
 
     /// Runs a request that has no key. A short body is held whole, so that the
     /// request may go to a peer; a longer one is passed on as it comes.
-    async fn plain(
-        self: &Arc<Self>,
-        head: Head,
-        receive: body::ReceiveHalf,
-        seats: &Seats,
-        admitted: &mut Option<Admitted>,
-    ) -> Reply {
-        let grant = match self.access.check(&head) {
+    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf, flow: &Flow) -> Reply {
+        let grant = match self.enter(&head, flow).await {
             Ok(grant) => grant,
             Err(reason) => return Reply::Refused(reason),
         };
-        let allowed = match self.access.take_seat(seats, &grant).await {
-            Ok(()) => self.access.allow(&grant).await,
-            Err(reason) => Err(reason),
-        };
-        match allowed {
-            Ok(allowed) => *admitted = allowed,
-            Err(reason) => return Reply::Refused(reason),
-        }
         self.budget().deposit();
         let short = body::is_empty(&head) || head.length.is_some_and(|it| it <= RELAY_BODY_MAX);
         if grant.class == Class::Feed || !short {
@@ -269,6 +232,11 @@
         self.held(&ask, &grant, Patience::Caller).await
     }
 
+    async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
+        let grant = self.access.enter(head, flow).await?;
+        self.access.spend(&grant).await
+    }
+
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -75,7 +75,7 @@
                 targets: 3,
                 slots: 4,
             }],
-            lists: None,
+            lists: Some(example_lists()),
         }
     }
 
@@ -92,6 +92,11 @@
     }
 }
 
+/// The lists of the first deployment, with the customer of the tests.
+pub fn example_lists() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/sungur-dana/lists")
+}
+
 /// `Service` is a running service: its address at the fabric.
 pub struct Service {
     pub plan: ServicePlan,
