--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -96,7 +96,7 @@
         () = process.shutdown.leaving() => (),
     }
 
-    process.shutdown.leaving().await;
+    membership.leaving(&process.shutdown).await?;
     agent.gate.leave();
     membership.leave().await;
     let cut = agent
