--- a/marigoldway/tests/allowances.rs
+++ b/marigoldway/tests/allowances.rs
@@ -36,34 +36,36 @@
     customer demo plan=shop \
     token=7c43ef5ae21d43ce2743f770c68e24def1a43ee2f416d2438410c8af7af2ff2c\n";
 
-/// Writes both lists, with so many connections for the one plan.
-fn write_lists(connections: u32) -> PathBuf {
-    let name = format!("marigoldway-lists-{}-{connections}", std::process::id());
+/// A rate that six callers don't use up.
+const UNLIMITED: u32 = 1_000_000;
+
+/// Writes both lists, with this rate and so many connections for the one plan.
+fn write_lists(rate: u32, connections: u32) -> PathBuf {
+    let pid = std::process::id();
+    let name = format!("marigoldway-lists-{pid}-{rate}-{connections}");
     let dir = std::env::temp_dir().join(name);
     fs::create_dir_all(&dir).unwrap();
     fs::write(dir.join("plans.txt"), PLANS).unwrap();
-    fs::write(dir.join("allowances.txt"), allowances(connections)).unwrap();
+    fs::write(dir.join("allowances.txt"), allowances(rate, connections)).unwrap();
     dir
 }
 
-fn allowances(connections: u32) -> String {
+fn allowances(rate: u32, connections: u32) -> String {
     format!(
         "list allowances\ngeneration 1\nchange 0000000000000001\n\
          service ordering id=1\n\
-         plan shop services=ordering connections={connections} rate={RATE} burst={RATE} bulk=2\n\
+         plan shop services=ordering connections={connections} rate={rate} burst={rate} bulk=2\n\
          route ordering POST /order class=short repeatable=no\n\
          route ordering GET /feed class=feed repeatable=yes\n"
     )
 }
 
-fn start(lists: Option<PathBuf>) -> Deployment {
+fn start(lists: PathBuf) -> Deployment {
     let deployment = Deployment::start(&Plan {
-        lists: lists.clone(),
+        lists: Some(lists),
         ..Plan::small()
     });
-    if lists.is_some() {
-        wait_allowances(&deployment, "1-");
-    }
+    wait_allowances(&deployment, "1-");
     deployment
 }
 
@@ -158,17 +160,17 @@
 
 #[tokio::test]
 async fn orders_stay_within_the_rate_over_all_agents() {
-    let open = start(None);
+    let open = start(write_lists(UNLIMITED, 100));
     let (told, time) = ask_all(&open).await;
-    assert!(told.done.len() as f64 > bound(&open, time), "lists off");
-    println!("without lists: {} done in {time:?}", told.done.len());
+    assert!(told.done.len() as f64 > bound(&open, time));
+    println!("without a limit: {} done in {time:?}", told.done.len());
     drop(open);
 
-    let deployment = start(Some(write_lists(100)));
+    let deployment = start(write_lists(RATE, 100));
     let (told, time) = ask_all(&deployment).await;
     let most = bound(&deployment, time);
     println!(
-        "with lists: {} done, {} refused in {time:?}, at most {most:.0}",
+        "with the limit: {} done, {} refused in {time:?}, at most {most:.0}",
         told.done.len(),
         told.refused.len()
     );
@@ -188,7 +190,7 @@
 
 #[tokio::test]
 async fn lowered_connections_cut_no_feed() {
-    let deployment = start(Some(write_lists(60)));
+    let deployment = start(write_lists(RATE, 60));
     let client = Client::connect(deployment.client("ordering"))
         .await
         .unwrap();
