--- a/marigoldway-core/src/request.rs
+++ b/marigoldway-core/src/request.rs
@@ -145,6 +145,9 @@
     AnswerLate,
     /// The request ran, but its answer was too long to be kept for a repeat.
     AnswerNotKept,
+    /// The request that carried the idempotency key breaks the interface, so
+    /// what became of the key was not looked up.
+    KeyUnread,
     /// The idempotency key has expired; the request may have run before.
     KeyExpired,
     /// The process that issued the idempotency key is gone.
@@ -159,10 +162,11 @@
 
 impl Doubt {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Doubt; 8] = [
+    pub const ALL: [Doubt; 9] = [
         Doubt::AnswerBroken,
         Doubt::AnswerLate,
         Doubt::AnswerNotKept,
+        Doubt::KeyUnread,
         Doubt::KeyExpired,
         Doubt::IssuerGone,
         Doubt::IssuerSilent,
@@ -177,6 +181,7 @@
             Doubt::AnswerBroken => "answer-broken",
             Doubt::AnswerLate => "answer-late",
             Doubt::AnswerNotKept => "answer-not-kept",
+            Doubt::KeyUnread => "key-unread",
             Doubt::KeyExpired => "key-expired",
             Doubt::IssuerGone => "issuer-gone",
             Doubt::IssuerSilent => "issuer-silent",
--- a/marigoldway/src/agent/load.rs
+++ b/marigoldway/src/agent/load.rs
@@ -10,6 +10,7 @@
 use marigoldway_net::gate::Gate;
 
 use crate::agent::flows::Flows;
+use crate::agent::requests::Requests;
 use crate::membership::Membership;
 use crate::operator::Status;
 
@@ -22,6 +23,7 @@
     membership: Membership,
     gate: Arc<Gate>,
     flows: Arc<Flows>,
+    requests: Arc<Requests>,
     status: Arc<Status>,
 ) {
     let mut events = membership.events();
@@ -33,6 +35,11 @@
                 gate.set_flows(open);
                 membership.set_flows(open);
                 status.set_fact("flows", open);
+                let held = requests.load();
+                status.set_fact("slots", held.limit);
+                status.set_fact("running", held.short + held.bulk);
+                status.set_fact("feeds", held.feeds);
+                status.set_fact("waiting", held.waiting);
             }
             event = events.recv() => match event {
                 Ok(Event::Peer(load)) => gate.observe(load),
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -85,6 +85,7 @@
         membership.clone(),
         agent.gate.clone(),
         agent.flows.clone(),
+        agent.requests.clone(),
         process.status.clone(),
     ));
     health::first(&settings.target).await;
--- a/marigoldway/src/agent/requests/ask.rs
+++ b/marigoldway/src/agent/requests/ask.rs
@@ -23,6 +23,7 @@
 use marigoldway_net::wire::relay::GrantWire;
 
 use crate::agent::requests::access::Grant;
+use crate::agent::requests::body::Room;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::reply::Answer;
 use crate::agent::requests::reply::Reply;
@@ -32,6 +33,9 @@
 pub(crate) struct Ask {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
+    /// Room that the body takes here, if it came from a caller.
+    #[expect(dead_code, reason = "dropping it gives the room back")]
+    pub(crate) room: Option<Room>,
     pub(crate) digest: Digest,
     /// What the lists say of it.
     pub(crate) access: Result<Grant, Refusal>,
@@ -70,6 +74,7 @@
         Ok(Ask {
             head,
             body: wire.body.0,
+            room: None,
             digest: Digest(wire.digest),
             access: wire.access.map(from_grant),
         })
--- a/marigoldway/src/agent/requests/inbound.rs
+++ b/marigoldway/src/agent/requests/inbound.rs
@@ -50,11 +50,15 @@
     /// Runs a request of a peer. It goes no further than to the own target,
     /// unless this agent issued its key.
     async fn reply_to_peer(self: &Arc<Self>, wire: AskWire) -> Reply {
-        if wire.service != self.own.service.0 {
-            return Reply::Refused(Refusal::Malformed);
-        }
-        let ask = match Ask::from_wire(wire, self.clock.now()) {
+        let keyed = wire.key.is_some();
+        let ask = match wire.service == self.own.service.0 {
+            true => Ask::from_wire(wire, self.clock.now()),
+            false => Err(Refusal::Malformed),
+        };
+        let ask = match ask {
             Ok(ask) => ask,
+            // With a key, another attempt may have been well formed and run.
+            Err(_) if keyed => return Reply::Unknown(Doubt::KeyUnread),
             Err(reason) => return Reply::Refused(reason),
         };
         if let Some(text) = ask.head.key.clone() {
--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -38,8 +38,10 @@
 use sha2::Sha256;
 
 use marigoldway_core::admission::AdmissionOptions;
+use marigoldway_core::admission::Load;
 use marigoldway_core::duplicates::Digest;
 use marigoldway_core::request::Class;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
 use marigoldway_core::retry::RetryBudget;
 use marigoldway_core::route::Route;
@@ -47,6 +49,7 @@
 
 use crate::agent::requests::access::Grant;
 use crate::agent::requests::ask::Ask;
+use crate::agent::requests::body::Bodies;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::ISSUE_MAX;
 use crate::agent::requests::keys::Keys;
@@ -75,7 +78,7 @@
 const KEYED_BODY_MAX: usize = 1 << 20;
 
 /// Longest body that is held so that its request may go to a peer, in octets.
-const RELAY_BODY_MAX: u64 = 64 << 10;
+const RELAY_BODY_MAX: u64 = 256 << 10;
 
 /// The stream of a caller.
 pub(super) type ServerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
@@ -85,6 +88,7 @@
     own: Route,
     clock: Clock,
     access: Access,
+    bodies: Bodies,
     keys: Arc<Keys>,
     local: Local,
     peers: Arc<Peers>,
@@ -117,6 +121,7 @@
             own,
             clock,
             access,
+            bodies: Bodies::new(),
             keys: Keys::new(&own, &settings.keys.idempotency.0, clock),
             local,
             peers,
@@ -125,6 +130,11 @@
         })
     }
 
+    /// What is held now.
+    pub(super) fn load(&self) -> Load {
+        self.local.slots.load()
+    }
+
     /// Stops taking new requests.
     pub(super) fn leave(&self) {
         self.local.slots.leave();
@@ -176,6 +186,10 @@
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
             Ok(head) => head,
+            // With a key, another attempt may have been well formed and run.
+            Err(_) if parts.headers.contains_key(headers::KEY) => {
+                return Reply::Unknown(Doubt::KeyUnread);
+            }
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
@@ -219,14 +233,16 @@
             return self.local.run(&head, &grant, body, hold, patience).await;
         }
 
-        let body = match body::collect(receive, KEYED_BODY_MAX).await {
-            Ok(body) => body,
+        let held = self.bodies.collect(&head, receive, KEYED_BODY_MAX);
+        let (body, room) = match held.await {
+            Ok(held) => held,
             Err(fault) => return fault.into(),
         };
         let ask = Ask {
             digest: digest(&head, &body),
             head,
             body,
+            room: Some(room),
             access: Ok(grant.clone()),
         };
         self.held(&ask, &grant, Patience::Caller).await
--- a/marigoldway/src/agent/requests/once.rs
+++ b/marigoldway/src/agent/requests/once.rs
@@ -47,8 +47,9 @@
         receive: body::ReceiveHalf,
         flow: &Flow,
     ) -> Reply {
-        let body = match body::collect(receive, KEYED_BODY_MAX).await {
-            Ok(body) => body,
+        let held = self.bodies.collect(&head, receive, KEYED_BODY_MAX);
+        let (body, room) = match held.await {
+            Ok(held) => held,
             Err(fault) => return fault.into(),
         };
         let ask = Ask {
@@ -56,6 +57,7 @@
             digest: digest(&head, &body),
             head,
             body,
+            room: Some(room),
         };
         match self.find(text) {
             Found::Here(key) => self.run_once(ask, &key).await,
