--- a/marigoldway/src/agent/flows.rs
+++ b/marigoldway/src/agent/flows.rs
@@ -10,11 +10,12 @@
 use quinn::Endpoint;
 use quinn::Incoming;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::agent::requests::Flow;
 use crate::agent::requests::Requests;
+use crate::shares::Seats;
 use crate::shutdown::Shutdown;
 
 /// Longest time for which a leaving agent keeps a flow without requests, and the
@@ -86,7 +87,9 @@
     /// Serves the requests of one flow. When the agent leaves, the caller is
     /// told so, and the flow ends with the last request that it has open.
     async fn take(&self, mut connection: Connection<h3_quinn::Connection, Bytes>) {
-        let (alive, flow) = Flow::open();
+        // Its requests learn that a flow is gone when this is dropped.
+        let (alive, gone) = watch::channel(());
+        let seats = Arc::new(Seats::default());
         let mut told = false;
         loop {
             let accepted = tokio::select! {
@@ -105,10 +108,11 @@
                 Ok(None) | Err(_) => break,
             };
             let requests = self.requests.clone();
-            let flow = flow.clone();
+            let gone = gone.clone();
+            let seats = seats.clone();
             tokio::spawn(async move {
                 if let Ok((request, stream)) = resolver.resolve_request().await {
-                    requests.serve(request, stream, flow).await;
+                    requests.serve(request, stream, gone, seats).await;
                 }
             });
         }
--- a/marigoldway/src/agent/requests/ask.rs
+++ b/marigoldway/src/agent/requests/ask.rs
@@ -134,7 +134,6 @@
             true => Repeat::Idempotent,
             false => Repeat::Once,
         },
-        permit: None,
     }
 }
 
