--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -81,9 +81,6 @@
 /// Longest body that is held so that its request may go to a peer, in octets.
 const RELAY_BODY_MAX: u64 = 256 << 10;
 
-/// Time after which a customer whose allowance is used up may come back.
-const ALLOWANCE_RETRY: Duration = Duration::from_secs(1);
-
 /// The stream of a caller.
 pub(super) type ServerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
@@ -189,7 +186,7 @@
     fn retry_after(&self, reason: Refusal) -> Duration {
         match reason {
             Refusal::CustomerConnections | Refusal::RequestRate | Refusal::BulkLimit => {
-                ALLOWANCE_RETRY
+                self.local.slots.allowance_retry()
             }
             _ => self.local.slots.retry_after(),
         }
--- a/marigoldway/src/agent/requests/slots.rs
+++ b/marigoldway/src/agent/requests/slots.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
@@ -33,6 +34,11 @@
 /// Time between two tries to reach a target that is down.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Shortest time after which a customer whose allowance is used up may come
+/// back, and the range over which such callers are spread.
+const ALLOWANCE_RETRY: Duration = Duration::from_secs(1);
+const ALLOWANCE_SPREAD: Duration = Duration::from_secs(3);
+
 /// `Slots` gives out the slots and connections of the target.
 pub(crate) struct Slots {
     state: Mutex<State>,
@@ -129,6 +135,12 @@
         state.admission.retry_after(now, &mut state.rng)
     }
 
+    /// When a customer whose allowance is used up may come back. It does not
+    /// depend on the load, so one customer can't hold others off.
+    pub(crate) fn allowance_retry(&self) -> Duration {
+        ALLOWANCE_RETRY + ALLOWANCE_SPREAD.mul_f64(self.state().rng.random::<f64>())
+    }
+
     /// Waits until nothing runs and nothing waits.
     pub(crate) async fn idle(&self) {
         loop {
