Give each deployment of a test a directory of its own

Seen once: scripts/test, customers.rs, "keys.ini could not be written: File exists". Cause: process ids come round, and the directory of an earlier failed test, whose logs are kept, had the same name.

--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -163,8 +163,7 @@
         let turn = Turn::take();
         let serial = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
-        let dir = std::env::temp_dir().join(format!("marigoldway-{pid}-{serial}"));
-        fs::create_dir_all(&dir).unwrap();
+        let dir = new_dir(&format!("marigoldway-{pid}-{serial}"));
         make_keys(&dir);
 
         // Loopback networks of tests that run side by side differ.
@@ -449,6 +448,15 @@
     }
 }
 
+/// Makes a directory that was not there. One of an earlier process with the same
+/// id may be, since the logs of a failed test are kept.
+fn new_dir(name: &str) -> PathBuf {
+    (0..1_000)
+        .map(|serial| std::env::temp_dir().join(format!("{name}-{serial}")))
+        .find(|dir| fs::create_dir(dir).is_ok())
+        .unwrap()
+}
+
 fn make_keys(dir: &Path) {
     let run = |args: &[&str]| {
         let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
