Let a slow target keep two short requests in hand for each slot

Seen: uploads of 700 ms in the short class were refused as queue-full in a graceful replacement. Cause: the room of the queue is the longest wait over the service time, which fell to one request for the whole target. Now at least two a slot.

--- a/marigoldway-core/src/admission/checks.rs
+++ b/marigoldway-core/src/admission/checks.rs
@@ -9,6 +9,9 @@
 use crate::request::Refusal;
 use crate::time::Timestamp;
 
+/// Fewest short requests that may wait for each slot.
+const TURNS_MIN: usize = 2;
+
 impl Admission {
     /// Tells whether a request may wait or start.
     pub(super) fn check(&self, arrival: &Arrival, now: Timestamp) -> Result<(), Refusal> {
@@ -45,14 +48,14 @@
     }
 
     /// Short requests that may wait, so that the last one is expected to wait
-    /// for the longest time allowed.
+    /// for the longest time allowed. A slow target still has a few in hand for
+    /// each slot.
     pub(super) fn short_room(&self, now: Timestamp) -> usize {
         let slots = self.limit(now).saturating_sub(self.counts.bulk).max(1);
         let service = self.estimate.service(Class::Short).as_micros().max(1);
         let turns = self.options.short_wait.as_micros() / service;
-        let room = usize::try_from(turns)
-            .unwrap_or(usize::MAX)
-            .saturating_mul(slots);
+        let turns = usize::try_from(turns).unwrap_or(usize::MAX);
+        let room = turns.max(TURNS_MIN).saturating_mul(slots);
         room.clamp(1, self.options.short_queue)
     }
 
--- a/marigoldway-core/tests/admission.rs
+++ b/marigoldway-core/tests/admission.rs
@@ -285,6 +285,20 @@
     ));
 }
 
+#[test]
+fn arrive_slow_target_still_queues() {
+    let slow = AdmissionOptions {
+        short_guess: Duration::from_secs(5),
+        ..AdmissionOptions::default()
+    };
+    let mut bench = Bench::new(slow);
+    bench.run(&Step::Wait(10_000));
+    for _ in 0..40 {
+        bench.run(&Step::Arrive(Class::Short, 1, 60_000));
+    }
+    assert_eq!((bench.running.len(), bench.waiting.len()), (4, 8));
+}
+
 #[test]
 fn leave_lets_waiting_requests_run() {
     let mut bench = Bench::new(AdmissionOptions::default());
