Open feeds elsewhere when a server falls silent

Where a whole domain is lost nothing resets its flows, since it may only be cut off, and a feed froze until the idle timeout of 20 s. A connection on which nothing arrives for 7 s, longer than the keep-alive of either side, is now taken for dead: feeds open elsewhere beside it and requests go to another one.

--- a/marigoldway-client/src/feed/mod.rs
+++ b/marigoldway-client/src/feed/mod.rs
@@ -3,7 +3,7 @@
 //! Where a server announces that it leaves, the feed is opened elsewhere before
 //! the old stream is closed, resumes after the last event delivered, and drops
 //! what comes twice. Where a stream breaks, the feed is opened again after a
-//! pause. The events must be numbered one after the other.
+//! pause; where the server falls silent, it is opened elsewhere as well. The events must be numbered one after the other.
 
 mod source;
 mod worker;
@@ -31,7 +31,7 @@
     pub events: u64,
     /// Times that the feed was opened elsewhere before the old stream closed.
     pub moves: u64,
-    /// Times that the stream ended before another was open.
+    /// Times that the stream ended or fell silent before another was open.
     pub breaks: u64,
     /// Events dropped because they had been delivered before.
     pub duplicates: u64,
--- a/marigoldway-client/src/feed/source.rs
+++ b/marigoldway-client/src/feed/source.rs
@@ -30,7 +30,7 @@
 pub(crate) enum Input {
     /// An event arrived.
     Event(Event),
-    /// The server leaves, told once. Events go on.
+    /// The server leaves or is silent, told once. Events may go on.
     Leaving,
     /// The stream is over.
     Ended,
@@ -87,11 +87,16 @@
         })
     }
 
-    /// Whether the server has said that it leaves, or is gone.
+    /// Whether the server has said that it leaves, or is silent or gone.
     pub(crate) fn is_leaving(&self) -> bool {
         self.link.state() != LinkState::Open
     }
 
+    /// Whether nothing has been heard from the server for a long time.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.link.state() == LinkState::Silent
+    }
+
     /// Waits for what the source tells next. Safe to cancel.
     pub(crate) async fn next(&mut self) -> Input {
         loop {
--- a/marigoldway-client/src/feed/worker.rs
+++ b/marigoldway-client/src/feed/worker.rs
@@ -190,8 +190,13 @@
 
     /// Closes the old stream in favour of the new one.
     fn promote(&mut self) {
+        let silent = self.current.as_ref().is_some_and(|it| it.is_silent());
         self.current = self.successor.take();
-        self.stats.update(|stats| stats.moves += 1);
+        self.stats.update(|stats| match silent {
+            // The application has waited, so this is no move.
+            true => stats.breaks += 1,
+            false => stats.moves += 1,
+        });
     }
 
     fn current_ended(&mut self) {
--- a/marigoldway-client/src/link.rs
+++ b/marigoldway-client/src/link.rs
@@ -26,6 +26,7 @@
 use socket2::Socket;
 use socket2::Type;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::errors::Error;
@@ -39,6 +40,10 @@
 /// Longest datagram that entries take, in octets.
 const DATAGRAM_LIMIT: u16 = 1_440;
 
+/// Times that a connection is looked at within the time after which it counts
+/// as silent.
+const SILENCE_LOOKS: u32 = 7;
+
 /// `LinkState` says what a connection is still good for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LinkState {
@@ -46,6 +51,9 @@
     Open,
     /// The server announced that it leaves: open requests go on.
     Leaving,
+    /// Nothing was heard for so long that the server or the way to it is taken
+    /// for dead. Open requests go on, in case it is not.
+    Silent,
     /// Nothing comes through any more.
     Closed,
 }
@@ -72,7 +80,7 @@
                 .map_err(|error| Error::malformed(error.to_string()))?
                 .await
                 .map_err(|error| Error::no_connection(format!("{server}: {error}")))?;
-            Link::start(quic).await
+            Link::start(quic, options.silence_limit).await
         };
         match timeout(options.connect_timeout, opening).await {
             Ok(link) => link,
@@ -80,12 +88,14 @@
         }
     }
 
-    async fn start(quic: quinn::Connection) -> Result<Link> {
+    async fn start(quic: quinn::Connection, limit: Duration) -> Result<Link> {
         let (driver, sender) = h3::client::new(h3_quinn::Connection::new(quic.clone()))
             .await
             .map_err(|error| Error::no_connection(error.to_string()))?;
         let (report, state) = watch::channel(LinkState::Open);
-        tokio::spawn(drive(driver, report));
+        let report = Arc::new(report);
+        tokio::spawn(drive(driver, report.clone()));
+        tokio::spawn(listen(quic.clone(), report, limit));
         Ok(Link {
             sender,
             state,
@@ -116,7 +126,7 @@
 /// Drives a connection to its end and reports each change of its state.
 async fn drive(
     mut driver: Connection<h3_quinn::Connection, Bytes>,
-    report: watch::Sender<LinkState>,
+    report: Arc<watch::Sender<LinkState>>,
 ) {
     poll_fn(|cx| {
         let end = driver.poll_close(cx);
@@ -129,6 +139,22 @@
     advance(&report, LinkState::Closed);
 }
 
+/// Reports a connection on which nothing arrives for `limit`.
+///
+/// It counts looks rather than time, so that a pause of this process is not
+/// taken for one of the server.
+async fn listen(quic: quinn::Connection, report: Arc<watch::Sender<LinkState>>, limit: Duration) {
+    let mut heard = 0;
+    let mut looks = 0;
+    while quic.close_reason().is_none() && looks < SILENCE_LOOKS {
+        sleep(limit / SILENCE_LOOKS).await;
+        let datagrams = quic.stats().udp_rx.datagrams;
+        looks = if datagrams == heard { looks + 1 } else { 0 };
+        heard = datagrams;
+    }
+    advance(&report, LinkState::Silent);
+}
+
 fn advance(report: &watch::Sender<LinkState>, state: LinkState) {
     report.send_if_modified(|old| {
         let later = state > *old;
--- a/marigoldway-client/src/options.rs
+++ b/marigoldway-client/src/options.rs
@@ -23,6 +23,9 @@
     pub connect_timeout: Duration,
     /// Longest silence before the client sends a packet of its own.
     pub keep_alive: Duration,
+    /// Longest silence before feeds are opened elsewhere and new requests go to
+    /// another connection. Must be longer than `keep_alive`.
+    pub silence_limit: Duration,
     /// Longest silence before a connection is given up.
     pub idle_timeout: Duration,
     /// Wanted size of each UDP socket buffer in octets.
@@ -41,6 +44,7 @@
             deadline: Duration::from_secs(10),
             connect_timeout: Duration::from_secs(4),
             keep_alive: Duration::from_secs(5),
+            silence_limit: Duration::from_secs(7),
             idle_timeout: Duration::from_secs(20),
             buffer: 4 << 20,
             body_limit: 64 << 20,
--- a/marigoldway-client/tests/feed.rs
+++ b/marigoldway-client/tests/feed.rs
@@ -2,13 +2,19 @@
 
 mod support;
 
+use std::time::Duration;
+
+use tokio::time::timeout;
+
 use marigoldway_client::client::Client;
 use marigoldway_client::errors::Error;
 use marigoldway_client::feed::Feed;
 use marigoldway_client::feed::FeedStats;
+use marigoldway_client::options::ClientOptions;
 
 use support::Server;
 use support::Service;
+use support::relay::Relay;
 
 /// Opens a feed at the first of two servers; then the second is open too.
 async fn open(service: &Service) -> (Server, Server, Feed) {
@@ -75,6 +81,34 @@
     assert_eq!((stats.moves, stats.breaks, stats.gaps), (0, 1, 0));
 }
 
+#[tokio::test]
+async fn feed_silent() {
+    let service = Service::start();
+    let (one, two) = (service.server(), service.server());
+    two.open(false);
+    let relay = Relay::start(one.addr).await;
+    let options = ClientOptions {
+        servers: vec![relay.addr, two.addr],
+        connect_timeout: Duration::from_millis(500),
+        keep_alive: Duration::from_millis(100),
+        silence_limit: Duration::from_millis(700),
+        // No timeout of the transport helps.
+        idle_timeout: Duration::from_secs(3_600),
+        ..service.options(&[])
+    };
+    let client = Client::connect(options).await.expect("client");
+    let mut feed = client.feed("/feed").await.expect("feed");
+    two.open(true);
+    let mut last = None;
+    read(&mut feed, &mut last, |stats| stats.events >= 20).await;
+
+    relay.cut();
+    let resumed = read(&mut feed, &mut last, |stats| stats.breaks == 1);
+    let resumed = timeout(Duration::from_secs(60), resumed).await;
+    assert!(resumed.is_ok());
+    assert_eq!(feed.stats().gaps, 0);
+}
+
 #[tokio::test]
 async fn feed_refused() {
     let service = Service::start();
--- a/marigoldway-client/tests/support/mod.rs
+++ b/marigoldway-client/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small HTTP/3 server whose paths misbehave on purpose.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod relay;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -18,6 +20,7 @@
 use http::Response;
 use quinn::Endpoint;
 use quinn::ServerConfig;
+use quinn::TransportConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use rcgen::CertifiedKey;
 use rustls::crypto::ring;
@@ -142,7 +145,11 @@
             .expect("certificate");
         tls.alpn_protocols = vec![b"h3".to_vec()];
         let quic = QuicServerConfig::try_from(tls).expect("cipher suites");
-        ServerConfig::with_crypto(Arc::new(quic))
+        let mut config = ServerConfig::with_crypto(Arc::new(quic));
+        let mut transport = TransportConfig::default();
+        transport.max_idle_timeout(None);
+        config.transport_config(Arc::new(transport));
+        config
     }
 }
 
--- /dev/null
+++ b/marigoldway-client/tests/support/relay.rs
@@ -0,0 +1,56 @@
+//! A way to a server that can be cut without a word.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use tokio::net::UdpSocket;
+
+/// Longest datagram in octets.
+const DATAGRAM_LIMIT: usize = 2_048;
+
+/// `Relay` carries the datagrams of one client to a server and back.
+pub struct Relay {
+    pub addr: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Relay {
+    /// Starts a relay to `server`. Runs in a tokio runtime.
+    pub async fn start(server: SocketAddr) -> Relay {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let front = UdpSocket::bind(any).await.expect("socket");
+        let back = UdpSocket::bind(any).await.expect("socket");
+        back.connect(server).await.expect("address");
+        let addr = front.local_addr().expect("address");
+        let cut = Arc::new(AtomicBool::new(false));
+        tokio::spawn(carry(front, back, cut.clone()));
+        Relay { addr, cut }
+    }
+
+    /// Drops every datagram from now on.
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::Relaxed);
+    }
+}
+
+async fn carry(front: UdpSocket, back: UdpSocket, cut: Arc<AtomicBool>) {
+    let mut client = None;
+    let (mut there, mut here) = ([0; DATAGRAM_LIMIT], [0; DATAGRAM_LIMIT]);
+    loop {
+        tokio::select! {
+            Ok((len, from)) = front.recv_from(&mut there) => {
+                client = Some(from);
+                if !cut.load(Ordering::Relaxed) {
+                    let _ = back.send(&there[..len]).await;
+                }
+            }
+            Ok(len) = back.recv(&mut here) => {
+                if let Some(client) = client.filter(|_| !cut.load(Ordering::Relaxed)) {
+                    let _ = front.send_to(&here[..len], client).await;
+                }
+            }
+        }
+    }
+}
