--- a/marigoldway-client/src/options.rs
+++ b/marigoldway-client/src/options.rs
@@ -44,7 +44,7 @@
             deadline: Duration::from_secs(10),
             connect_timeout: Duration::from_secs(4),
             keep_alive: Duration::from_secs(5),
-            silence_limit: Duration::from_secs(7),
+            silence_limit: Duration::from_secs(12),
             idle_timeout: Duration::from_secs(20),
             buffer: 4 << 20,
             body_limit: 64 << 20,
