--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Outcome;
 use marigoldway_core::request::Refusal;
 use marigoldway_core::retry;
@@ -71,6 +72,10 @@
     fn may_retry(&self, sent: Sent, answer: &Answer) -> bool {
         let told = answer.status.is_some() || answer.outcome != Outcome::Unknown;
         let outcome = told.then_some(answer.outcome);
+        if self.keyed && answer.reason == Some(Reason::Doubt(Doubt::IssuerSilent)) {
+            // The process that can tell is only out of reach for now.
+            return true;
+        }
         match retry::advise(self.repeat, sent, outcome) {
             Advice::Stop => false,
             Advice::SameKey => self.keyed,
@@ -100,7 +105,8 @@
     let refusal = match reason {
         Reason::Refused(refusal) => refusal,
         Reason::NoConnection | Reason::Rejected | Reason::Broken => return true,
-        Reason::Doubt(_) | Reason::Timeout | Reason::TooLong => return false,
+        Reason::Doubt(doubt) => return doubt != Doubt::AnswerLate,
+        Reason::Timeout | Reason::TooLong => return false,
     };
     match refusal {
         Refusal::Leaving
--- a/marigoldway-client/tests/retry.rs
+++ b/marigoldway-client/tests/retry.rs
@@ -70,6 +70,23 @@
     assert!(!judge(&Request::get("/"), Sent::Octets, &stranger));
 }
 
+#[test]
+fn judge_by_doubt() {
+    let told = |doubt| Answer {
+        status: Some(http::StatusCode::BAD_GATEWAY),
+        ..answer(Outcome::Unknown, Reason::Doubt(doubt))
+    };
+    let feed = Request::get("/feed");
+    assert!(judge(&feed, Sent::Octets, &told(Doubt::AnswerBroken)));
+    assert!(!judge(&feed, Sent::Octets, &told(Doubt::AnswerLate)));
+
+    // Under its key an order asks again only who may still answer.
+    assert!(judge(&keyed(), Sent::Octets, &told(Doubt::IssuerSilent)));
+    assert!(!judge(&keyed(), Sent::Octets, &told(Doubt::AnswerBroken)));
+    let order = Request::post("/order", "");
+    assert!(!judge(&order, Sent::Octets, &told(Doubt::IssuerSilent)));
+}
+
 #[test]
 fn judge_after_doubt() {
     let refused = answer(Outcome::NotRun, Reason::Refused(Refusal::Leaving));
