--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -115,6 +115,7 @@
         | Refusal::CustomerConnections
         | Refusal::RequestRate
         | Refusal::BulkLimit
+        | Refusal::NoLists
         | Refusal::TargetRefused
         | Refusal::TargetDown => true,
         Refusal::Deadline
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -31,6 +31,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::lists;
+use crate::lists::Catalogs;
 use crate::membership;
 use crate::membership::Membership;
 use crate::membership::Seat;
@@ -69,9 +70,12 @@
         settings.target.service,
         process.incarnation,
     );
-    let access = Access::new(settings.target.service, catalogs, gatekeeper);
+    let access = Access::new(settings.target.service, catalogs.clone(), gatekeeper);
     let agent = Agent::start(&settings, &process, clock, &membership, access)?;
     tokio::spawn(agent.requests.clone().listen(queues.relay));
+    process
+        .metrics
+        .mirror_sockets(vec![settings.network.data.0]);
     process.metrics.mirror_control(membership.control().clone());
     report::roster(&process.status, membership.views());
     tokio::spawn(keep_directory(
@@ -87,10 +91,10 @@
         agent.flows.clone(),
         process.status.clone(),
     ));
-    health::first(&settings.target).await;
-    tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
-    membership.serve().await;
-    process.status.set_ready(true);
+    tokio::select! {
+        () = begin(&settings, &process, &membership, catalogs) => (),
+        () = process.shutdown.leaving() => (),
+    }
 
     process.shutdown.leaving().await;
     agent.gate.leave();
@@ -103,6 +107,23 @@
     Ok(())
 }
 
+/// Has the agent listed as serving once it can serve: it holds lists, without
+/// which it could only refuse, and its target accepts connections.
+async fn begin(
+    settings: &AgentSettings,
+    process: &Process,
+    membership: &Membership,
+    mut catalogs: Catalogs,
+) {
+    if catalogs.wait_for(Option::is_some).await.is_err() {
+        return;
+    }
+    health::first(&settings.target).await;
+    tokio::spawn(health::watch(settings.target.clone(), membership.clone()));
+    membership.serve().await;
+    process.status.set_ready(true);
+}
+
 /// `Agent` is the running packet path of an agent.
 struct Agent {
     endpoint: Endpoint,
--- a/marigoldway/src/agent/requests/reply.rs
+++ b/marigoldway/src/agent/requests/reply.rs
@@ -149,6 +149,7 @@
 fn status(reason: Refusal) -> StatusCode {
     match reason {
         Refusal::Leaving
+        | Refusal::NoLists
         | Refusal::QueueFull
         | Refusal::Deadline
         | Refusal::ConnectionLimit
