--- a/marigoldway-client/examples/hold.rs
+++ b/marigoldway-client/examples/hold.rs
@@ -74,10 +74,14 @@
     }
 
     let mut total = FeedStats::default();
+    let mut silence = Duration::ZERO;
     let mut failed = 0;
     while let Some(stats) = feeds.join_next().await {
         match stats? {
-            Ok(stats) => add(&mut total, &stats),
+            Ok((stats, longest)) => {
+                add(&mut total, &stats);
+                silence = silence.max(longest);
+            }
             Err(error) => {
                 failed += 1;
                 eprintln!("feed failed: {error}");
@@ -85,8 +89,14 @@
         }
     }
     println!(
-        "feeds={} failed={failed} events={} moves={} breaks={} duplicates={} gaps={}",
-        args.feeds, total.events, total.moves, total.breaks, total.duplicates, total.gaps
+        "feeds={} failed={failed} events={} moves={} breaks={} duplicates={} gaps={} silence-ms={}",
+        args.feeds,
+        total.events,
+        total.moves,
+        total.breaks,
+        total.duplicates,
+        total.gaps,
+        silence.as_millis()
     );
     if failed > 0 {
         return Err(format!("{failed} feeds failed").into());
@@ -105,17 +115,21 @@
     })
 }
 
-/// Holds one feed until `end`.
-async fn hold(options: ClientOptions, path: String, end: Instant) -> Result<FeedStats> {
+/// Holds one feed until `end`, and gives the longest time between two events.
+async fn hold(options: ClientOptions, path: String, end: Instant) -> Result<(FeedStats, Duration)> {
     let client = Client::connect(options).await?;
     let mut feed = client.feed(&path).await?;
+    let mut silence = Duration::ZERO;
+    let mut last = None;
     while let Ok(event) = timeout_at(end, feed.next()).await {
         event?;
+        let now = Instant::now();
+        silence = silence.max(now - last.replace(now).unwrap_or(now));
     }
     let stats = feed.stats();
     drop(feed);
     client.close().await;
-    Ok(stats)
+    Ok((stats, silence))
 }
 
 fn add(total: &mut FeedStats, stats: &FeedStats) {
