Let bulk work wait for its share past a handover

At a fleet that has just started an agent has no share of a small bulk allowance for 4 s, and an upload was refused at once.

--- a/marigoldway/src/shares/gatekeeper.rs
+++ b/marigoldway/src/shares/gatekeeper.rs
@@ -33,10 +33,14 @@
 use crate::membership::Membership;
 use crate::shares::TICK;
 
-/// Longest wait for a larger share before something is refused. A customer
+/// Longest wait for a larger share before a connection is refused. A customer
 /// that was not seen here lately has next to no share, and gets one within a
 /// few round trips.
-const PATIENCE: Duration = Duration::from_millis(400);
+const CONNECTION_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Longest wait for a larger share before bulk work is refused. It is longer
+/// than a new holder's handover, and short beside the work itself.
+const BULK_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Bits of a report's number that count within one life of the process.
 const NUMBER_BITS: u32 = 32;
@@ -111,7 +115,7 @@
         &self,
         mut attempt: impl FnMut(&mut Enforcement, Timestamp) -> Result<Permit, Denial>,
     ) -> Result<Admitted, Denial> {
-        let end = time::Instant::now() + PATIENCE;
+        let start = time::Instant::now();
         loop {
             let granted = self.shared.granted.notified();
             let now = self.shared.clock.now();
@@ -124,20 +128,23 @@
                 }
                 Err(denial) => denial,
             };
-            if !may_change(&denial) || time::timeout_at(end, granted).await.is_err() {
+            let end = start + patience(&denial);
+            if time::timeout_at(end, granted).await.is_err() {
                 return Err(denial);
             }
         }
     }
 }
 
-/// Tells whether a larger share would help. A rate that is used up refuses at
-/// once: its tokens come with time, and waiting here would only hold slots.
-fn may_change(denial: &Denial) -> bool {
-    matches!(
-        denial.refusal,
-        Refusal::CustomerConnections | Refusal::BulkLimit
-    )
+/// How long a refusal is put off, since a larger share may come. A rate that is
+/// used up refuses at once: its tokens come with time, and waiting here would
+/// only hold slots.
+fn patience(denial: &Denial) -> Duration {
+    match denial.refusal {
+        Refusal::CustomerConnections => CONNECTION_PATIENCE,
+        Refusal::BulkLimit => BULK_PATIENCE,
+        _ => Duration::ZERO,
+    }
 }
 
 impl Shared {
@@ -154,6 +161,7 @@
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take() {
             self.shared.lock().release(permit);
+            self.shared.granted.notify_waiters();
         }
     }
 }
