--- a/marigoldway/src/agent/requests/access.rs
+++ b/marigoldway/src/agent/requests/access.rs
@@ -1,10 +1,7 @@
 //! Who asks, and what the lists say of the request.
 
-use std::sync::Arc;
-
 use sha2::Digest as _;
 use sha2::Sha256;
-use tokio::sync::watch;
 
 use marigoldway_core::admission::CustomerKey;
 use marigoldway_core::ids::ServiceId;
@@ -13,16 +10,17 @@
 use marigoldway_core::request::Refusal;
 use marigoldway_core::retry::Repeat;
 
-use crate::agent::requests::flow::Flow;
 use crate::agent::requests::head::Head;
+use crate::lists::Catalogs;
 use crate::shares::Admitted;
 use crate::shares::Gatekeeper;
+use crate::shares::Seats;
 
 /// Length from which on a body makes its request a bulk one, in octets.
 const BULK_LENGTH: u64 = 1 << 20;
 
 /// `Grant` is what a request may do.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(crate) struct Grant {
     /// Name of the customer.
     pub(crate) name: String,
@@ -32,24 +30,18 @@
     pub(crate) class: Class,
     /// Whether it may run more than once.
     pub(crate) repeat: Repeat,
-    /// What the request uses of its customer's allowance, until its end.
-    pub(crate) permit: Option<Arc<Admitted>>,
 }
 
-/// `Access` looks requests up in the lists, and keeps customers within them.
+/// `Access` looks requests up in the lists.
 pub(crate) struct Access {
     service: ServiceId,
-    catalogs: watch::Receiver<Option<Arc<Catalog>>>,
+    catalogs: Catalogs,
     gatekeeper: Gatekeeper,
 }
 
 impl Access {
     /// Makes the access of one service.
-    pub(crate) fn new(
-        service: ServiceId,
-        catalogs: watch::Receiver<Option<Arc<Catalog>>>,
-        gatekeeper: Gatekeeper,
-    ) -> Access {
+    pub(crate) fn new(service: ServiceId, catalogs: Catalogs, gatekeeper: Gatekeeper) -> Access {
         Access {
             service,
             catalogs,
@@ -57,32 +49,26 @@
         }
     }
 
-    /// What a request that came over `flow` may do. The flow counts as a
-    /// connection of its customer from then on.
-    pub(crate) async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
-        let grant = self.check(head)?;
-        flow.seat(&self.gatekeeper, &grant.name).await?;
-        Ok(grant)
-    }
-
-    /// Takes a request out of its customer's allowance.
-    pub(crate) async fn spend(&self, grant: &Grant) -> Result<Grant, Refusal> {
-        let permit = self.gatekeeper.admit(&grant.name, grant.class).await;
-        let permit = permit.map_err(|denial| denial.refusal)?;
-        Ok(Grant {
-            permit: Some(Arc::new(permit)),
-            ..grant.clone()
-        })
-    }
-
     /// What a request may do. Nobody may ask for anything until the first lists
     /// are accepted.
-    fn check(&self, head: &Head) -> Result<Grant, Refusal> {
+    pub(crate) fn check(&self, head: &Head) -> Result<Grant, Refusal> {
         let catalog = self.catalogs.borrow().clone();
         let catalog = catalog.ok_or(Refusal::NoLists)?;
         self.look_up(&catalog, head)
     }
 
+    /// Counts a flow as a connection of the customer. A request with a key
+    /// isn't refused for it, since it may have run before.
+    pub(crate) async fn take_seat(&self, seats: &Seats, grant: &Grant) -> Result<(), Refusal> {
+        seats.take(&self.gatekeeper, &grant.name).await
+    }
+
+    /// Admits a request within the customer's allowance.
+    pub(crate) async fn allow(&self, grant: &Grant) -> Result<Option<Admitted>, Refusal> {
+        let admitted = self.gatekeeper.admit(&grant.name, grant.class).await;
+        admitted.map(Some).map_err(|denial| denial.refusal)
+    }
+
     fn look_up(&self, catalog: &Catalog, head: &Head) -> Result<Grant, Refusal> {
         let token = head.token.as_deref().unwrap_or_default();
         let customer = catalog.customer(token).ok_or(Refusal::UnknownCustomer)?;
@@ -101,7 +87,6 @@
             customer: customer_key(&customer.name),
             class,
             repeat: repeat(rule.repeatable),
-            permit: None,
         })
     }
 }
--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -7,7 +7,6 @@
 mod access;
 mod ask;
 mod body;
-mod flow;
 mod head;
 mod headers;
 mod held;
@@ -25,6 +24,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h3::server::RequestStream;
@@ -36,17 +36,20 @@
 use http::header;
 use sha2::Digest as _;
 use sha2::Sha256;
+use tokio::sync::watch;
 
 use marigoldway_core::admission::AdmissionOptions;
+use marigoldway_core::admission::Load;
 use marigoldway_core::duplicates::Digest;
 use marigoldway_core::request::Class;
+use marigoldway_core::request::Doubt;
 use marigoldway_core::request::Refusal;
 use marigoldway_core::retry::RetryBudget;
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 
-use crate::agent::requests::access::Grant;
 use crate::agent::requests::ask::Ask;
+use crate::agent::requests::body::Bodies;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::ISSUE_MAX;
 use crate::agent::requests::keys::Keys;
@@ -59,9 +62,10 @@
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
+use crate::shares::Admitted;
+use crate::shares::Seats;
 
 pub(super) use crate::agent::requests::access::Access;
-pub(super) use crate::agent::requests::flow::Flow;
 pub(super) use crate::agent::requests::peers::Peers;
 
 /// Path that hands out idempotency keys.
@@ -75,7 +79,7 @@
 const KEYED_BODY_MAX: usize = 1 << 20;
 
 /// Longest body that is held so that its request may go to a peer, in octets.
-const RELAY_BODY_MAX: u64 = 64 << 10;
+const RELAY_BODY_MAX: u64 = 256 << 10;
 
 /// The stream of a caller.
 pub(super) type ServerStream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
@@ -85,6 +89,7 @@
     own: Route,
     clock: Clock,
     access: Access,
+    bodies: Bodies,
     keys: Arc<Keys>,
     local: Local,
     peers: Arc<Peers>,
@@ -117,6 +122,7 @@
             own,
             clock,
             access,
+            bodies: Bodies::new(),
             keys: Keys::new(&own, &settings.keys.idempotency.0, clock),
             local,
             peers,
@@ -125,6 +131,11 @@
         })
     }
 
+    /// What is held now.
+    pub(super) fn load(&self) -> Load {
+        self.local.slots.load()
+    }
+
     /// Stops taking new requests.
     pub(super) fn leave(&self) {
         self.local.slots.leave();
@@ -135,21 +146,24 @@
         self.local.slots.idle().await;
     }
 
-    /// Serves one request of a flow, until the flow is gone.
+    /// Serves one request. `gone` is done when its caller is gone, and `seats`
+    /// are those of its flow.
     pub(super) async fn serve(
         self: Arc<Self>,
         request: Request<()>,
         stream: ServerStream,
-        mut flow: Flow,
+        mut gone: watch::Receiver<()>,
+        seats: Arc<Seats>,
     ) {
         let (mut send, receive) = stream.split();
-        let context = flow.clone();
         let work = async {
-            let reply = self.reply(request, receive, &context).await;
+            // What is admitted lasts until the answer is sent.
+            let mut admitted = None;
+            let reply = self.reply(request, receive, &seats, &mut admitted).await;
             let retry = match &reply {
                 Reply::Refused(reason) => {
                     self.metrics.count(Counter::Refusal(*reason));
-                    Some(self.local.slots.retry_after())
+                    Some(self.retry_after(*reason))
                 }
                 Reply::Unknown(doubt) => {
                     self.metrics.count(Counter::Doubt(*doubt));
@@ -163,7 +177,18 @@
             sent = work => if let Err(err) = sent {
                 log::debug!("event=answer-failed error={err:?}");
             },
-            () = flow.gone() => {}
+            // The sender never sends; it is dropped with the flow.
+            _ = gone.changed() => {}
+        }
+    }
+
+    /// When a refused caller may come back.
+    fn retry_after(&self, reason: Refusal) -> Duration {
+        match reason {
+            Refusal::CustomerConnections | Refusal::RequestRate | Refusal::BulkLimit => {
+                self.local.slots.allowance_retry()
+            }
+            _ => self.local.slots.retry_after(),
         }
     }
 
@@ -171,24 +196,33 @@
         self: &Arc<Self>,
         request: Request<()>,
         receive: body::ReceiveHalf,
-        flow: &Flow,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
     ) -> Reply {
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
             Ok(head) => head,
+            // With a key, another attempt may have been well formed and run.
+            Err(_) if parts.headers.contains_key(headers::KEY) => {
+                return Reply::Unknown(Doubt::KeyUnread);
+            }
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
-            return self.issue(&head, flow).await;
+            return self.issue(&head, seats).await;
         }
         match head.key.clone() {
-            Some(key) => self.keyed(head, &key, receive, flow).await,
-            None => self.plain(head, receive, flow).await,
+            Some(key) => self.keyed(head, &key, receive).await,
+            None => self.plain(head, receive, seats, admitted).await,
         }
     }
 
-    async fn issue(&self, head: &Head, flow: &Flow) -> Reply {
-        if let Err(reason) = self.access.enter(head, flow).await {
+    async fn issue(&self, head: &Head, seats: &Seats) -> Reply {
+        let checked = match self.access.check(head) {
+            Ok(grant) => self.access.take_seat(seats, &grant).await,
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = checked {
             return Reply::Refused(reason);
         }
         let count = head.query("count").map_or(Ok(1), str::parse);
@@ -202,11 +236,25 @@
 
     /// Runs a request that has no key. A short body is held whole, so that the
     /// request may go to a peer; a longer one is passed on as it comes.
-    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf, flow: &Flow) -> Reply {
-        let grant = match self.enter(&head, flow).await {
+    async fn plain(
+        self: &Arc<Self>,
+        head: Head,
+        receive: body::ReceiveHalf,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
+    ) -> Reply {
+        let grant = match self.access.check(&head) {
             Ok(grant) => grant,
             Err(reason) => return Reply::Refused(reason),
         };
+        let allowed = match self.access.take_seat(seats, &grant).await {
+            Ok(()) => self.access.allow(&grant).await,
+            Err(reason) => Err(reason),
+        };
+        match allowed {
+            Ok(allowed) => *admitted = allowed,
+            Err(reason) => return Reply::Refused(reason),
+        }
         self.budget().deposit();
         let short = body::is_empty(&head) || head.length.is_some_and(|it| it <= RELAY_BODY_MAX);
         if grant.class == Class::Feed || !short {
@@ -219,24 +267,21 @@
             return self.local.run(&head, &grant, body, hold, patience).await;
         }
 
-        let body = match body::collect(receive, KEYED_BODY_MAX).await {
-            Ok(body) => body,
+        let held = self.bodies.collect(&head, receive, KEYED_BODY_MAX);
+        let (body, room) = match held.await {
+            Ok(held) => held,
             Err(fault) => return fault.into(),
         };
         let ask = Ask {
             digest: digest(&head, &body),
             head,
             body,
+            room: Some(room),
             access: Ok(grant.clone()),
         };
         self.held(&ask, &grant, Patience::Caller).await
     }
 
-    async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
-        let grant = self.access.enter(head, flow).await?;
-        self.access.spend(&grant).await
-    }
-
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/marigoldway/src/agent/requests/once.rs
+++ b/marigoldway/src/agent/requests/once.rs
@@ -17,7 +17,6 @@
 use crate::agent::requests::ask::Ask;
 use crate::agent::requests::body;
 use crate::agent::requests::digest;
-use crate::agent::requests::flow::Flow;
 use crate::agent::requests::head::Head;
 use crate::agent::requests::keys::Claimed;
 use crate::agent::requests::keys::Turn;
@@ -45,17 +44,18 @@
         head: Head,
         text: &str,
         receive: body::ReceiveHalf,
-        flow: &Flow,
     ) -> Reply {
-        let body = match body::collect(receive, KEYED_BODY_MAX).await {
-            Ok(body) => body,
+        let held = self.bodies.collect(&head, receive, KEYED_BODY_MAX);
+        let (body, room) = match held.await {
+            Ok(held) => held,
             Err(fault) => return fault.into(),
         };
         let ask = Ask {
-            access: self.access.enter(&head, flow).await,
+            access: self.access.check(&head),
             digest: digest(&head, &body),
             head,
             body,
+            room: Some(room),
         };
         match self.find(text) {
             Found::Here(key) => self.run_once(ask, &key).await,
@@ -112,14 +112,16 @@
     /// Runs the request of a key to its end, whoever waits for it.
     async fn settle(self: &Arc<Self>, ask: &Ask) -> Settled<Answer> {
         let grant = match &ask.access {
-            Ok(grant) => self.access.spend(grant).await,
-            Err(reason) => Err(*reason),
-        };
-        let grant = match grant {
             Ok(grant) => grant,
+            Err(reason) => return Settled::NotRun(*reason),
+        };
+        // It is counted here and not where its caller asked, since only the
+        // issuer knows that a request with this key did not run before.
+        let _admitted = match self.access.allow(grant).await {
+            Ok(admitted) => admitted,
             Err(reason) => return Settled::NotRun(reason),
         };
-        match self.held(ask, &grant, Patience::Longer(LATE_LIMIT)).await {
+        match self.held(ask, grant, Patience::Longer(LATE_LIMIT)).await {
             Reply::Whole(answer) => Settled::Done(answer),
             Reply::Streamed(..) => Settled::Unknown(Doubt::AnswerNotKept),
             Reply::Refused(reason) => Settled::NotRun(reason),
