--- a/marigoldway-client/src/lib.rs
+++ b/marigoldway-client/src/lib.rs
@@ -6,6 +6,41 @@
 //! [`Feed`](feed::Feed) is a stream of events that outlives the connection it
 //! began on.
 //!
+//! ```no_run
+//! # use std::error::Error;
+//! # use rustls::pki_types::CertificateDer;
+//! use marigoldway_client::client::Client;
+//! use marigoldway_client::options::ClientOptions;
+//! use marigoldway_client::request::Request;
+//! use marigoldway_core::request::Outcome;
+//!
+//! # async fn run(roots: Vec<CertificateDer<'static>>) -> Result<(), Box<dyn Error>> {
+//! let client = Client::connect(ClientOptions {
+//!     servers: vec!["127.1.0.2:4433".parse()?],
+//!     name: "localhost".to_owned(),
+//!     roots,
+//!     token: "demo-token".to_owned(),
+//!     ..ClientOptions::default()
+//! })
+//! .await?;
+//!
+//! let key = client.keys(1).await?.pop();
+//! let order = Request { key, ..Request::post("/order", "order-17") };
+//! let answer = client.request(order).await?;
+//! match answer.outcome {
+//!     Outcome::Done => println!("{:?}", answer.body),
+//!     Outcome::NotRun => println!("nothing was ordered: {:?}", answer.reason),
+//!     Outcome::Unknown => println!("ask before ordering again"),
+//! }
+//!
+//! let mut feed = client.feed("/feed").await?;
+//! while let Ok(event) = feed.next().await {
+//!     println!("{:?} {}", event.id, event.data);
+//! }
+//! # Ok(())
+//! # }
+//! ```
+//!
 //! Start with [`options`] and [`client`]. The decisions are free of input and
 //! output: [`retry`], [`sequence`] and [`sse`].
 
