--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -7,7 +7,6 @@
 mod access;
 mod ask;
 mod body;
-mod flow;
 mod head;
 mod headers;
 mod held;
@@ -37,6 +36,7 @@
 use http::header;
 use sha2::Digest as _;
 use sha2::Sha256;
+use tokio::sync::watch;
 
 use marigoldway_core::admission::AdmissionOptions;
 use marigoldway_core::admission::Load;
@@ -48,7 +48,6 @@
 use marigoldway_core::route::Route;
 use marigoldway_net::clock::Clock;
 
-use crate::agent::requests::access::Grant;
 use crate::agent::requests::ask::Ask;
 use crate::agent::requests::body::Bodies;
 use crate::agent::requests::head::Head;
@@ -63,9 +62,10 @@
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::settings::AgentSettings;
+use crate::shares::Admitted;
+use crate::shares::Seats;
 
 pub(super) use crate::agent::requests::access::Access;
-pub(super) use crate::agent::requests::flow::Flow;
 pub(super) use crate::agent::requests::peers::Peers;
 
 /// Path that hands out idempotency keys.
@@ -146,17 +146,20 @@
         self.local.slots.idle().await;
     }
 
-    /// Serves one request of a flow, until the flow is gone.
+    /// Serves one request. `gone` is done when its caller is gone, and `seats`
+    /// are those of its flow.
     pub(super) async fn serve(
         self: Arc<Self>,
         request: Request<()>,
         stream: ServerStream,
-        mut flow: Flow,
+        mut gone: watch::Receiver<()>,
+        seats: Arc<Seats>,
     ) {
         let (mut send, receive) = stream.split();
-        let context = flow.clone();
         let work = async {
-            let reply = self.reply(request, receive, &context).await;
+            // What is admitted lasts until the answer is sent.
+            let mut admitted = None;
+            let reply = self.reply(request, receive, &seats, &mut admitted).await;
             let retry = match &reply {
                 Reply::Refused(reason) => {
                     self.metrics.count(Counter::Refusal(*reason));
@@ -174,7 +177,8 @@
             sent = work => if let Err(err) = sent {
                 log::debug!("event=answer-failed error={err:?}");
             },
-            () = flow.gone() => {}
+            // The sender never sends; it is dropped with the flow.
+            _ = gone.changed() => {}
         }
     }
 
@@ -192,7 +196,8 @@
         self: &Arc<Self>,
         request: Request<()>,
         receive: body::ReceiveHalf,
-        flow: &Flow,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
     ) -> Reply {
         let (parts, ()) = request.into_parts();
         let head = match Head::new(&parts, self.clock.now()) {
@@ -204,16 +209,20 @@
             Err(reason) => return Reply::Refused(reason),
         };
         if head.route() == KEYS_PATH {
-            return self.issue(&head, flow).await;
+            return self.issue(&head, seats).await;
         }
         match head.key.clone() {
-            Some(key) => self.keyed(head, &key, receive, flow).await,
-            None => self.plain(head, receive, flow).await,
+            Some(key) => self.keyed(head, &key, receive).await,
+            None => self.plain(head, receive, seats, admitted).await,
         }
     }
 
-    async fn issue(&self, head: &Head, flow: &Flow) -> Reply {
-        if let Err(reason) = self.access.enter(head, flow).await {
+    async fn issue(&self, head: &Head, seats: &Seats) -> Reply {
+        let checked = match self.access.check(head) {
+            Ok(grant) => self.access.take_seat(seats, &grant).await,
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = checked {
             return Reply::Refused(reason);
         }
         let count = head.query("count").map_or(Ok(1), str::parse);
@@ -227,11 +236,25 @@
 
     /// Runs a request that has no key. A short body is held whole, so that the
     /// request may go to a peer; a longer one is passed on as it comes.
-    async fn plain(self: &Arc<Self>, head: Head, receive: body::ReceiveHalf, flow: &Flow) -> Reply {
-        let grant = match self.enter(&head, flow).await {
+    async fn plain(
+        self: &Arc<Self>,
+        head: Head,
+        receive: body::ReceiveHalf,
+        seats: &Seats,
+        admitted: &mut Option<Admitted>,
+    ) -> Reply {
+        let grant = match self.access.check(&head) {
             Ok(grant) => grant,
             Err(reason) => return Reply::Refused(reason),
         };
+        let allowed = match self.access.take_seat(seats, &grant).await {
+            Ok(()) => self.access.allow(&grant).await,
+            Err(reason) => Err(reason),
+        };
+        match allowed {
+            Ok(allowed) => *admitted = allowed,
+            Err(reason) => return Reply::Refused(reason),
+        }
         self.budget().deposit();
         let short = body::is_empty(&head) || head.length.is_some_and(|it| it <= RELAY_BODY_MAX);
         if grant.class == Class::Feed || !short {
@@ -259,11 +282,6 @@
         self.held(&ask, &grant, Patience::Caller).await
     }
 
-    async fn enter(&self, head: &Head, flow: &Flow) -> Result<Grant, Refusal> {
-        let grant = self.access.enter(head, flow).await?;
-        self.access.spend(&grant).await
-    }
-
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
