--- a/marigoldway/tests/common/transfers.rs
+++ b/marigoldway/tests/common/transfers.rs
@@ -1,6 +1,5 @@
 //! Callers that post transfers, and what they were told of each.
 
-use std::fs;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -19,15 +18,11 @@
 use marigoldway_core::request::Outcome;
 
 use crate::common::Deployment;
-use crate::common::Plan;
 use crate::common::wait_for;
 
 /// Tries of one transfer.
 const TRIES: usize = 8;
 
-/// Digest of the token that the callers of the tests hold.
-const DEMO_DIGEST: &str = "7c43ef5ae21d43ce2743f770c68e24def1a43ee2f416d2438410c8af7af2ff2c";
-
 /// Time limit of one try.
 const DEADLINE: Duration = Duration::from_secs(2);
 
@@ -227,22 +222,3 @@
     let count = |wanted| told.values().filter(|outcome| **outcome == wanted).count();
     [Outcome::Done, Outcome::NotRun, Outcome::Unknown].map(count)
 }
-
-/// A plan of a small deployment whose lists allow more than callers ever ask.
-pub fn plan_without_limits(name: &str) -> Plan {
-    let dir = std::env::temp_dir().join(format!("marigoldway-{name}-{}", std::process::id()));
-    fs::create_dir_all(&dir).unwrap();
-    let head = "generation 1\nchange 0000000000000001\n";
-    let plans = format!("list plans\n{head}customer demo plan=open token={DEMO_DIGEST}\n");
-    let allowances = format!(
-        "list allowances\n{head}service ordering id=1\n\
-         plan open services=ordering connections=100000 rate=1000000 burst=1000000 bulk=10000\n\
-         route ordering POST /upload class=bulk repeatable=no\n"
-    );
-    fs::write(dir.join("plans.txt"), plans).unwrap();
-    fs::write(dir.join("allowances.txt"), allowances).unwrap();
-    Plan {
-        lists: Some(dir),
-        ..Plan::small()
-    }
-}
--- a/marigoldway/tests/outcomes.rs
+++ b/marigoldway/tests/outcomes.rs
@@ -247,10 +247,7 @@
     let before = count(deployment, "started");
     let client = client(deployment).await;
     let caller = client.clone();
-    let task = tokio::spawn(async move {
-        // A cold target and a fresh share of the allowance may refuse at first.
-        while caller.request(request.clone()).await.unwrap().outcome == Outcome::NotRun {}
-    });
+    let task = tokio::spawn(async move { caller.request(request).await });
     wait_for("a request that runs", || {
         count(deployment, "started") > before
     });
--- a/marigoldway/tests/requests.rs
+++ b/marigoldway/tests/requests.rs
@@ -18,10 +18,10 @@
 use marigoldway_core::request::Outcome;
 
 use crate::common::Deployment;
+use crate::common::Plan;
 use crate::common::transfers::Callers;
 use crate::common::transfers::Rule;
 use crate::common::transfers::broken;
-use crate::common::transfers::plan_without_limits;
 use crate::common::transfers::runs;
 use crate::common::transfers::tally;
 use crate::common::wait_for;
@@ -67,7 +67,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn transfer_under_kills_and_freezes_runs_once() {
-    let mut deployment = Deployment::start(&plan_without_limits("kills"));
+    let mut deployment = Deployment::start(&Plan::small());
     let callers = Callers::start(
         &deployment.client("ordering"),
         "transfer",
@@ -86,7 +86,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn transfer_without_keys_runs_twice() {
-    let deployment = Deployment::start(&plan_without_limits("careless"));
+    let deployment = Deployment::start(&Plan::small());
     let callers = Callers::start(
         &deployment.client("ordering"),
         "transfer",
@@ -126,7 +126,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn graceful_stop_of_every_process_cuts_nothing() {
-    let plan = plan_without_limits("graceful");
+    let plan = Plan::small();
     let mut deployment = Deployment::start(&plan);
     let options = deployment.client("ordering");
     let callers = Callers::start(&options, "transfer", CALLERS, Rule::Keys(1));
