Give each port of a test deployment out once

Cause: the system gave one port twice for the same address, once for the operator endpoints and once for the control channel, and the entry ended with 'Address already in use'. Seen in feeds_survive_replacement_of_all_entries and once before in path. Ruled out: leftovers of other deployments (each has its own network). After: ports that were given out are remembered.

--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -10,6 +10,7 @@
 mod settings;
 pub mod transfers;
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io::Read;
 use std::io::Write;
@@ -475,12 +476,16 @@
     run(&["keys", "certificate", "--dir", &dir.to_string_lossy()]);
 }
 
-/// A port that is free for both UDP and TCP at `ip`.
+/// Ports that were given out, since the system may give a free one twice.
+static PORTS: Mutex<BTreeSet<(Ipv4Addr, u16)>> = Mutex::new(BTreeSet::new());
+
+/// A port that is free for both UDP and TCP at `ip`, and given out once.
 fn free_port(ip: Ipv4Addr) -> u16 {
     loop {
         let tcp = TcpListener::bind((ip, 0)).unwrap();
         let port = tcp.local_addr().unwrap().port();
-        if UdpSocket::bind((ip, port)).is_ok() {
+        let mut ports = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
+        if UdpSocket::bind((ip, port)).is_ok() && ports.insert((ip, port)) {
             return port;
         }
     }
