--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -418,13 +418,9 @@
     fn put_lists(&self, lists: &Path) {
         for kind in ["allowances", "plans"] {
             let file = lists.join(format!("{kind}.txt"));
+            let file = file.to_string_lossy();
             let platform = self.platform_addr.to_string();
-            let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
-                .args(["lists", "put", "--platform", &platform, kind])
-                .arg(&file)
-                .output()
-                .unwrap();
-            assert!(output.status.success(), "{output:?}");
+            marigoldway(&["lists", "put", "--platform", &platform, kind, &file]);
         }
     }
 
@@ -464,16 +460,18 @@
 }
 
 fn make_keys(dir: &Path) {
-    let run = |args: &[&str]| {
-        let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
-            .args(args)
-            .output()
-            .unwrap();
-        assert!(output.status.success(), "{output:?}");
-    };
     let keys = dir.join("keys.ini");
-    run(&["keys", "new", &keys.to_string_lossy()]);
-    run(&["keys", "certificate", "--dir", &dir.to_string_lossy()]);
+    marigoldway(&["keys", "new", &keys.to_string_lossy()]);
+    marigoldway(&["keys", "certificate", "--dir", &dir.to_string_lossy()]);
+}
+
+/// Runs a command of the shipped binary that must succeed.
+pub fn marigoldway(args: &[&str]) {
+    let output = Command::new(env!("CARGO_BIN_EXE_marigoldway"))
+        .args(args)
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
 }
 
 /// Ports that were given out, since the system may give a free one twice.
--- a/marigoldway/tests/flows.rs
+++ b/marigoldway/tests/flows.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use std::fs;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::common::fact;
 use crate::common::feeds::Feeds;
 use crate::common::http;
+use crate::common::marigoldway;
 use crate::common::ready;
 use crate::common::wait_for;
 
@@ -196,6 +198,42 @@
     assert_eq!(stats.gaps, 0, "{stats:?}");
 }
 
+/// Replaces every entry and every target, which read the keys file anew.
+fn replace_fleet(deployment: &mut Deployment, plan: &Plan) {
+    let entries: Vec<usize> = (0..deployment.entries.len())
+        .filter(|index| deployment.entries[*index].node.is_live())
+        .collect();
+    let targets: Vec<usize> = (0..deployment.targets.len())
+        .filter(|index| deployment.targets[*index].agent.is_live())
+        .collect();
+    // In this order entries that still hold the old keys meet new route IDs.
+    deployment.replace_targets(&plan.services[0], &targets);
+    deployment.replace_entries(plan, &entries);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_survive_rotation_of_the_route_key() {
+    let plan = Plan::small();
+    let mut deployment = Deployment::start(&plan);
+    let feeds = Feeds::open(&deployment.client("ordering"), FEEDS).await;
+    let keys = deployment.dir.join("keys.ini").display().to_string();
+    let first = fs::read_to_string(&keys).unwrap();
+
+    marigoldway(&["keys", "stage", &keys]);
+    replace_fleet(&mut deployment, &plan);
+    marigoldway(&["keys", "rotate", &keys]);
+    replace_fleet(&mut deployment, &plan);
+
+    let cipher = |text: &str| {
+        let line = text.lines().find(|it| it.starts_with("route-cipher"));
+        line.unwrap().to_owned()
+    };
+    assert_ne!(cipher(&first), cipher(&fs::read_to_string(&keys).unwrap()));
+    let stats = feeds.close().await;
+    assert_eq!(stats.breaks, 0, "{stats:?}");
+    assert_eq!(stats.gaps, 0, "{stats:?}");
+}
+
 /// A client whose flow is at the agent with the given data port.
 async fn client_at(deployment: &Deployment, port: u16) -> Client {
     loop {
