--- a/marigoldway-client/src/retry.rs
+++ b/marigoldway-client/src/retry.rs
@@ -123,7 +123,6 @@
         | Refusal::NotInPlan
         | Refusal::KeyInvalid
         | Refusal::KeyReused
-        | Refusal::KeyMissing
         | Refusal::BodyLimit
         | Refusal::Malformed => false,
     }
--- a/marigoldway-core/src/request.rs
+++ b/marigoldway-core/src/request.rs
@@ -74,8 +74,6 @@
     KeyInvalid,
     /// The idempotency key was used before with another request.
     KeyReused,
-    /// The request must carry an idempotency key and has none.
-    KeyMissing,
     /// The target refused the request before it began to run it.
     TargetRefused,
     /// The target can't be reached.
@@ -88,7 +86,7 @@
 
 impl Refusal {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Refusal; 17] = [
+    pub const ALL: [Refusal; 16] = [
         Refusal::Leaving,
         Refusal::QueueFull,
         Refusal::Deadline,
@@ -101,7 +99,6 @@
         Refusal::NotInPlan,
         Refusal::KeyInvalid,
         Refusal::KeyReused,
-        Refusal::KeyMissing,
         Refusal::TargetRefused,
         Refusal::TargetDown,
         Refusal::BodyLimit,
@@ -124,7 +121,6 @@
             Refusal::NotInPlan => "not-in-plan",
             Refusal::KeyInvalid => "key-invalid",
             Refusal::KeyReused => "key-reused",
-            Refusal::KeyMissing => "key-missing",
             Refusal::TargetRefused => "target-refused",
             Refusal::TargetDown => "target-down",
             Refusal::BodyLimit => "body-limit",
--- a/marigoldway/src/agent/requests/reply.rs
+++ b/marigoldway/src/agent/requests/reply.rs
@@ -160,7 +160,7 @@
         }
         Refusal::UnknownCustomer => StatusCode::UNAUTHORIZED,
         Refusal::NotInPlan => StatusCode::FORBIDDEN,
-        Refusal::KeyInvalid | Refusal::KeyReused | Refusal::KeyMissing => StatusCode::CONFLICT,
+        Refusal::KeyInvalid | Refusal::KeyReused => StatusCode::CONFLICT,
         Refusal::BodyLimit => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::Malformed => StatusCode::BAD_REQUEST,
     }
