Keep a target that comes and goes from changing its record each time

The share of new flows is now decided in the core: a target that failed must pass three looks in succession. The first step of the ramp lasts its second too (the interval's first tick was immediate). Also: halves of a secret and the binding of sockets stand beside what they belong to; the test deployment is split by concept.

--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod route;
 pub mod share;
 pub mod time;
+pub mod warmth;
--- a/marigoldway-core/tests/acceptance.rs
+++ b/marigoldway-core/tests/acceptance.rs
@@ -19,6 +19,10 @@
     InstanceId::new(Ipv4Addr::LOCALHOST, n)
 }
 
+fn load(n: u16, flows: u32) -> Load {
+    Load { id: peer(n), flows }
+}
+
 fn offered(second: Option<InstanceId>) -> Hop {
     Hop::Offered { second }
 }
@@ -39,24 +43,12 @@
 #[test]
 fn decide_passes_to_a_less_loaded_second() {
     let mut acceptance = agent(10, 2_000);
-    acceptance.observe(
-        NOW,
-        Load {
-            id: peer(2),
-            flows: 5,
-        },
-    );
+    acceptance.observe(NOW, load(2, 5));
     assert_eq!(
         acceptance.decide(NOW, 1, offered(Some(peer(2)))),
         Verdict::Pass(peer(2))
     );
-    acceptance.observe(
-        NOW,
-        Load {
-            id: peer(2),
-            flows: 50,
-        },
-    );
+    acceptance.observe(NOW, load(2, 50));
     assert_eq!(
         acceptance.decide(NOW, 2, offered(Some(peer(2)))),
         Verdict::Keep
@@ -75,13 +67,7 @@
 #[test]
 fn decide_ignores_a_stale_load() {
     let mut acceptance = agent(10, 2_000);
-    acceptance.observe(
-        NOW,
-        Load {
-            id: peer(2),
-            flows: 0,
-        },
-    );
+    acceptance.observe(NOW, load(2, 0));
     let later = NOW + Duration::from_secs(6);
     assert_eq!(
         acceptance.decide(later, 1, offered(Some(peer(2)))),
@@ -92,13 +78,7 @@
 #[test]
 fn decide_keeps_what_was_passed_here_however_loaded() {
     let mut acceptance = agent(10, 2_000);
-    acceptance.observe(
-        NOW,
-        Load {
-            id: peer(2),
-            flows: 0,
-        },
-    );
+    acceptance.observe(NOW, load(2, 0));
     assert_eq!(acceptance.decide(NOW, 1, passed()), Verdict::Keep);
 }
 
@@ -135,11 +115,7 @@
 #[test]
 fn decide_keeps_what_comes_back() {
     let mut acceptance = agent(10, 2_000);
-    let load = Load {
-        id: peer(2),
-        flows: 0,
-    };
-    acceptance.observe(NOW, load);
+    acceptance.observe(NOW, load(2, 0));
     let offer = offered(Some(peer(2)));
     assert_eq!(acceptance.decide(NOW, 1, offer), Verdict::Pass(peer(2)));
     assert_eq!(acceptance.decide(NOW, 1, Hop::Returned), Verdict::Keep);
@@ -182,7 +158,7 @@
         let first = acceptance.decide(NOW, u64::MAX, offered(Some(peer(1))));
         for (at, (n, flows, hop)) in (0..).zip(loads) {
             let now = NOW + Duration::from_millis(at * 200);
-            acceptance.observe(now, Load { id: peer(n), flows });
+            acceptance.observe(now, load(n, flows));
             let hop = if hop { passed() } else { offered(Some(peer(n))) };
             acceptance.decide(now, at, hop);
             prop_assert_eq!(acceptance.decide(now, u64::MAX, offered(Some(peer(1)))), first);
--- a/marigoldway/src/agent/health.rs
+++ b/marigoldway/src/agent/health.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use tokio::net::TcpStream;
-use tokio::time::interval;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use marigoldway_core::roster::FULL_WEIGHT;
+use marigoldway_core::warmth::Warmth;
 
 use crate::membership::Membership;
 use crate::settings::TargetSettings;
@@ -22,13 +22,6 @@
 /// Longest time that a target may take to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Share of new flows of a target that can't be reached. It is not zero, so
-/// that a wrong signal at every agent can't empty a service.
-const DOWN_WEIGHT: u16 = 1;
-
-/// Share of new flows that a cold target gains in each period.
-const RAMP_STEP: u16 = 20;
-
 /// Waits until the target accepts a connection.
 pub(super) async fn first(target: &TargetSettings) {
     while !is_up(target.address).await {
@@ -38,21 +31,17 @@
 
 /// Keeps the share of new flows in step with the target until the process ends.
 pub(super) async fn watch(target: TargetSettings, membership: Membership) {
-    let mut weight = RAMP_STEP;
+    let mut warmth = Warmth::default();
     let mut told = FULL_WEIGHT;
-    let mut tick = interval(PERIOD);
     loop {
+        let weight = warmth.weight();
         if weight != told {
             membership.set_weight(weight).await;
             log::info!("event=weight target={} weight={weight}", target.address);
             told = weight;
         }
-        tick.tick().await;
-        weight = if is_up(target.address).await {
-            (weight + RAMP_STEP).min(FULL_WEIGHT)
-        } else {
-            DOWN_WEIGHT
-        };
+        sleep(PERIOD).await;
+        warmth.look(is_up(target.address).await);
     }
 }
 
--- a/marigoldway/src/agent/mod.rs
+++ b/marigoldway/src/agent/mod.rs
@@ -26,8 +26,6 @@
 use crate::agent::requests::Access;
 use crate::agent::requests::Peers;
 use crate::agent::requests::Requests;
-use crate::entry::bind;
-use crate::entry::half;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::lists;
@@ -42,6 +40,7 @@
 use crate::settings::AgentSettings;
 use crate::shares::Gatekeeper;
 use crate::shutdown::Shutdown;
+use crate::sockets::bind;
 
 /// Time that the last packets to callers may take at the end.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
@@ -155,7 +154,7 @@
         };
         let route = settings.keys.route.clone();
         let gate = Arc::new(Gate::new(own, route, clock, membership.views(), options));
-        let key = EnvelopeKey::new(half(&settings.keys.envelope.0, 0));
+        let key = EnvelopeKey::new(settings.keys.envelope.halves().0);
         let udp = bind(settings.network.data.addr())?;
         let socket = Arc::new(AgentSocket::new(udp, key, gate.clone()));
         process.metrics.mirror(socket.counters().clone());
--- a/marigoldway/src/entry/mod.rs
+++ b/marigoldway/src/entry/mod.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use error_stack::ResultExt;
 use indexmap::IndexMap;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -19,10 +18,7 @@
 use marigoldway_net::envelope::MAX_DATAGRAM_LEN;
 use marigoldway_net::forward::EntryKeys;
 use marigoldway_net::forward::EntryPlane;
-use marigoldway_net::udp::BUFFER_LEN;
-use marigoldway_net::udp::Udp;
 
-use crate::errors::Error;
 use crate::errors::Result;
 use crate::lists;
 use crate::lists::Watching;
@@ -38,11 +34,15 @@
 use crate::settings::EntrySettings;
 use crate::shares;
 use crate::shutdown::Shutdown;
+use crate::sockets::bind;
 
 /// Time for which a leaving entry still forwards: agents learn within it that
 /// replies shall take another way, and packets on their way arrive.
 pub const LINGER: Duration = Duration::from_secs(3);
 
+/// Pause after a failed receipt, so that a lasting fault doesn't fill the log.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Runs an entry until it has left.
 ///
 /// Fails where an address can't be bound.
@@ -109,6 +109,7 @@
             loop {
                 let end = plane.serve(id).await;
                 log::warn!("event=receive-failed service={id} result={end:?}");
+                sleep(RECEIVE_PAUSE).await;
             }
         });
     }
@@ -117,6 +118,7 @@
         loop {
             let end = plane.serve_replies().await;
             log::warn!("event=receive-failed socket=data result={end:?}");
+            sleep(RECEIVE_PAUSE).await;
         }
     });
     Ok(counters)
@@ -161,26 +163,10 @@
 }
 
 fn keys(settings: &EntrySettings) -> EntryKeys {
-    let envelope = half(&settings.keys.envelope.0, 0);
-    let hash = half(&settings.keys.envelope.0, 1);
+    let (envelope, hash) = settings.keys.envelope.halves();
     EntryKeys {
         forwarder: Forwarder::new(settings.keys.route.clone(), hash, MAX_DATAGRAM_LEN),
         envelope: EnvelopeKey::new(envelope),
         reset: ResetKey::new(&settings.keys.reset.0),
     }
 }
-
-/// One of the two keys of 16 octets in a secret of 32.
-pub(crate) fn half(secret: &[u8; 32], index: usize) -> [u8; 16] {
-    std::array::from_fn(|at| secret[index * 16 + at])
-}
-
-/// Binds a socket and says so if the kernel grants less than it was asked for.
-pub(crate) fn bind(addr: SocketAddr) -> Result<Udp> {
-    let socket = Udp::bind(addr).change_context_lazy(|| Error::Bind(addr))?;
-    let granted = socket.granted();
-    if granted < BUFFER_LEN {
-        log::warn!("event=small-buffer addr={addr} granted={granted} asked={BUFFER_LEN}");
-    }
-    Ok(socket)
-}
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod settings;
 pub mod shares;
 pub mod shutdown;
+mod sockets;
 pub mod status;
--- a/marigoldway/src/settings/keys.rs
+++ b/marigoldway/src/settings/keys.rs
@@ -58,6 +58,14 @@
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(pub [u8; SECRET_LEN]);
 
+impl Secret {
+    /// The two keys of 16 octets that a secret holds, for parts that need two.
+    pub fn halves(&self) -> ([u8; SECRET_LEN / 2], [u8; SECRET_LEN / 2]) {
+        let half = |start| std::array::from_fn(|at| self.0[start + at]);
+        (half(0), half(SECRET_LEN / 2))
+    }
+}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Secret(..)")
--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -3,47 +3,48 @@
 //! Every process has an address of its own, and its ports come from the
 //! system. Dropping the deployment ends each process that it started.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 pub mod feeds;
 mod node;
+mod probe;
 mod settings;
 pub mod transfers;
+mod turn;
 
 use std::collections::BTreeSet;
 use std::fs;
-use std::io::Read;
-use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::pem::PemObject;
-use serde_json::Value;
 
 use marigoldway_client::options::ClientOptions;
 
 pub use crate::common::node::Node;
+pub use crate::common::probe::PATIENCE;
+pub use crate::common::probe::counter;
+pub use crate::common::probe::fact;
+pub use crate::common::probe::http;
+pub use crate::common::probe::ready;
+pub use crate::common::probe::status;
+pub use crate::common::probe::wait_for;
 pub use crate::common::settings::AgentPlan;
 pub use crate::common::settings::EntryPlan;
 
-/// Longest wait for a condition. Generous, since the machine may be busy.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+use crate::common::turn::Turn;
 
 /// `ServicePlan` says how many targets a service has.
 #[derive(Clone, Debug)]
@@ -134,33 +135,6 @@
     _turn: Turn,
 }
 
-/// Deployments that run side by side, so that the machine isn't crowded.
-const TURNS: usize = 3;
-
-static RUNNING: Mutex<usize> = Mutex::new(0);
-static ENDED: Condvar = Condvar::new();
-
-/// `Turn` is the right to run a deployment.
-struct Turn;
-
-impl Turn {
-    fn take() -> Turn {
-        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut running = ENDED
-            .wait_while(running, |running| *running >= TURNS)
-            .unwrap_or_else(PoisonError::into_inner);
-        *running += 1;
-        Turn
-    }
-}
-
-impl Drop for Turn {
-    fn drop(&mut self) {
-        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        ENDED.notify_one();
-    }
-}
-
 static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
 
 impl Deployment {
@@ -492,55 +466,3 @@
 fn addr_of(ip: u32, port: u16) -> String {
     SocketAddrV4::new(Ipv4Addr::from_bits(ip), port).to_string()
 }
-
-/// Polls `condition` until it holds.
-pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !condition() {
-        assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// One HTTP/1.1 exchange: the status and the body, status 0 where none came.
-pub fn http(addr: SocketAddrV4, method: &str, path: &str, body: &str) -> (u16, String) {
-    exchange(addr, method, path, body).unwrap_or_default()
-}
-
-fn exchange(addr: SocketAddrV4, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-    let mut stream = TcpStream::connect(addr).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    let len = body.len();
-    write!(
-        stream,
-        "{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}"
-    )
-    .ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some((status, body.to_owned()))
-}
-
-/// The `/status` page of a process.
-pub fn status(operator: SocketAddrV4) -> Option<Value> {
-    let (_, body) = http(operator, "GET", "/status", "");
-    serde_json::from_str(&body).ok()
-}
-
-/// Whether a process says that it is ready.
-pub fn ready(operator: SocketAddrV4) -> bool {
-    http(operator, "GET", "/ready", "").0 == 200
-}
-
-/// A number among the facts of a process.
-pub fn fact(operator: SocketAddrV4, name: &str) -> Option<u64> {
-    status(operator)?["facts"][name].as_u64()
-}
-
-/// A counter of a process.
-pub fn counter(operator: SocketAddrV4, name: &str) -> u64 {
-    let count = status(operator).map(|it| it["counters"][name].as_u64().unwrap_or(0));
-    count.unwrap_or(0)
-}
