Take the target's health endpoint for a hint

The setting was read and used nowhere. A target whose endpoint does not answer 2xx now gets at most half of its share of new flows, and a wrong signal at every agent leaves all of them equal.

--- a/marigoldway-core/src/warmth.rs
+++ b/marigoldway-core/src/warmth.rs
@@ -13,6 +13,22 @@
 /// one that comes and goes doesn't change its record each time.
 pub const STEADY_LOOKS: u32 = 3;
 
+/// Most of the share of new flows that a target gets while its health endpoint
+/// says that it is unwell. The endpoint lags or misleads, so it is a hint that
+/// costs a target a part of its share and never its place.
+pub const UNWELL_WEIGHT: u16 = FULL_WEIGHT / 2;
+
+/// `Look` is what the agent saw of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Look {
+    /// It accepted a connection and says that it is well.
+    Well,
+    /// It accepted a connection and says that it is unwell, or nothing.
+    Unwell,
+    /// It accepted no connection.
+    Down,
+}
+
 /// `Warmth` follows one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Warmth {
@@ -36,21 +52,25 @@
         self.weight
     }
 
-    /// Takes in one look at the target: whether it accepted a connection.
-    pub fn look(&mut self, up: bool) {
-        if !up {
-            self.weight = DOWN_WEIGHT;
-            self.passed = 0;
-            return;
-        }
+    /// Takes in one look at the target.
+    pub fn look(&mut self, look: Look) {
+        let most = match look {
+            Look::Well => FULL_WEIGHT,
+            Look::Unwell => UNWELL_WEIGHT,
+            Look::Down => {
+                self.weight = DOWN_WEIGHT;
+                self.passed = 0;
+                return;
+            }
+        };
         self.passed = self.passed.saturating_add(1);
-        if self.passed >= STEADY_LOOKS {
-            let base = if self.weight == DOWN_WEIGHT {
-                0
-            } else {
-                self.weight
-            };
-            self.weight = (base + WARM_STEP).min(FULL_WEIGHT);
+        if self.passed < STEADY_LOOKS {
+            return;
         }
+        let base = match self.weight {
+            DOWN_WEIGHT => 0,
+            weight => weight,
+        };
+        self.weight = (base + WARM_STEP).min(most);
     }
 }
--- a/marigoldway/src/agent/health.rs
+++ b/marigoldway/src/agent/health.rs
@@ -8,8 +8,10 @@
 use tokio::time::timeout;
 
 use marigoldway_core::roster::FULL_WEIGHT;
+use marigoldway_core::warmth::Look;
 use marigoldway_core::warmth::Warmth;
 
+use crate::fetch;
 use crate::membership::Membership;
 use crate::settings::TargetSettings;
 
@@ -22,6 +24,9 @@
 /// Longest time that a target may take to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Longest time that the health endpoint may take to answer.
+const HINT_LIMIT: Duration = Duration::from_secs(1);
+
 /// Waits until the target accepts a connection.
 pub(super) async fn first(target: &TargetSettings) {
     while !is_up(target.address).await {
@@ -41,7 +46,18 @@
             told = weight;
         }
         sleep(PERIOD).await;
-        warmth.look(is_up(target.address).await);
+        warmth.look(look(&target).await);
+    }
+}
+
+async fn look(target: &TargetSettings) -> Look {
+    if !is_up(target.address).await {
+        return Look::Down;
+    }
+    let answer = timeout(HINT_LIMIT, fetch::get(target.address, &target.health)).await;
+    match answer {
+        Ok(Ok(response)) if response.status().is_success() => Look::Well,
+        Ok(Ok(_)) | Ok(Err(_)) | Err(_) => Look::Unwell,
     }
 }
 
--- /dev/null
+++ b/marigoldway/src/fetch.rs
@@ -0,0 +1,38 @@
+//! One HTTP/1.1 exchange on a connection of its own.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+use error_stack::ResultExt;
+use http::Request;
+use http::Response;
+use http::header::HOST;
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Asks for `path` and waits for the head of the answer. It sets no time limit.
+///
+/// Fails where the server can't be reached or breaks off.
+pub(crate) async fn get(addr: SocketAddrV4, path: &str) -> Result<Response<Incoming>> {
+    let failed = || Error::Ask(addr.to_string());
+    let stream = TcpStream::connect(addr).await.change_context_lazy(failed)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .change_context_lazy(failed)?;
+    tokio::spawn(connection);
+
+    let request = Request::get(path)
+        .header(HOST, addr.to_string())
+        .body(Empty::<Bytes>::new())
+        .change_context_lazy(failed)?;
+    sender
+        .send_request(request)
+        .await
+        .change_context_lazy(failed)
+}
--- a/marigoldway/src/status.rs
+++ b/marigoldway/src/status.rs
@@ -6,18 +6,13 @@
 use bytes::Bytes;
 use error_stack::Report;
 use error_stack::ResultExt;
-use http::Request;
-use http::header::HOST;
 use http_body_util::BodyExt;
-use http_body_util::Empty;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::fetch;
 
 /// Longest time that the answer may take.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -41,20 +36,7 @@
 
 async fn ask(addr: SocketAddrV4) -> Result<Bytes> {
     let failed = || Error::Ask(addr.to_string());
-    let stream = TcpStream::connect(addr).await.change_context_lazy(failed)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .change_context_lazy(failed)?;
-    tokio::spawn(connection);
-
-    let request = Request::get("/status")
-        .header(HOST, addr.to_string())
-        .body(Empty::<Bytes>::new())
-        .change_context_lazy(failed)?;
-    let response = sender
-        .send_request(request)
-        .await
-        .change_context_lazy(failed)?;
+    let response = fetch::get(addr, "/status").await?;
     if !response.status().is_success() {
         return Err(Report::new(failed()).attach(format!("status {}", response.status())));
     }
