Take out what the change made dead

Since an agent serves nobody without lists, every admitted request holds a permit: Access::allow no longer gives an optional one. RosterView::is_agent had no caller; the forwarder asks for the record. Behaviour is unchanged.

--- a/marigoldway-core/src/roster.rs
+++ b/marigoldway-core/src/roster.rs
@@ -230,15 +230,6 @@
         &self.entries
     }
 
-    /// Tells whether `id` is a known agent, to which packets of an established
-    /// flow may be sent. An agent that is suspect or down is included, since
-    /// the mark may be wrong.
-    pub fn is_agent(&self, id: InstanceId) -> bool {
-        self.records
-            .get(&id)
-            .is_some_and(|record| record.role == Role::Agent)
-    }
-
     /// The record of `id`.
     pub fn record(&self, id: InstanceId) -> Option<&Record> {
         self.records.get(&id)
--- a/marigoldway/src/agent/requests/access.rs
+++ b/marigoldway/src/agent/requests/access.rs
@@ -64,9 +64,9 @@
     }
 
     /// Admits a request within the customer's allowance.
-    pub(crate) async fn allow(&self, grant: &Grant) -> Result<Option<Admitted>, Refusal> {
+    pub(crate) async fn allow(&self, grant: &Grant) -> Result<Admitted, Refusal> {
         let admitted = self.gatekeeper.admit(&grant.name, grant.class).await;
-        admitted.map(Some).map_err(|denial| denial.refusal)
+        admitted.map_err(|denial| denial.refusal)
     }
 
     fn look_up(&self, catalog: &Catalog, head: &Head) -> Result<Grant, Refusal> {
--- a/marigoldway/src/agent/requests/mod.rs
+++ b/marigoldway/src/agent/requests/mod.rs
@@ -252,7 +252,7 @@
             Err(reason) => Err(reason),
         };
         match allowed {
-            Ok(allowed) => *admitted = allowed,
+            Ok(allowed) => *admitted = Some(allowed),
             Err(reason) => return Reply::Refused(reason),
         }
         self.budget().deposit();
