--- /dev/null
+++ b/marigoldway-core/src/flow/agent.rs
@@ -0,0 +1,461 @@
+//! An agent's decisions on packets of clients and of its target.
+
+mod local;
+mod locate;
+mod outbound;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::flow::agent::local::LocalFlow;
+use crate::flow::agent::local::Phase;
+use crate::flow::agents::Agents;
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::message::AgentRecord;
+use crate::flow::message::Errand;
+use crate::flow::message::Header;
+use crate::flow::message::Hello;
+use crate::flow::message::Load;
+use crate::flow::message::Receipt;
+use crate::flow::message::RefuseReason;
+use crate::flow::message::Registered;
+use crate::flow::message::Registration;
+use crate::flow::message::TargetState;
+use crate::flow::message::Verdict;
+use crate::flow::segment::Reset;
+use crate::flow::segment::Segment;
+use crate::flow::table::FlowTable;
+use crate::flow::target::Heard;
+use crate::flow::target::Heartbeat;
+use crate::flow::target::Target;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+/// Agents that a packet passes at most.
+const HOPS_MAX: u8 = 4;
+
+/// Flows named by one registration at most, so that it fits a datagram.
+pub const REGISTRATION_LEN: usize = 64;
+
+/// Time for which a closed flow's last packets are still delivered.
+const CLOSED_LIFE: Duration = Duration::from_secs(3);
+
+/// `AgentOptions` says who an agent is and how much it remembers.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentOptions {
+    /// The address at which it takes packets from processes of the system.
+    pub own: InstanceId,
+    /// Random number of this process.
+    pub incarnation: u64,
+    /// Service of the target.
+    pub service: NameKey,
+    /// Failure domain of the instance.
+    pub domain: NameKey,
+    /// Time between two heartbeats of the target.
+    pub interval: Duration,
+    /// Flows that are remembered at most, own ones and those of others each.
+    pub limit: usize,
+    /// Time that an unused flow is remembered.
+    pub life: Duration,
+}
+
+/// `AgentStep` is one thing to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentStep {
+    /// The packet at hand goes to the target.
+    ToTarget,
+    /// The packet at hand goes to its client.
+    ToClient,
+    /// The packet at hand goes to other agents.
+    ToAgents(Vec<InstanceId>, Header),
+    /// An entry is told what became of a flow.
+    ToEntry(InstanceId, Receipt),
+    /// A home is told who holds flows.
+    ToHome(InstanceId, Registration),
+    /// A client is told that its flow is broken off.
+    Reset(Reset, ResetReason),
+    /// The packet at hand is let fall.
+    Drop(DropReason),
+}
+
+/// `ResetReason` says how an agent knows that a flow is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ResetReason {
+    /// A target of a later incarnation speaks.
+    TargetRestarted,
+    /// The target gave back a packet of a flow that it had answered.
+    TargetForgot,
+}
+
+impl ResetReason {
+    /// The reason as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResetReason::TargetRestarted => "target-restarted",
+            ResetReason::TargetForgot => "target-forgot",
+        }
+    }
+}
+
+/// `DropReason` says why an agent lets a packet fall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// The entry was told why the packet isn't taken.
+    Refused(RefuseReason),
+    /// The packet has passed too many agents.
+    Hops,
+    /// Nobody is known to hold the flow.
+    Unknown,
+    /// The flow is closed.
+    Closed,
+}
+
+impl DropReason {
+    /// The reason as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DropReason::Refused(reason) => reason.as_str(),
+            DropReason::Hops => "hops",
+            DropReason::Unknown => "unknown",
+            DropReason::Closed => "closed",
+        }
+    }
+}
+
+/// `AgentFlows` decides on packets of clients and of the target.
+#[derive(Debug)]
+pub struct AgentFlows {
+    options: AgentOptions,
+    service: NameKey,
+    target: Target,
+    agents: Agents,
+    flows: FlowTable<LocalFlow>,
+    /// What owners registered here, at most two owners a flow.
+    homed: FlowTable<Vec<(InstanceId, u32)>>,
+    version: u64,
+    /// State of `agents` for which flows are registered.
+    epoch: u64,
+    number: u64,
+    /// State of the target that the record tells.
+    stated: TargetState,
+    leaving: bool,
+    running: u16,
+    open: u32,
+}
+
+impl AgentFlows {
+    /// Makes an agent that knows nobody.
+    pub fn new(options: AgentOptions) -> AgentFlows {
+        AgentFlows {
+            options,
+            service: options.service,
+            target: Target::new(options.interval),
+            agents: Agents::default(),
+            flows: FlowTable::new(options.limit, options.life),
+            homed: FlowTable::new(options.limit, options.life),
+            version: 0,
+            epoch: 0,
+            number: 1,
+            stated: TargetState::Absent,
+            leaving: false,
+            running: 0,
+            open: 0,
+        }
+    }
+
+    /// What is believed of the target.
+    pub fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// The service of the target.
+    pub fn service(&self) -> NameKey {
+        self.service
+    }
+
+    /// The known agents of the own service.
+    pub fn agents(&self) -> &Agents {
+        &self.agents
+    }
+
+    /// The known agents, to be changed by whoever reads the store.
+    pub fn agents_mut(&mut self) -> &mut Agents {
+        &mut self.agents
+    }
+
+    /// Highest version of the configuration that was seen.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes note of a version of the configuration.
+    pub fn see_version(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
+    /// Flows of the own target, and flows of others that are registered here.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.flows.len(), self.homed.len())
+    }
+
+    /// Changes the service, where the settings have changed.
+    pub fn set_service(&mut self, service: NameKey) {
+        if self.service != service {
+            self.service = service;
+            self.number += 1;
+        }
+    }
+
+    /// What the agent says of itself.
+    pub fn hello(&self, now: Timestamp) -> Hello {
+        let load = self.load(now);
+        Hello {
+            record: AgentRecord {
+                id: self.options.own,
+                incarnation: self.options.incarnation,
+                number: self.number,
+                service: self.service,
+                domain: self.options.domain,
+                state: load.state,
+                slots: load.slots,
+            },
+            load,
+            version: self.version,
+        }
+    }
+
+    /// What the agent knows of its target.
+    pub fn load(&self, now: Timestamp) -> Load {
+        Load {
+            state: self.state(now),
+            slots: self.target.current().map_or(1, |it| it.slots),
+            running: self.running,
+            waiting: 0,
+            flows: self.open,
+            warmup: self.target.warmup(now),
+        }
+    }
+
+    /// Takes a heartbeat of the target. Flows of an earlier one are broken off.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Timestamp,
+        heartbeat: Heartbeat,
+        steps: &mut Vec<AgentStep>,
+    ) -> Heard {
+        let heard = self.target.on_heartbeat(now, heartbeat);
+        match heard {
+            Heard::Started => {
+                self.number += 1;
+                self.end_flows(steps);
+            }
+            Heard::Changed => self.number += 1,
+            Heard::Same | Heard::Late => {}
+        }
+        heard
+    }
+
+    /// Takes the target's word that it ends.
+    pub fn on_leave(&mut self, id: &str) -> bool {
+        let left = self.target.on_leave(id);
+        if left {
+            self.number += 1;
+        }
+        left
+    }
+
+    /// Takes no new flows from now on, since the process is to end.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.number += 1;
+    }
+
+    fn state(&self, now: Timestamp) -> TargetState {
+        match self.target.state(now) {
+            TargetState::Serving if self.leaving => TargetState::Draining,
+            state => state,
+        }
+    }
+
+    /// Takes a registration of an owner.
+    pub fn on_registration(&mut self, now: Timestamp, registration: &Registration) {
+        if registration.service != self.service {
+            return;
+        }
+        self.agents.heard(now, registration.owner);
+        for registered in &registration.flows {
+            self.home(now, registration.owner, registered);
+        }
+    }
+
+    /// Takes a client's packet that came with a header.
+    pub fn on_client(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let flow = segment.inbound_flow();
+        if header.service != self.service {
+            return self.refuse(now, header, flow, RefuseReason::Service, steps);
+        }
+        match header.errand {
+            Errand::Open => self.open(now, header, flow, steps),
+            Errand::Owned | Errand::Locate | Errand::Search => {
+                self.pass(now, header, segment, steps);
+            }
+        }
+    }
+
+    /// Does what is due: registers flows whose homes have changed, and forgets
+    /// what is over. Gives the agents to be asked whether they live.
+    pub fn tick(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) -> Vec<InstanceId> {
+        self.agents.expire(now);
+        let state = self.state(now);
+        if self.stated != state {
+            self.stated = state;
+            self.number += 1;
+        }
+        self.flows
+            .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFE));
+        self.flows.sweep(now);
+        self.homed.sweep(now);
+        self.recount();
+        if self.epoch != self.agents.epoch() {
+            self.epoch = self.agents.epoch();
+            self.register_all(now, steps);
+        }
+        self.agents.due_probes(now)
+    }
+
+    /// A new flow: to the target, or on to the other candidate.
+    fn open(&mut self, now: Timestamp, header: &Header, flow: FlowKey, steps: &mut Vec<AgentStep>) {
+        if header.version < self.version {
+            return self.refuse(now, header, flow, RefuseReason::Version, steps);
+        }
+        self.see_version(header.version);
+        let reason = match self.state(now) {
+            TargetState::Serving => None,
+            TargetState::Draining => Some(RefuseReason::Draining),
+            TargetState::Absent => Some(RefuseReason::Absent),
+        };
+        if let Some(reason) = reason {
+            return self.turn_away(now, header, flow, reason, steps);
+        }
+        if let Some(local) = self.flows.touch(now, &flow) {
+            local.header = *header;
+        } else {
+            let local = LocalFlow::new(Phase::Opening, *header);
+            self.flows.insert(now, flow, local);
+        }
+        steps.push(AgentStep::ToTarget);
+    }
+
+    /// Passes a new flow on to the other candidate, and tells the entry.
+    fn turn_away(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        reason: RefuseReason,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let Some(other) = header.other.filter(|id| *id != self.options.own) else {
+            return self.refuse(now, header, flow, reason, steps);
+        };
+        let receipt = self.receipt(now, flow, Verdict::Refused(reason));
+        steps.push(AgentStep::ToEntry(header.entry, receipt));
+        let header = Header {
+            hops: header.hops + 1,
+            other: None,
+            ..*header
+        };
+        steps.push(AgentStep::ToAgents(vec![other], header));
+    }
+
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        reason: RefuseReason,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let receipt = self.receipt(now, flow, Verdict::Refused(reason));
+        steps.push(AgentStep::ToEntry(header.entry, receipt));
+        steps.push(AgentStep::Drop(DropReason::Refused(reason)));
+    }
+
+    fn receipt(&self, now: Timestamp, flow: FlowKey, verdict: Verdict) -> Receipt {
+        Receipt {
+            flow,
+            verdict,
+            load: self.load(now),
+            version: self.version,
+        }
+    }
+
+    fn recount(&mut self) {
+        let (mut running, mut open) = (0, 0);
+        for (_, flow) in self.flows.iter() {
+            running += u16::from(flow.running);
+            open += u32::from(flow.phase == Phase::Open && flow.closed.is_none());
+        }
+        self.running = running;
+        self.open = open;
+    }
+
+    /// Breaks off every flow of an earlier incarnation of the target.
+    fn end_flows(&mut self, steps: &mut Vec<AgentStep>) {
+        self.flows.retain(|key, flow| {
+            if flow.phase == Phase::Open && flow.closed.is_none() {
+                let reset = Reset {
+                    flow: *key,
+                    seq: flow.acked,
+                };
+                steps.push(AgentStep::Reset(reset, ResetReason::TargetRestarted));
+            }
+            false
+        });
+        self.recount();
+    }
+
+    /// Registers every flow at its homes.
+    fn register_all(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
+        let mut homes: IndexMap<InstanceId, Vec<Registered>> = IndexMap::new();
+        for (key, flow) in self.flows.iter() {
+            if flow.phase == Phase::Visiting || flow.closed.is_some() {
+                continue;
+            }
+            let registered = Registered {
+                flow: *key,
+                origin: flow.origin,
+            };
+            for home in locate::homes(&self.agents, self.service, key) {
+                homes.entry(home).or_default().push(registered);
+            }
+        }
+        for (home, flows) in homes {
+            if home == self.options.own {
+                for registered in &flows {
+                    self.home(now, home, registered);
+                }
+                continue;
+            }
+            for part in flows.chunks(REGISTRATION_LEN) {
+                steps.push(AgentStep::ToHome(home, self.registration(part.to_vec())));
+            }
+        }
+    }
+
+    fn registration(&self, flows: Vec<Registered>) -> Registration {
+        Registration {
+            service: self.service,
+            owner: self.options.own,
+            flows,
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -0,0 +1,160 @@
+//! How an agent finds who holds a flow.
+
+use crate::flow::agent::AgentFlows;
+use crate::flow::agent::AgentStep;
+use crate::flow::agent::DropReason;
+use crate::flow::agent::HOPS_MAX;
+use crate::flow::agent::local;
+use crate::flow::agent::local::LocalFlow;
+use crate::flow::agent::local::Phase;
+use crate::flow::agents::Agents;
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::message::Errand;
+use crate::flow::message::Header;
+use crate::flow::message::Registered;
+use crate::flow::message::Verdict;
+use crate::flow::segment::Segment;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+/// Owners that a home remembers for one flow: copies of an opening packet may
+/// reach two targets.
+const OWNERS_LEN: usize = 2;
+
+impl AgentFlows {
+    /// A packet within a flow: to the target, or to who holds the flow.
+    pub(super) fn pass(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let flow = segment.inbound_flow();
+        let held = self.flows.touch(now, &flow).filter(|it| it.fits(segment));
+        if let Some(local) = held {
+            let told = header.errand == Errand::Owned;
+            let holds = matches!(local.phase, Phase::Answered | Phase::Open);
+            local.header = *header;
+            local.on_client(now, segment);
+            steps.push(AgentStep::ToTarget);
+            if holds && !told {
+                let receipt = self.receipt(now, flow, Verdict::Holds);
+                steps.push(AgentStep::ToEntry(header.entry, receipt));
+            }
+            return;
+        }
+        if self.flows.peek(&flow).is_none() && self.may_visit(now, header) {
+            return self.visit(now, header, segment, steps);
+        }
+        self.find(header, segment, steps);
+    }
+
+    /// Passes a packet on to the registered owner, to the other home, or to
+    /// every agent of the service.
+    pub(super) fn find(&self, header: &Header, segment: &Segment, steps: &mut Vec<AgentStep>) {
+        if header.errand == Errand::Search {
+            return steps.push(AgentStep::Drop(DropReason::Unknown));
+        }
+        if header.hops >= HOPS_MAX {
+            return steps.push(AgentStep::Drop(DropReason::Hops));
+        }
+        let flow = segment.inbound_flow();
+        let mut next = Header {
+            hops: header.hops + 1,
+            ..*header
+        };
+        if let Some(owner) = self.owner(&flow, segment.ack) {
+            next.errand = Errand::Owned;
+            return steps.push(AgentStep::ToAgents(vec![owner], next));
+        }
+        if header.hops == 0 {
+            next.errand = Errand::Locate;
+            let mut homes = homes(&self.agents, self.service, &flow);
+            if let Some(home) = homes.find(|home| *home != self.options.own) {
+                return steps.push(AgentStep::ToAgents(vec![home], next));
+            }
+        }
+        next.errand = Errand::Search;
+        let all = self.agents.of(self.service).iter().copied();
+        let others: Vec<InstanceId> = all.filter(|id| *id != self.options.own).collect();
+        steps.push(if others.is_empty() {
+            AgentStep::Drop(DropReason::Unknown)
+        } else {
+            AgentStep::ToAgents(others, next)
+        });
+    }
+
+    /// Remembers who holds a flow.
+    pub(super) fn home(&mut self, now: Timestamp, owner: InstanceId, registered: &Registered) {
+        let entry = (owner, registered.origin);
+        let Some(owners) = self.homed.touch(now, &registered.flow) else {
+            self.homed.insert(now, registered.flow, vec![entry]);
+            return;
+        };
+        owners.retain(|(id, _)| *id != owner);
+        owners.push(entry);
+        if owners.len() > OWNERS_LEN {
+            owners.remove(0);
+        }
+    }
+
+    /// Forgets that an agent holds a flow.
+    pub(super) fn disown(&mut self, now: Timestamp, flow: &FlowKey, owner: InstanceId) {
+        if let Some(owners) = self.homed.touch(now, flow) {
+            owners.retain(|(id, _)| *id != owner);
+        }
+    }
+
+    /// Another agent that is registered for a flow and still known.
+    fn owner(&self, flow: &FlowKey, ack: u32) -> Option<InstanceId> {
+        let owners = self.homed.peek(flow)?.iter();
+        owners
+            .filter(|(id, origin)| {
+                *id != self.options.own
+                    && self.agents.record(*id).is_some()
+                    && local::fits(*origin, ack)
+            })
+            .min_by_key(|(_, origin)| ack.wrapping_sub(*origin))
+            .map(|(id, _)| *id)
+    }
+
+    /// Whether the target is asked by the packet itself: the sender thinks that
+    /// it holds the flow, or the agent may have forgotten it with its former
+    /// process.
+    fn may_visit(&self, now: Timestamp, header: &Header) -> bool {
+        let young = now.since(Timestamp::ZERO) < self.options.life;
+        match header.errand {
+            Errand::Owned => true,
+            Errand::Search => young,
+            Errand::Locate | Errand::Open => false,
+        }
+    }
+
+    fn visit(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let mut local = LocalFlow::new(Phase::Visiting, *header);
+        local.on_client(now, segment);
+        self.flows.insert(now, segment.inbound_flow(), local);
+        steps.push(AgentStep::ToTarget);
+    }
+}
+
+/// The homes of a flow.
+pub(super) fn homes(
+    agents: &Agents,
+    service: NameKey,
+    flow: &FlowKey,
+) -> impl Iterator<Item = InstanceId> + use<> {
+    let homes = agents.homes(service, flow);
+    homes
+        .into_iter()
+        .flat_map(|homes| [Some(homes.first), homes.second])
+        .flatten()
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -0,0 +1,129 @@
+//! Packets that the target writes or gives back.
+
+use std::time::Duration;
+
+use crate::flow::agent::AgentFlows;
+use crate::flow::agent::AgentStep;
+use crate::flow::agent::DropReason;
+use crate::flow::agent::ResetReason;
+use crate::flow::agent::local::LocalFlow;
+use crate::flow::agent::local::Phase;
+use crate::flow::agent::locate;
+use crate::flow::key::FlowKey;
+use crate::flow::message::Errand;
+use crate::flow::message::Header;
+use crate::flow::message::RefuseReason;
+use crate::flow::message::Registered;
+use crate::flow::message::Verdict;
+use crate::flow::routes::Work;
+use crate::flow::routes::WorkClass;
+use crate::flow::segment::Reset;
+use crate::flow::segment::Segment;
+use crate::time::Timestamp;
+
+impl AgentFlows {
+    /// Takes a packet that the target wrote or gave back.
+    pub fn on_target(&mut self, now: Timestamp, segment: &Segment, steps: &mut Vec<AgentStep>) {
+        if segment.flags.bounced {
+            return self.on_bounced(now, segment, steps);
+        }
+        steps.push(AgentStep::ToClient);
+        let flow = segment.outbound_flow();
+        if segment.flags.rst {
+            self.flows.remove(&flow);
+            return;
+        }
+        let Some(local) = self.flows.touch(now, &flow) else {
+            return self.learn(now, flow, segment, steps);
+        };
+        let before = local.phase;
+        local.phase = match before {
+            Phase::Opening | Phase::Answered if segment.flags.syn => Phase::Answered,
+            Phase::Opening | Phase::Answered | Phase::Visiting | Phase::Open => Phase::Open,
+        };
+        if matches!(before, Phase::Opening | Phase::Visiting) {
+            local.origin = segment.seq;
+        }
+        local.on_target(now, segment);
+        if matches!(before, Phase::Opening | Phase::Visiting) {
+            let entry = local.header.entry;
+            self.announce(now, flow, steps);
+            let receipt = self.receipt(now, flow, Verdict::Holds);
+            steps.push(AgentStep::ToEntry(entry, receipt));
+        }
+    }
+
+    /// A flow that the target holds and that this process hasn't seen yet.
+    fn learn(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let mut local = LocalFlow::new(Phase::Open, self.unknown_header());
+        local.origin = segment.seq;
+        local.on_target(now, segment);
+        self.flows.insert(now, flow, local);
+        self.announce(now, flow, steps);
+    }
+
+    /// Registers one flow at its homes.
+    fn announce(&mut self, now: Timestamp, flow: FlowKey, steps: &mut Vec<AgentStep>) {
+        let Some(local) = self.flows.peek(&flow) else {
+            return;
+        };
+        let registered = Registered {
+            flow,
+            origin: local.origin,
+        };
+        for home in locate::homes(&self.agents, self.service, &flow) {
+            if home == self.options.own {
+                self.home(now, home, &registered);
+            } else {
+                let registration = self.registration(vec![registered]);
+                steps.push(AgentStep::ToHome(home, registration));
+            }
+        }
+    }
+
+    /// A client's packet that the target doesn't take.
+    fn on_bounced(&mut self, now: Timestamp, segment: &Segment, steps: &mut Vec<AgentStep>) {
+        let flow = segment.inbound_flow();
+        let Some(local) = self.flows.remove(&flow) else {
+            return steps.push(AgentStep::Drop(DropReason::Unknown));
+        };
+        if segment.opens() {
+            let reason = RefuseReason::Bounced;
+            return self.turn_away(now, &local.header, flow, reason, steps);
+        }
+        self.disown(now, &flow, self.options.own);
+        if local.closed.is_some() {
+            return steps.push(AgentStep::Drop(DropReason::Closed));
+        }
+        if local.phase == Phase::Open && local.fits(segment) {
+            let seq = segment.ack;
+            let reset = Reset { flow, seq };
+            return steps.push(AgentStep::Reset(reset, ResetReason::TargetForgot));
+        }
+        self.find(&local.header, segment, steps);
+    }
+
+    /// The header of a flow of which no client's packet was seen.
+    fn unknown_header(&self) -> Header {
+        Header {
+            errand: Errand::Owned,
+            hops: 0,
+            service: self.service,
+            version: self.version,
+            entry: self.options.own,
+            other: None,
+            work: Work {
+                class: WorkClass::Unsafe,
+                priority: u8::MAX,
+                objective: Duration::ZERO,
+                timeout: self.options.life,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/entry.rs
@@ -0,0 +1,474 @@
+//! An entry's decisions on packets of clients.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::flow::agents::Agents;
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::message::AgentRecord;
+use crate::flow::message::Errand;
+use crate::flow::message::Header;
+use crate::flow::message::Hello;
+use crate::flow::message::Load;
+use crate::flow::message::Receipt;
+use crate::flow::message::RefuseReason;
+use crate::flow::message::Verdict;
+use crate::flow::placing;
+use crate::flow::placing::Candidate;
+use crate::flow::placing::Placed;
+use crate::flow::routes::Route;
+use crate::flow::routes::Routes;
+use crate::flow::routes::Work;
+use crate::flow::segment::Reset;
+use crate::flow::segment::Segment;
+use crate::flow::table::FlowTable;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+/// Time that an agent may owe an answer before others are preferred. An answer
+/// takes a round trip between domains and a turn of both processes.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
+/// Time for which a refusal keeps new flows from an agent whose report says
+/// that it serves.
+const REFUSAL_LIFE: Duration = Duration::from_millis(500);
+
+/// `EntryOptions` says who an entry is and how much it remembers.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryOptions {
+    /// The address at which agents answer the entry.
+    pub own: InstanceId,
+    /// Failure domain of the instance.
+    pub domain: NameKey,
+    /// Flows that are remembered at most.
+    pub limit: usize,
+    /// Time that an unused flow is remembered.
+    pub life: Duration,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+/// `DropReason` says why an entry lets a packet fall.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// No configuration is known yet.
+    Unconfigured,
+    /// No route is known, and the configuration may be out of date.
+    Unrouted,
+    /// No agent of the service is known.
+    Unserved,
+}
+
+impl DropReason {
+    /// The reason as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DropReason::Unconfigured => "unconfigured",
+            DropReason::Unrouted => "unrouted",
+            DropReason::Unserved => "unserved",
+        }
+    }
+}
+
+/// `ResetReason` says why an entry breaks a flow off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ResetReason {
+    /// The configuration in force has no route to the address.
+    Unrouted,
+}
+
+impl ResetReason {
+    /// The reason as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResetReason::Unrouted => "unrouted",
+        }
+    }
+}
+
+/// `EntryStep` is what is done with a client's packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryStep {
+    /// It goes to agents, the same header to each.
+    Forward {
+        /// The agents.
+        to: Vec<InstanceId>,
+        /// What goes before the packet.
+        header: Header,
+    },
+    /// The client is told that the flow is broken off.
+    Reset(Reset, ResetReason),
+    /// Nothing is done.
+    Drop(DropReason),
+}
+
+/// `Track` is what an entry remembers of a flow.
+#[derive(Clone, Debug)]
+enum Track {
+    /// An opening packet went to an agent that hasn't answered yet.
+    Opening { tried: Vec<InstanceId> },
+    /// An agent holds the flow.
+    Located(InstanceId),
+    /// Homes were asked so many times.
+    Locating(u32),
+}
+
+/// `View` is what an entry knows of an agent's load.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    load: Load,
+    sent: u32,
+    /// Since when an answer is owed.
+    owed: Option<Timestamp>,
+    refused: Option<Timestamp>,
+}
+
+/// `EntryFlows` decides on packets of clients.
+#[derive(Debug)]
+pub struct EntryFlows {
+    options: EntryOptions,
+    routes: Option<Arc<Routes>>,
+    /// Whether the routes are known to be the ones in force.
+    current: bool,
+    agents: Agents,
+    views: IndexMap<InstanceId, View>,
+    flows: FlowTable<Track>,
+    rng: StdRng,
+}
+
+impl EntryFlows {
+    /// Makes an entry that knows neither routes nor agents.
+    pub fn new(options: EntryOptions) -> EntryFlows {
+        EntryFlows {
+            options,
+            routes: None,
+            current: false,
+            agents: Agents::default(),
+            views: IndexMap::new(),
+            flows: FlowTable::new(options.limit, options.life),
+            rng: StdRng::seed_from_u64(options.seed),
+        }
+    }
+
+    /// The routes in use.
+    pub fn routes(&self) -> Option<&Arc<Routes>> {
+        self.routes.as_ref()
+    }
+
+    /// Version of the configuration in use, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.version)
+    }
+
+    /// The known agents.
+    pub fn agents(&self) -> &Agents {
+        &self.agents
+    }
+
+    /// Flows that are remembered.
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Takes a configuration, unless it is older than the one in use.
+    pub fn set_routes(&mut self, routes: Arc<Routes>) -> bool {
+        if self.routes.is_some() && routes.version <= self.version() {
+            return false;
+        }
+        self.flows.set_life(routes.idle.max(self.options.life));
+        self.routes = Some(routes);
+        true
+    }
+
+    /// Says whether the routes are known to be the ones in force, so that an
+    /// address without a route can be refused at once.
+    pub fn set_current(&mut self, current: bool) {
+        self.current = current;
+    }
+
+    /// Takes the store's whole list of agents.
+    pub fn replace_agents(&mut self, now: Timestamp, records: &[AgentRecord]) {
+        self.agents.replace(now, records);
+        for record in records {
+            self.see(record);
+        }
+    }
+
+    /// Takes an agent that the store lists.
+    pub fn list_agent(&mut self, record: AgentRecord) {
+        self.agents.list(record);
+        self.see(&record);
+    }
+
+    /// Takes note that the store no longer lists an agent.
+    pub fn unlist_agent(&mut self, now: Timestamp, id: InstanceId) {
+        self.agents.unlist(now, id);
+    }
+
+    /// Does what is due, and gives the agents to be asked whether they live.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<InstanceId> {
+        for id in self.agents.expire(now) {
+            self.views.swap_remove(&id);
+        }
+        self.flows.sweep(now);
+        self.agents.due_probes(now)
+    }
+
+    /// Takes an agent's word on itself.
+    pub fn on_hello(&mut self, now: Timestamp, hello: &Hello) {
+        self.agents.hear(now, hello.record);
+        self.hear(now, hello.record.id, hello.load);
+    }
+
+    /// Takes an agent's record that another process passed on.
+    pub fn hear_of(&mut self, now: Timestamp, record: &AgentRecord) {
+        self.agents.hear(now, *record);
+        self.see(record);
+    }
+
+    /// Takes an agent's word on a flow.
+    pub fn on_receipt(&mut self, now: Timestamp, from: InstanceId, receipt: &Receipt) {
+        self.agents.heard(now, from);
+        self.hear(now, from, receipt.load);
+        match receipt.verdict {
+            Verdict::Holds | Verdict::Waits => {
+                self.flows.insert(now, receipt.flow, Track::Located(from));
+            }
+            Verdict::Refused(reason) => self.refused(now, from, receipt, reason),
+        }
+    }
+
+    /// Decides on a client's packet.
+    pub fn on_packet(&mut self, now: Timestamp, segment: &Segment) -> EntryStep {
+        let Some(routes) = self.routes.clone() else {
+            return EntryStep::Drop(DropReason::Unconfigured);
+        };
+        let flow = segment.inbound_flow();
+        let Some(route) = routes.by_addr.get(&flow.server) else {
+            return self.unrouted(flow, segment);
+        };
+        if segment.opens() {
+            self.open(now, flow, route)
+        } else {
+            self.pass(now, flow, route)
+        }
+    }
+
+    fn unrouted(&mut self, flow: FlowKey, segment: &Segment) -> EntryStep {
+        if !self.current {
+            return EntryStep::Drop(DropReason::Unrouted);
+        }
+        self.flows.remove(&flow);
+        let seq = if segment.opens() { 0 } else { segment.ack };
+        EntryStep::Reset(Reset { flow, seq }, ResetReason::Unrouted)
+    }
+
+    fn open(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryStep {
+        let service = route.service(&flow);
+        let tried = match self.flows.touch(now, &flow) {
+            // Its agent answers each copy, or holds the first one back.
+            Some(Track::Located(agent)) => {
+                let agent = *agent;
+                if self.agents.record(agent).is_some() {
+                    self.owe(now, agent);
+                    let header = self.header(Errand::Open, service, route.work, None);
+                    return EntryStep::Forward {
+                        to: vec![agent],
+                        header,
+                    };
+                }
+                vec![agent]
+            }
+            Some(Track::Opening { tried }) => tried.clone(),
+            Some(Track::Locating(_)) | None => Vec::new(),
+        };
+        let Some(placed) = self.place(now, service, route.work, &tried) else {
+            return EntryStep::Drop(DropReason::Unserved);
+        };
+        self.owe(now, placed.agent);
+        if let Some(view) = self.views.get_mut(&placed.agent) {
+            view.sent += 1;
+        }
+        let mut tried = tried;
+        tried.push(placed.agent);
+        self.flows.insert(now, flow, Track::Opening { tried });
+        EntryStep::Forward {
+            to: vec![placed.agent],
+            header: self.header(Errand::Open, service, route.work, placed.other),
+        }
+    }
+
+    fn pass(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryStep {
+        let asked = match self.flows.touch(now, &flow) {
+            Some(Track::Located(agent)) => {
+                let agent = *agent;
+                if self.agents.record(agent).is_some() {
+                    let service = self.agents.record(agent).map(|it| it.service);
+                    let service = service.unwrap_or_else(|| route.service(&flow));
+                    return EntryStep::Forward {
+                        to: vec![agent],
+                        header: self.header(Errand::Owned, service, route.work, None),
+                    };
+                }
+                0
+            }
+            Some(Track::Locating(asked)) => *asked,
+            Some(Track::Opening { .. }) | None => 0,
+        };
+        self.flows.insert(now, flow, Track::Locating(asked + 1));
+        let service = route.service(&flow);
+        let Some(home) = self.home(now, service, &flow, asked) else {
+            return EntryStep::Drop(DropReason::Unserved);
+        };
+        self.owe(now, home);
+        EntryStep::Forward {
+            to: vec![home],
+            header: self.header(Errand::Locate, service, route.work, None),
+        }
+    }
+
+    /// The home that is asked: by turns, and the other one where the one whose
+    /// turn it is owes an answer.
+    fn home(
+        &self,
+        now: Timestamp,
+        service: NameKey,
+        flow: &FlowKey,
+        asked: u32,
+    ) -> Option<InstanceId> {
+        let homes = self.agents.homes(service, flow)?;
+        let second = homes.second.unwrap_or(homes.first);
+        let (one, other) = if asked.is_multiple_of(2) {
+            (homes.first, second)
+        } else {
+            (second, homes.first)
+        };
+        if self.suspect(now, one) && !self.suspect(now, other) {
+            return Some(other);
+        }
+        Some(one)
+    }
+
+    fn place(
+        &mut self,
+        now: Timestamp,
+        service: NameKey,
+        work: Work,
+        tried: &[InstanceId],
+    ) -> Option<Placed> {
+        let all = self.candidates(now, service);
+        let fresh: Vec<Candidate> = all
+            .iter()
+            .filter(|it| !tried.contains(&it.id))
+            .copied()
+            .collect();
+        let candidates = if fresh.is_empty() { &all } else { &fresh };
+        placing::choose(candidates, work.class, &mut self.rng)
+    }
+
+    fn candidates(&self, now: Timestamp, service: NameKey) -> Vec<Candidate> {
+        let ids = self.agents.of(service).iter();
+        ids.filter_map(|id| {
+            let view = self.views.get(id)?;
+            let record = self.agents.record(*id)?;
+            let refused = view.refused.is_some_and(|at| now.since(at) < REFUSAL_LIFE);
+            Some(Candidate {
+                id: *id,
+                load: view.load,
+                sent: view.sent,
+                near: record.domain == self.options.domain,
+                suspect: refused || self.suspect(now, *id),
+            })
+        })
+        .collect()
+    }
+
+    fn suspect(&self, now: Timestamp, id: InstanceId) -> bool {
+        let owed = self.views.get(&id).and_then(|view| view.owed);
+        owed.is_some_and(|since| now.since(since) > ANSWER_LIMIT)
+    }
+
+    fn owe(&mut self, now: Timestamp, id: InstanceId) {
+        if let Some(view) = self.views.get_mut(&id) {
+            view.owed.get_or_insert(now);
+        }
+    }
+
+    fn header(
+        &self,
+        errand: Errand,
+        service: NameKey,
+        work: Work,
+        other: Option<InstanceId>,
+    ) -> Header {
+        Header {
+            errand,
+            hops: 0,
+            service,
+            version: self.version(),
+            entry: self.options.own,
+            other,
+            work,
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        receipt: &Receipt,
+        reason: RefuseReason,
+    ) {
+        if reason == RefuseReason::Service {
+            self.agents.forget(from);
+            self.views.swap_remove(&from);
+        } else if let Some(view) = self.views.get_mut(&from) {
+            view.refused = Some(now);
+        }
+        match self.flows.touch(now, &receipt.flow) {
+            Some(track @ Track::Located(_)) => {
+                if matches!(track, Track::Located(agent) if *agent == from) {
+                    *track = Track::Opening { tried: vec![from] };
+                }
+            }
+            Some(Track::Opening { tried }) if !tried.contains(&from) => tried.push(from),
+            Some(Track::Opening { .. } | Track::Locating(_)) | None => {}
+        }
+    }
+
+    /// Makes a view of an agent that is known by its record alone.
+    fn see(&mut self, record: &AgentRecord) {
+        let load = Load::idle(record.state, record.slots);
+        let view = self.views.entry(record.id).or_insert(View::new(load));
+        view.load.state = record.state;
+        view.load.slots = record.slots;
+    }
+
+    fn hear(&mut self, now: Timestamp, id: InstanceId, load: Load) {
+        if self.agents.record(id).is_none() {
+            return;
+        }
+        let view = self.views.entry(id).or_insert(View::new(load));
+        let refused = view.refused.filter(|at| now.since(*at) < REFUSAL_LIFE);
+        *view = View {
+            refused,
+            ..View::new(load)
+        };
+    }
+}
+
+impl View {
+    fn new(load: Load) -> View {
+        View {
+            load,
+            sent: 0,
+            owed: None,
+            refused: None,
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/key.rs
@@ -0,0 +1,55 @@
+//! Names of flows and of the services that they belong to.
+
+use std::fmt;
+use std::hash::Hasher;
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use serde::Serialize;
+use siphasher::sip::SipHasher13;
+
+/// `FlowKey` names a flow by its four addresses and ports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FlowKey {
+    /// The end that opened the flow.
+    pub client: SocketAddrV4,
+    /// The address and port that the client asked for.
+    pub server: SocketAddrV4,
+}
+
+impl FlowKey {
+    /// A hash that is equal in every process, for rendezvous hashing.
+    pub fn hash(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        for end in [self.client, self.server] {
+            hasher.write_u32(end.ip().to_bits());
+            hasher.write_u16(end.port());
+        }
+        hasher.finish()
+    }
+}
+
+impl fmt::Display for FlowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}>{}", self.client, self.server)
+    }
+}
+
+/// `NameKey` stands for the name of a service or a failure domain: a 64-bit
+/// hash that is equal in every process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct NameKey(pub u64);
+
+impl From<&str> for NameKey {
+    fn from(name: &str) -> NameKey {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        NameKey(hasher.finish())
+    }
+}
+
+impl fmt::Display for NameKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/message.rs
@@ -0,0 +1,210 @@
+//! What entries and agents tell each other about flows.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::routes::Work;
+use crate::ids::InstanceId;
+
+/// `Errand` says what an agent is to do with a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Errand {
+    /// The packet opens a flow that was placed here.
+    Open,
+    /// The sender takes this agent for the one that holds the flow.
+    Owned,
+    /// The sender takes this agent for a home of the flow.
+    Locate,
+    /// No home knows the flow; every agent of the service is asked.
+    Search,
+}
+
+/// `Header` goes before a client's packet between processes of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// What the receiver is to do.
+    pub errand: Errand,
+    /// Agents that the packet has passed.
+    pub hops: u8,
+    /// The service that the flow belongs to.
+    pub service: NameKey,
+    /// Version of the configuration that routed the packet.
+    pub version: u64,
+    /// The entry that took the packet from the client.
+    pub entry: InstanceId,
+    /// Another agent that may take a new flow.
+    pub other: Option<InstanceId>,
+    /// The requests inside, as the route describes them.
+    pub work: Work,
+}
+
+/// `TargetState` says whether a target takes new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetState {
+    /// It does.
+    Serving,
+    /// It finishes what is open.
+    Draining,
+    /// Nothing is known of a living target.
+    Absent,
+}
+
+/// `Load` is what an agent knows of its target at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Whether the target takes new flows.
+    pub state: TargetState,
+    /// Requests that the target runs at a time.
+    pub slots: u16,
+    /// Requests inside the target.
+    pub running: u16,
+    /// Requests that wait at the agent.
+    pub waiting: u16,
+    /// Open flows.
+    pub flows: u32,
+    /// Time for which the target is still slow after its start.
+    pub warmup: Duration,
+}
+
+/// `RefuseReason` says why an agent didn't take a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefuseReason {
+    /// The agent's target belongs to another service.
+    Service,
+    /// The packet was routed by an older configuration than one in force here.
+    Version,
+    /// The target is draining.
+    Draining,
+    /// No living target is known.
+    Absent,
+    /// The target gave the packet back.
+    Bounced,
+    /// The wait for the target is too long for the request.
+    Late,
+}
+
+impl RefuseReason {
+    /// Every reason, in the order of the counters.
+    pub const ALL: [RefuseReason; 6] = [
+        RefuseReason::Service,
+        RefuseReason::Version,
+        RefuseReason::Draining,
+        RefuseReason::Absent,
+        RefuseReason::Bounced,
+        RefuseReason::Late,
+    ];
+
+    /// The reason as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefuseReason::Service => "service",
+            RefuseReason::Version => "version",
+            RefuseReason::Draining => "draining",
+            RefuseReason::Absent => "absent",
+            RefuseReason::Bounced => "bounced",
+            RefuseReason::Late => "late",
+        }
+    }
+}
+
+/// `Verdict` is what became of a flow at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The agent's target holds the flow.
+    Holds,
+    /// The agent holds the opening packet back until its target has room.
+    Waits,
+    /// The agent didn't take the packet, and the target hasn't seen it or gave
+    /// it back.
+    Refused(RefuseReason),
+}
+
+/// `Receipt` tells an entry what became of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Receipt {
+    /// The flow.
+    pub flow: FlowKey,
+    /// What became of it.
+    pub verdict: Verdict,
+    /// What the agent knows of its target.
+    pub load: Load,
+    /// Highest version of the configuration that the agent has seen.
+    pub version: u64,
+}
+
+/// `Registration` tells a home who holds flows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// The service that the flows belong to.
+    pub service: NameKey,
+    /// The agent whose target holds the flows.
+    pub owner: InstanceId,
+    /// The flows.
+    pub flows: Vec<Registered>,
+}
+
+/// `Registered` is one flow of a [`Registration`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Registered {
+    /// The flow.
+    pub flow: FlowKey,
+    /// Number of the first octet that the target sent.
+    pub origin: u32,
+}
+
+/// `Hello` is an agent's word on itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// The agent's record.
+    pub record: AgentRecord,
+    /// What it knows of its target.
+    pub load: Load,
+    /// Highest version of the configuration that the agent has seen.
+    pub version: u64,
+}
+
+/// `AgentRecord` says who an agent is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgentRecord {
+    /// The address at which it takes packets from processes of the system.
+    pub id: InstanceId,
+    /// A random number that the process drew at its start. It says that the
+    /// process is another one, not which came first: clocks may step back.
+    pub incarnation: u64,
+    /// Number of this record within the incarnation; the higher one holds.
+    pub number: u64,
+    /// The service of its target.
+    pub service: NameKey,
+    /// Failure domain of its instance.
+    pub domain: NameKey,
+    /// Whether its target takes new flows.
+    pub state: TargetState,
+    /// Requests that its target runs at a time.
+    pub slots: u16,
+}
+
+impl AgentRecord {
+    /// Whether this record, just heard from the agent itself, replaces `held`.
+    pub fn supersedes(&self, held: &AgentRecord) -> bool {
+        self.incarnation != held.incarnation || self.number > held.number
+    }
+}
+
+impl Load {
+    /// The load of a target of which nothing but its record is known.
+    pub fn idle(state: TargetState, slots: u16) -> Load {
+        Load {
+            state,
+            slots,
+            running: 0,
+            waiting: 0,
+            flows: 0,
+            warmup: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/placing.rs
@@ -0,0 +1,117 @@
+//! Choice of the agent for a new flow.
+//!
+//! Reports of load are as old as the last word of the agent, and many entries
+//! hold the same ones. Two candidates drawn at random, of which the less loaded
+//! one is taken, keep entries from crowding onto the one that looked best.
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::flow::message::Load;
+use crate::flow::message::TargetState;
+use crate::flow::routes::WorkClass;
+use crate::ids::InstanceId;
+
+/// Load that an open flow adds, in requests in progress: a flow of many
+/// requests pauses between them.
+const FLOW_LOAD: f64 = 0.03;
+
+/// Load of a target that is still slow after its start, relative to a warm one.
+const COLD_FACTOR: f64 = 1.6;
+
+/// Load that another domain is worth for requests that carry little.
+const FAR_LOAD: f64 = 0.05;
+
+/// Load that another domain is worth for uploads, whose octets cross domains.
+const FAR_UPLOAD_LOAD: f64 = 2.0;
+
+/// `Candidate` is an agent that a new flow may go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The agent.
+    pub id: InstanceId,
+    /// Its last word on its target.
+    pub load: Load,
+    /// New flows that were sent to it since.
+    pub sent: u32,
+    /// Whether it is in the entry's own failure domain.
+    pub near: bool,
+    /// Whether it owes an answer for longer than one takes.
+    pub suspect: bool,
+}
+
+impl Candidate {
+    /// Expected load a slot, and what the way costs.
+    pub fn cost(&self, class: WorkClass) -> f64 {
+        let load = &self.load;
+        let inside = f64::from(load.running) + f64::from(load.waiting) + f64::from(self.sent);
+        let flows = f64::from(load.flows) * FLOW_LOAD;
+        let mut cost = (inside + flows) / f64::from(load.slots.max(1));
+        if !load.warmup.is_zero() {
+            cost *= COLD_FACTOR;
+        }
+        if !self.near {
+            cost += match class {
+                WorkClass::Safe | WorkClass::Unsafe => FAR_LOAD,
+                WorkClass::Upload => FAR_UPLOAD_LOAD,
+            };
+        }
+        cost
+    }
+}
+
+/// `Placed` names the agent for a new flow, and one that it may pass it to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The agent.
+    pub agent: InstanceId,
+    /// The other one.
+    pub other: Option<InstanceId>,
+}
+
+/// Chooses among `candidates`: serving ones first, then draining ones, suspects
+/// last.
+pub fn choose(candidates: &[Candidate], class: WorkClass, rng: &mut impl Rng) -> Option<Placed> {
+    let best = candidates.iter().map(rank).min()?;
+    let mut eligible: Vec<&Candidate> = candidates.iter().filter(|it| rank(it) == best).collect();
+    if class == WorkClass::Upload && eligible.iter().any(|it| it.near) {
+        return choose_near(&eligible, class);
+    }
+    if eligible.len() == 1 {
+        let agent = eligible[0].id;
+        let others = candidates.iter().filter(|it| it.id != agent);
+        let other = others.min_by_key(|it| rank(it)).map(|it| it.id);
+        return Some(Placed { agent, other });
+    }
+    let first = eligible.swap_remove(rng.random_range(0..eligible.len()));
+    let second = eligible[rng.random_range(0..eligible.len())];
+    let (agent, other) = if first.cost(class) <= second.cost(class) {
+        (first, second)
+    } else {
+        (second, first)
+    };
+    Some(Placed {
+        agent: agent.id,
+        other: Some(other.id),
+    })
+}
+
+/// The two cheapest, without a draw: the way costs more than a wait.
+fn choose_near(eligible: &[&Candidate], class: WorkClass) -> Option<Placed> {
+    let mut order: Vec<&Candidate> = eligible.to_vec();
+    order.sort_by(|a, b| a.cost(class).total_cmp(&b.cost(class)));
+    Some(Placed {
+        agent: order.first()?.id,
+        other: order.get(1).map(|it| it.id),
+    })
+}
+
+/// What is tried first: 0 serving, 1 draining, 2 silent, 3 without a target.
+fn rank(candidate: &Candidate) -> u8 {
+    match (candidate.load.state, candidate.suspect) {
+        (TargetState::Serving, false) => 0,
+        (TargetState::Draining, false) => 1,
+        (TargetState::Serving | TargetState::Draining, true) => 2,
+        (TargetState::Absent, _) => 3,
+    }
+}
--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod digest;
 pub mod duplicates;
 pub mod errors;
+pub mod flow;
 pub mod forward;
 pub mod gossip;
 pub mod idempotency;
--- a/marigoldway-net/src/platform/calls.rs
+++ b/marigoldway-net/src/platform/calls.rs
@@ -48,7 +48,7 @@
 
 impl CallCounts {
     /// Counts one call.
-    pub(crate) fn count(&self, kind: CallKind) {
+    pub fn count(&self, kind: CallKind) {
         self.counts[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
--- a/marigoldway-net/src/platform/errors.rs
+++ b/marigoldway-net/src/platform/errors.rs
@@ -30,13 +30,15 @@
 }
 
 impl Error {
-    pub(crate) fn unreachable(detail: impl fmt::Display) -> Error {
+    /// Makes an [`Error::Unreachable`].
+    pub fn unreachable(detail: impl fmt::Display) -> Error {
         Error::Unreachable {
             detail: detail.to_string(),
         }
     }
 
-    pub(crate) fn answer(detail: impl fmt::Display) -> Error {
+    /// Makes an [`Error::Answer`].
+    pub fn answer(detail: impl fmt::Display) -> Error {
         Error::Answer {
             detail: detail.to_string(),
         }
--- a/marigoldway-net/src/platform/etcd.rs
+++ b/marigoldway-net/src/platform/etcd.rs
@@ -7,28 +7,21 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::Request;
+use http::Method;
 use http::Response;
 use http::StatusCode;
-use http::header::CONTENT_TYPE;
-use http::header::HOST;
 use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::platform::Change;
 use crate::platform::LeaseId;
 use crate::platform::Platform;
 use crate::platform::Range;
 use crate::platform::Read;
-use crate::platform::Stored;
 use crate::platform::Swap;
 use crate::platform::Swapped;
 use crate::platform::Watch;
@@ -36,6 +29,7 @@
 use crate::platform::calls::CallKind;
 use crate::platform::errors::Error;
 use crate::platform::errors::Result;
+use crate::platform::transport;
 use crate::platform::wire::GrantRequest;
 use crate::platform::wire::KeepAliveRequest;
 use crate::platform::wire::LeaseResponse;
@@ -90,16 +84,13 @@
         body: &impl Serialize,
     ) -> Result<A> {
         let body = encode(body)?;
-        self.limited(kind, async {
-            let (response, reader) = self.send(path, body).await?;
-            let answer = Limited::new(response.into_body(), MAX_ANSWER_LEN)
-                .collect()
-                .await
-                .map_err(Error::unreachable);
-            reader.abort();
-            serde_json::from_slice(&answer?.to_bytes()).map_err(Error::answer)
-        })
-        .await
+        let method = Method::POST;
+        let exchange = transport::exchange(self.options.address, method, path, body);
+        let (status, answer) = self.limited(kind, exchange).await?;
+        if status != StatusCode::OK {
+            return Err(Error::answer(status));
+        }
+        serde_json::from_slice(&answer).map_err(Error::answer)
     }
 
     /// Sends one request and waits for the head of the answer. The task given
@@ -109,32 +100,13 @@
         path: &'static str,
         body: Bytes,
     ) -> Result<(Response<Incoming>, JoinHandle<()>)> {
-        let address = self.options.address;
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(Error::unreachable)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(Error::unreachable)?;
-        let driver = tokio::spawn(async move {
-            // What breaks the connection is seen by the reader of the answer.
-            let _ = connection.await;
-        });
-
-        let request = Request::post(path)
-            .header(HOST, address.to_string())
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(Error::answer)?;
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(Error::unreachable)?;
-        if response.status() != StatusCode::OK {
-            driver.abort();
-            return Err(Error::answer(response.status()));
+        let opened = transport::open(self.options.address, Method::POST, path, body).await?;
+        let status = opened.response.status();
+        if status != StatusCode::OK {
+            opened.driver.abort();
+            return Err(Error::answer(status));
         }
-        Ok((response, driver))
+        Ok((opened.response, opened.driver))
     }
 
     async fn limited<T>(&self, kind: CallKind, work: impl Future<Output = Result<T>>) -> Result<T> {
@@ -203,7 +175,7 @@
 }
 
 /// Reads answers, one JSON value a line, until one can't be used.
-async fn read_watch(mut body: Incoming, changes: &mpsc::Sender<Stored>) {
+async fn read_watch(mut body: Incoming, changes: &mpsc::Sender<Change>) {
     let mut buffer = BytesMut::new();
     while let Some(Ok(frame)) = body.frame().await {
         let Ok(data) = frame.into_data() else {
@@ -224,15 +196,15 @@
 }
 
 /// Passes the changes of one answer on, and tells whether the watch goes on.
-async fn pass_on(line: &[u8], changes: &mpsc::Sender<Stored>) -> bool {
+async fn pass_on(line: &[u8], changes: &mpsc::Sender<Change>) -> bool {
     let Ok(answer) = serde_json::from_slice::<Streamed<WatchResponse>>(line) else {
         return false;
     };
     for event in answer.result.events {
-        let Some(Ok(stored)) = event.put().map(Stored::try_from) else {
+        let Ok(change) = event.change() else {
             continue;
         };
-        if changes.send(stored).await.is_err() {
+        if changes.send(change).await.is_err() {
             return false;
         }
     }
--- a/marigoldway-net/src/platform/mod.rs
+++ b/marigoldway-net/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod errors;
 pub mod etcd;
+pub mod transport;
 mod wire;
 
 use std::future::Future;
@@ -58,6 +59,8 @@
     pub compares: Vec<(String, u64)>,
     /// Keys and their new values.
     pub puts: Vec<(String, Vec<u8>)>,
+    /// Keys to delete.
+    pub removes: Vec<String>,
     /// The lease that the written keys end with.
     pub lease: Option<LeaseId>,
 }
@@ -71,6 +74,26 @@
     Refused,
 }
 
+/// `Change` is what a watch has to tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A value was written.
+    Put(Stored),
+    /// A key was deleted, or its lease has ended.
+    Deleted {
+        /// Name of the key.
+        key: String,
+        /// The platform's revision at which that happened.
+        revision: u64,
+    },
+    /// The platform has answered: all that was written until then is told.
+    Reached,
+    /// The platform can't be reached; the watch goes on trying.
+    Unreached(errors::Error),
+    /// Changes are lost, and the keys have to be read again. The watch ends.
+    Lost,
+}
+
 /// `LeaseId` is the platform's number of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseId(pub u64);
@@ -105,17 +128,18 @@
 /// Dropping it ends the call.
 #[derive(Debug)]
 pub struct Watch {
-    changes: mpsc::Receiver<Stored>,
+    changes: mpsc::Receiver<Change>,
     reader: JoinHandle<()>,
 }
 
 impl Watch {
-    pub(crate) fn new(changes: mpsc::Receiver<Stored>, reader: JoinHandle<()>) -> Watch {
+    /// Makes a watch of the changes that the task `reader` sends.
+    pub fn new(changes: mpsc::Receiver<Change>, reader: JoinHandle<()>) -> Watch {
         Watch { changes, reader }
     }
 
-    /// The next written value, or `None` once the watch has ended.
-    pub async fn next(&mut self) -> Option<Stored> {
+    /// The next change, or `None` once the watch has ended.
+    pub async fn next(&mut self) -> Option<Change> {
         self.changes.recv().await
     }
 }
--- a/marigoldway-net/src/platform/wire.rs
+++ b/marigoldway-net/src/platform/wire.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::platform::Change;
 use crate::platform::LeaseId;
 use crate::platform::Range;
 use crate::platform::Read;
@@ -119,8 +120,15 @@
 }
 
 #[derive(Debug, Serialize)]
-struct Operation {
-    request_put: Put,
+#[serde(rename_all = "snake_case")]
+enum Operation {
+    RequestPut(Put),
+    RequestDeleteRange(Deletion),
+}
+
+#[derive(Debug, Serialize)]
+struct Deletion {
+    key: String,
 }
 
 #[derive(Debug, Serialize)]
@@ -139,16 +147,21 @@
             result: "EQUAL",
             mod_revision: revision.to_string(),
         });
-        let success = swap.puts.iter().map(|(key, value)| Operation {
-            request_put: Put {
+        let puts = swap.puts.iter().map(|(key, value)| {
+            Operation::RequestPut(Put {
                 key: STANDARD.encode(key),
                 value: STANDARD.encode(value),
                 lease: swap.lease.map(|LeaseId(id)| id.to_string()),
-            },
+            })
+        });
+        let removes = swap.removes.iter().map(|key| {
+            Operation::RequestDeleteRange(Deletion {
+                key: STANDARD.encode(key),
+            })
         });
         TxnRequest {
             compare: compare.collect(),
-            success: success.collect(),
+            success: puts.chain(removes).collect(),
         }
     }
 }
@@ -233,9 +246,17 @@
 }
 
 impl Event {
-    /// The written value, or `None` if the key was deleted.
-    pub(crate) fn put(self) -> Option<KeyValue> {
-        (self.kind != "DELETE").then_some(self.kv)
+    /// What the event says.
+    pub(crate) fn change(self) -> Result<Change, Error> {
+        let deleted = self.kind == "DELETE";
+        let stored = Stored::try_from(self.kv)?;
+        if deleted {
+            return Ok(Change::Deleted {
+                key: stored.key,
+                revision: stored.revision,
+            });
+        }
+        Ok(Change::Put(stored))
     }
 }
 
--- /dev/null
+++ b/marigoldway-net/src/wire/flows.rs
@@ -0,0 +1,447 @@
+//! Datagrams between entries and agents about flows of packets.
+//!
+//! Each has a fixed binary form, since most are made and read for each packet
+//! or each new flow. The first octet says which message follows.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use zerocopy::FromBytes;
+use zerocopy::Immutable;
+use zerocopy::IntoBytes;
+use zerocopy::KnownLayout;
+use zerocopy::Unaligned;
+use zerocopy::big_endian::U16;
+use zerocopy::big_endian::U32;
+use zerocopy::big_endian::U64;
+
+use marigoldway_core::flow::key::FlowKey;
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::message::Errand;
+use marigoldway_core::flow::message::Header;
+use marigoldway_core::flow::message::Hello;
+use marigoldway_core::flow::message::Load;
+use marigoldway_core::flow::message::Receipt;
+use marigoldway_core::flow::message::RefuseReason;
+use marigoldway_core::flow::message::Registered;
+use marigoldway_core::flow::message::Registration;
+use marigoldway_core::flow::message::TargetState;
+use marigoldway_core::flow::message::Verdict;
+use marigoldway_core::flow::routes::Work;
+use marigoldway_core::flow::routes::WorkClass;
+use marigoldway_core::ids::InstanceId;
+
+/// First octet of a client's packet with its header.
+const PACKET: u8 = 0xe1;
+
+/// First octet of a receipt.
+const RECEIPT: u8 = 0xe2;
+
+/// First octet of a registration.
+const REGISTRATION: u8 = 0xe3;
+
+/// First octet of an agent's word on itself.
+const HELLO: u8 = 0xe4;
+
+/// First octet of the question whether an agent lives.
+const PROBE: u8 = 0xe5;
+
+/// `Message` is one datagram.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message<'a> {
+    /// A client's packet.
+    Packet(Header, &'a [u8]),
+    /// What became of a flow.
+    Receipt(Receipt),
+    /// Who holds flows.
+    Registration(Registration),
+    /// An agent's word on itself.
+    Hello(Hello),
+    /// The question whether an agent lives.
+    Probe,
+}
+
+/// Octets of a header before a client's packet, with the first octet.
+pub const HEADER_LEN: usize = 1 + size_of::<WireHeader>();
+
+/// Puts a header and a client's packet into `buffer`.
+pub fn write_packet(header: &Header, packet: &[u8], buffer: &mut Vec<u8>) {
+    buffer.clear();
+    buffer.push(PACKET);
+    buffer.extend_from_slice(WireHeader::from(header).as_bytes());
+    buffer.extend_from_slice(packet);
+}
+
+/// Encodes a receipt.
+pub fn encode_receipt(receipt: &Receipt) -> Vec<u8> {
+    encode(RECEIPT, &WireReceipt::from(receipt))
+}
+
+/// Encodes a registration.
+pub fn encode_registration(registration: &Registration) -> Vec<u8> {
+    let head = WireRegistration {
+        service: registration.service.0.into(),
+        owner: registration.owner.0.into(),
+    };
+    let mut datagram = encode(REGISTRATION, &head);
+    for registered in &registration.flows {
+        let wire = WireRegistered {
+            flow: WireFlow::from(&registered.flow),
+            origin: registered.origin.into(),
+        };
+        datagram.extend_from_slice(wire.as_bytes());
+    }
+    datagram
+}
+
+/// Encodes an agent's word on itself.
+pub fn encode_hello(hello: &Hello) -> Vec<u8> {
+    encode(HELLO, &WireHello::from(hello))
+}
+
+/// Encodes the question whether an agent lives.
+pub fn encode_probe() -> Vec<u8> {
+    vec![PROBE]
+}
+
+/// Reads a datagram, or gives `None` for one that breaks the format.
+pub fn decode(datagram: &[u8]) -> Option<Message<'_>> {
+    let (kind, body) = datagram.split_first()?;
+    match *kind {
+        PACKET => {
+            let (wire, packet) = WireHeader::ref_from_prefix(body).ok()?;
+            Some(Message::Packet(Header::try_from(wire).ok()?, packet))
+        }
+        RECEIPT => {
+            let wire = WireReceipt::ref_from_bytes(body).ok()?;
+            Some(Message::Receipt(Receipt::try_from(wire).ok()?))
+        }
+        REGISTRATION => decode_registration(body).map(Message::Registration),
+        HELLO => {
+            let wire = WireHello::ref_from_bytes(body).ok()?;
+            Some(Message::Hello(Hello::try_from(wire).ok()?))
+        }
+        PROBE => Some(Message::Probe),
+        _ => None,
+    }
+}
+
+fn encode<T: IntoBytes + Immutable>(kind: u8, wire: &T) -> Vec<u8> {
+    let mut datagram = Vec::with_capacity(1 + size_of::<T>());
+    datagram.push(kind);
+    datagram.extend_from_slice(wire.as_bytes());
+    datagram
+}
+
+fn decode_registration(body: &[u8]) -> Option<Registration> {
+    let (head, rest) = WireRegistration::ref_from_prefix(body).ok()?;
+    let flows = <[WireRegistered]>::ref_from_bytes(rest).ok()?;
+    Some(Registration {
+        service: NameKey(head.service.get()),
+        owner: InstanceId(head.owner.into()),
+        flows: flows
+            .iter()
+            .map(|wire| Registered {
+                flow: FlowKey::from(wire.flow),
+                origin: wire.origin.get(),
+            })
+            .collect(),
+    })
+}
+
+/// A value on the wire that has no meaning here.
+struct Unknown;
+
+#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireAddr {
+    ip: U32,
+    port: U16,
+}
+
+#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireFlow {
+    client: WireAddr,
+    server: WireAddr,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireHeader {
+    errand: u8,
+    hops: u8,
+    class: u8,
+    priority: u8,
+    service: U64,
+    version: U64,
+    entry: WireAddr,
+    /// Port 0 for none.
+    other: WireAddr,
+    objective_ms: U32,
+    timeout_ms: U32,
+}
+
+#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireLoad {
+    state: u8,
+    slots: U16,
+    running: U16,
+    waiting: U16,
+    flows: U32,
+    warmup_ms: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireReceipt {
+    verdict: u8,
+    flow: WireFlow,
+    load: WireLoad,
+    version: U64,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireRegistration {
+    service: U64,
+    owner: WireAddr,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireRegistered {
+    flow: WireFlow,
+    origin: U32,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireHello {
+    id: WireAddr,
+    incarnation: U64,
+    number: U64,
+    service: U64,
+    domain: U64,
+    load: WireLoad,
+    version: U64,
+}
+
+impl From<SocketAddrV4> for WireAddr {
+    fn from(addr: SocketAddrV4) -> WireAddr {
+        WireAddr {
+            ip: addr.ip().to_bits().into(),
+            port: addr.port().into(),
+        }
+    }
+}
+
+impl From<WireAddr> for SocketAddrV4 {
+    fn from(wire: WireAddr) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from_bits(wire.ip.get()), wire.port.get())
+    }
+}
+
+impl From<&FlowKey> for WireFlow {
+    fn from(flow: &FlowKey) -> WireFlow {
+        WireFlow {
+            client: flow.client.into(),
+            server: flow.server.into(),
+        }
+    }
+}
+
+impl From<WireFlow> for FlowKey {
+    fn from(wire: WireFlow) -> FlowKey {
+        FlowKey {
+            client: wire.client.into(),
+            server: wire.server.into(),
+        }
+    }
+}
+
+impl From<&Header> for WireHeader {
+    fn from(header: &Header) -> WireHeader {
+        let none = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        WireHeader {
+            errand: match header.errand {
+                Errand::Open => 0,
+                Errand::Owned => 1,
+                Errand::Locate => 2,
+                Errand::Search => 3,
+            },
+            hops: header.hops,
+            class: match header.work.class {
+                WorkClass::Safe => 0,
+                WorkClass::Unsafe => 1,
+                WorkClass::Upload => 2,
+            },
+            priority: header.work.priority,
+            service: header.service.0.into(),
+            version: header.version.into(),
+            entry: header.entry.0.into(),
+            other: header.other.map_or(none, |other| other.0).into(),
+            objective_ms: millis(header.work.objective),
+            timeout_ms: millis(header.work.timeout),
+        }
+    }
+}
+
+impl TryFrom<&WireHeader> for Header {
+    type Error = Unknown;
+
+    fn try_from(wire: &WireHeader) -> Result<Header, Unknown> {
+        let other = SocketAddrV4::from(wire.other);
+        Ok(Header {
+            errand: match wire.errand {
+                0 => Errand::Open,
+                1 => Errand::Owned,
+                2 => Errand::Locate,
+                3 => Errand::Search,
+                _ => return Err(Unknown),
+            },
+            hops: wire.hops,
+            service: NameKey(wire.service.get()),
+            version: wire.version.get(),
+            entry: InstanceId(wire.entry.into()),
+            other: (other.port() > 0).then_some(InstanceId(other)),
+            work: Work {
+                class: match wire.class {
+                    0 => WorkClass::Safe,
+                    1 => WorkClass::Unsafe,
+                    2 => WorkClass::Upload,
+                    _ => return Err(Unknown),
+                },
+                priority: wire.priority,
+                objective: duration(wire.objective_ms),
+                timeout: duration(wire.timeout_ms),
+            },
+        })
+    }
+}
+
+impl From<&Load> for WireLoad {
+    fn from(load: &Load) -> WireLoad {
+        WireLoad {
+            state: match load.state {
+                TargetState::Serving => 0,
+                TargetState::Draining => 1,
+                TargetState::Absent => 2,
+            },
+            slots: load.slots.into(),
+            running: load.running.into(),
+            waiting: load.waiting.into(),
+            flows: load.flows.into(),
+            warmup_ms: millis(load.warmup),
+        }
+    }
+}
+
+impl TryFrom<WireLoad> for Load {
+    type Error = Unknown;
+
+    fn try_from(wire: WireLoad) -> Result<Load, Unknown> {
+        Ok(Load {
+            state: match wire.state {
+                0 => TargetState::Serving,
+                1 => TargetState::Draining,
+                2 => TargetState::Absent,
+                _ => return Err(Unknown),
+            },
+            slots: wire.slots.get(),
+            running: wire.running.get(),
+            waiting: wire.waiting.get(),
+            flows: wire.flows.get(),
+            warmup: duration(wire.warmup_ms),
+        })
+    }
+}
+
+impl From<&Receipt> for WireReceipt {
+    fn from(receipt: &Receipt) -> WireReceipt {
+        WireReceipt {
+            verdict: match receipt.verdict {
+                Verdict::Holds => 0,
+                Verdict::Waits => 1,
+                Verdict::Refused(RefuseReason::Service) => 2,
+                Verdict::Refused(RefuseReason::Version) => 3,
+                Verdict::Refused(RefuseReason::Draining) => 4,
+                Verdict::Refused(RefuseReason::Absent) => 5,
+                Verdict::Refused(RefuseReason::Bounced) => 6,
+                Verdict::Refused(RefuseReason::Late) => 7,
+            },
+            flow: WireFlow::from(&receipt.flow),
+            load: WireLoad::from(&receipt.load),
+            version: receipt.version.into(),
+        }
+    }
+}
+
+impl TryFrom<&WireReceipt> for Receipt {
+    type Error = Unknown;
+
+    fn try_from(wire: &WireReceipt) -> Result<Receipt, Unknown> {
+        Ok(Receipt {
+            flow: FlowKey::from(wire.flow),
+            verdict: match wire.verdict {
+                0 => Verdict::Holds,
+                1 => Verdict::Waits,
+                2 => Verdict::Refused(RefuseReason::Service),
+                3 => Verdict::Refused(RefuseReason::Version),
+                4 => Verdict::Refused(RefuseReason::Draining),
+                5 => Verdict::Refused(RefuseReason::Absent),
+                6 => Verdict::Refused(RefuseReason::Bounced),
+                7 => Verdict::Refused(RefuseReason::Late),
+                _ => return Err(Unknown),
+            },
+            load: Load::try_from(wire.load)?,
+            version: wire.version.get(),
+        })
+    }
+}
+
+impl From<&Hello> for WireHello {
+    fn from(hello: &Hello) -> WireHello {
+        WireHello {
+            id: hello.record.id.0.into(),
+            incarnation: hello.record.incarnation.into(),
+            number: hello.record.number.into(),
+            service: hello.record.service.0.into(),
+            domain: hello.record.domain.0.into(),
+            load: WireLoad::from(&hello.load),
+            version: hello.version.into(),
+        }
+    }
+}
+
+impl TryFrom<&WireHello> for Hello {
+    type Error = Unknown;
+
+    fn try_from(wire: &WireHello) -> Result<Hello, Unknown> {
+        let load = Load::try_from(wire.load)?;
+        Ok(Hello {
+            record: AgentRecord {
+                id: InstanceId(wire.id.into()),
+                incarnation: wire.incarnation.get(),
+                number: wire.number.get(),
+                service: NameKey(wire.service.get()),
+                domain: NameKey(wire.domain.get()),
+                state: load.state,
+                slots: load.slots,
+            },
+            load,
+            version: wire.version.get(),
+        })
+    }
+}
+
+fn millis(span: Duration) -> U32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX).into()
+}
+
+fn duration(millis: U32) -> Duration {
+    Duration::from_millis(u64::from(millis.get()))
+}
--- a/marigoldway-net/src/wire/mod.rs
+++ b/marigoldway-net/src/wire/mod.rs
@@ -9,6 +9,8 @@
 use crate::errors::Error;
 use crate::errors::Result;
 
+pub mod agents;
+pub mod flows;
 pub mod lists;
 pub mod membership;
 pub mod octets;
--- a/marigoldway-net/tests/platform.rs
+++ b/marigoldway-net/tests/platform.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use marigoldway_net::platform::Change;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::Swap;
@@ -41,6 +42,7 @@
     Swap {
         compares: vec![(key.to_owned(), revision)],
         puts: vec![(key.to_owned(), value.as_bytes().to_vec())],
+        removes: Vec::new(),
         lease: None,
     }
 }
@@ -111,8 +113,12 @@
     let mut watch = platform.watch("l/", 1).await.unwrap();
     let swap = put("l/a", 1, "two");
     platform.compare_and_swap(&swap).await.unwrap();
-    assert_eq!(watch.next().await.unwrap().value, b"one");
-    assert_eq!(watch.next().await.unwrap().value, b"two");
+    for expected in [b"one", b"two"] {
+        let Some(Change::Put(stored)) = watch.next().await else {
+            panic!("a written value was expected");
+        };
+        assert_eq!(stored.value, expected);
+    }
 
     post(address, "/restore?revision=1").await;
     assert_eq!(watch.next().await, None);
--- a/marigoldway/src/cli.rs
+++ b/marigoldway/src/cli.rs
@@ -5,6 +5,7 @@
 
 use std::env;
 use std::net::SocketAddrV4;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -18,7 +19,9 @@
 use crate::keys;
 use crate::lists;
 use crate::lists::ListsArgs;
+use crate::packets;
 use crate::process;
+use crate::settings;
 use crate::settings::Faults;
 use crate::status;
 
@@ -220,8 +223,8 @@
 
 fn run(command: Command) -> ExitCode {
     match command {
-        Command::Entry(args) => with(args.file, "FILE", |file| process::entry(&file)),
-        Command::Agent(args) => with(args.file, "FILE", |file| process::agent(&file)),
+        Command::Entry(args) => with(args.file, "FILE", |file| run_entry(&file)),
+        Command::Agent(args) => with(args.file, "FILE", |file| run_agent(&file)),
         Command::Check(args) => with(args.file, "FILE", |file| check::run(&file)),
         Command::Status(args) => with(args.addr, "ADDR", status::run),
         Command::Lists(args) => lists::run(args),
@@ -232,6 +235,22 @@
     }
 }
 
+/// Runs an entry for the interface that the settings name.
+fn run_entry(file: &Path) -> Result<()> {
+    if settings::for_packets(file) {
+        return packets::entry(file);
+    }
+    process::entry(file)
+}
+
+/// Runs an agent for the interface that the settings name.
+fn run_agent(file: &Path) -> Result<()> {
+    if settings::for_packets(file) {
+        return packets::agent(file);
+    }
+    process::agent(file)
+}
+
 fn run_keys(command: KeysCommand) -> ExitCode {
     match command {
         KeysCommand::New(args) => with(args.file, "FILE", |file| keys::create(&file)),
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod operator;
+pub mod packets;
 pub mod platform;
 pub mod process;
 pub mod report;
--- a/marigoldway/src/lists/put.rs
+++ b/marigoldway/src/lists/put.rs
@@ -110,6 +110,7 @@
             (store::list_key(kind), text.as_bytes().to_vec()),
             (history, entry.into_bytes()),
         ],
+        removes: Vec::new(),
         lease: None,
     }
 }
--- a/marigoldway/src/lists/watcher.rs
+++ b/marigoldway/src/lists/watcher.rs
@@ -17,6 +17,7 @@
 use marigoldway_core::lists::document;
 use marigoldway_core::lists::watchers;
 use marigoldway_core::roster::RosterView;
+use marigoldway_net::platform::Change;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Stored;
 use marigoldway_net::platform::Swap;
@@ -114,8 +115,12 @@
         loop {
             tokio::select! {
                 change = watch.next() => match change {
-                    Some(stored) => self.hand_on(&stored).await,
-                    None => return,
+                    Some(Change::Put(stored)) => self.hand_on(&stored).await,
+                    Some(Change::Deleted { key, .. }) => {
+                        log::warn!("event=list-deleted key={key}");
+                    }
+                    Some(Change::Reached) => {}
+                    Some(Change::Unreached(_) | Change::Lost) | None => return,
                 },
                 Some(repair) = self.repairs.recv() => self.repair(&repair).await,
                 changed = self.views.changed() => {
@@ -161,6 +166,7 @@
         let swap = Swap {
             compares: vec![(key.clone(), lists.stored(kind))],
             puts: vec![(key, repair.text.as_bytes().to_vec())],
+            removes: Vec::new(),
             lease: None,
         };
         let swapped = self.platform.compare_and_swap(&swap).await?;
--- a/marigoldway/src/logging.rs
+++ b/marigoldway/src/logging.rs
@@ -16,6 +16,16 @@
 
 /// Sends logs to standard error. Libraries are heard from `warn` on.
 pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
+    dispatch(level).chain(io::stderr()).apply()
+}
+
+/// Sends logs to standard output, for processes whose platform collects them
+/// there. Libraries are heard from `warn` on.
+pub fn init_stdout(level: LevelFilter) -> Result<(), SetLoggerError> {
+    dispatch(level).chain(io::stdout()).apply()
+}
+
+fn dispatch(level: LevelFilter) -> Dispatch {
     Dispatch::new()
         .format(format)
         .level(level.min(LevelFilter::Warn))
@@ -23,8 +33,7 @@
         .level_for("marigoldway_core", level)
         .level_for("marigoldway_net", level)
         .level_for("marigoldway_client", level)
-        .chain(io::stderr())
-        .apply()
+        .level_for("marigoldway_platform", level)
 }
 
 fn format(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
--- a/marigoldway/src/membership/directory.rs
+++ b/marigoldway/src/membership/directory.rs
@@ -116,6 +116,7 @@
         let swap = Swap {
             compares: vec![(key.clone(), stored.map_or(0, |it| it.revision))],
             puts: vec![(key, wanted.as_bytes().to_vec())],
+            removes: Vec::new(),
             lease: None,
         };
         // A refusal means that another entry wrote, whose view is as good.
--- /dev/null
+++ b/marigoldway/src/packets/agent.rs
@@ -0,0 +1,500 @@
+//! An agent for packets: stands between entries and the target beside it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task;
+use tokio::time;
+
+use marigoldway_core::flow::agent::AgentFlows;
+use marigoldway_core::flow::agent::AgentOptions;
+use marigoldway_core::flow::agent::AgentStep;
+use marigoldway_core::flow::key::FlowKey;
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::message::Errand;
+use marigoldway_core::flow::message::Header;
+use marigoldway_core::flow::message::Verdict;
+use marigoldway_core::flow::target::Heard;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::wire::agents;
+use marigoldway_net::wire::flows;
+use marigoldway_net::wire::flows::Message;
+use marigoldway_platform::calls;
+use marigoldway_platform::calls::Call;
+use marigoldway_platform::packet;
+
+use crate::errors::Result;
+use crate::packets::listing;
+use crate::packets::node;
+use crate::packets::node::Node;
+use crate::packets::peers;
+use crate::packets::registrar::Registrar;
+use crate::packets::server;
+use crate::packets::server::Answer;
+use crate::packets::store;
+use crate::packets::store::News;
+use crate::settings::FlowAgentSettings;
+
+/// Flows that are remembered for each megabyte of memory, own ones and those of
+/// others each: at some 300 octets a flow, a quarter of it.
+const FLOWS_PER_MB: usize = 400;
+
+/// Entries that are told of the agent each second: the others get their turn.
+const HELLO_FANOUT: usize = 6;
+
+/// Time between two rounds of words to entries.
+const HELLO_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which an entry is told of the agent after its last packet.
+const ENTRY_LIFE: Duration = Duration::from_secs(60);
+
+/// Entries that are remembered at most.
+const ENTRIES_MAX: usize = 256;
+
+/// Time that a newer configuration settles before the agent fetches a copy, for
+/// entries that lose theirs.
+const FETCH_DELAY: Duration = Duration::from_millis(700);
+
+/// Time that requests inside the target may take once the process leaves.
+const LEAVE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// `Agent` is the state of the process.
+pub(crate) struct Agent {
+    pub(crate) node: Rc<Node>,
+    settings: RefCell<FlowAgentSettings>,
+    outbound: UdpSocket,
+    flows: RefCell<AgentFlows>,
+    buffer: RefCell<Vec<u8>>,
+    entries: RefCell<IndexMap<InstanceId, Timestamp>>,
+    /// Where the next round of words to entries begins.
+    turn: Cell<usize>,
+    changed: Notify,
+    /// Whether the store's list lacks the own record.
+    unlisted: Cell<bool>,
+    fetching: Cell<bool>,
+}
+
+/// Runs an agent until it has left.
+pub(crate) async fn run(settings: FlowAgentSettings, file: PathBuf) -> Result<()> {
+    let node = Rc::new(Node::start(&settings.shared)?);
+    let options = AgentOptions {
+        own: settings.shared.data,
+        incarnation: rand::random(),
+        service: NameKey::from(settings.service.as_str()),
+        domain: NameKey::from(settings.shared.domain.as_str()),
+        interval: settings.shared.heartbeat,
+        limit: settings.shared.memory as usize * FLOWS_PER_MB,
+        life: settings.shared.lifetime,
+    };
+    let agent = Rc::new(Agent {
+        outbound: node::bind(settings.outbound)?,
+        flows: RefCell::new(AgentFlows::new(options)),
+        buffer: RefCell::new(Vec::new()),
+        entries: RefCell::new(IndexMap::new()),
+        turn: Cell::new(0),
+        changed: Notify::new(),
+        unlisted: Cell::new(false),
+        fetching: Cell::new(false),
+        settings: RefCell::new(settings),
+        node,
+    });
+    start(&agent)?;
+    let shared = agent.clone();
+    let path = file.clone();
+    node::leave_signal(file, move || shared.reload(&path)).await?;
+    agent.leave().await;
+    Ok(())
+}
+
+fn start(agent: &Rc<Agent>) -> Result<()> {
+    let shared = agent.clone();
+    let known = move || peers::encode_agents(shared.flows.borrow().agents());
+    node::serve_peers(&agent.node, known)?;
+    server::serve(
+        agent.node.settings.ready,
+        |method, path, _| match Call::parse(method, path) {
+            Some(Call::Ready) => Answer::ready(true),
+            _ => Answer::found(None),
+        },
+    )?;
+    if let Some(control) = agent.node.settings.control {
+        let shared = agent.clone();
+        server::serve(control, move |method, path, body| {
+            shared.on_call(method, path, body)
+        })?;
+    }
+
+    let shared = agent.clone();
+    task::spawn_local(async move {
+        let on_message = |datagram: &mut [u8], from| shared.on_message(datagram, from);
+        node::receive(&shared.node.data, on_message).await;
+    });
+    let shared = agent.clone();
+    task::spawn_local(async move {
+        let on_packet = |datagram: &mut [u8], _| shared.on_target(datagram);
+        node::receive(&shared.outbound, on_packet).await;
+    });
+    let store = agent.node.store();
+    let prefix = agents::service_prefix(agent.flows.borrow().service());
+    let shared = agent.clone();
+    task::spawn_local(store::follow(store.clone(), prefix, move |news| {
+        shared.on_agents(news);
+    }));
+    task::spawn_local(Registrar::new(agent.clone(), store).run());
+    task::spawn_local(tick(agent.clone()));
+    task::spawn_local(say_hello(agent.clone()));
+    Ok(())
+}
+
+async fn tick(agent: Rc<Agent>) {
+    let mut interval = time::interval(node::TICK);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut number = 0;
+    loop {
+        interval.tick().await;
+        let now = agent.node.clock.now();
+        let mut steps = Vec::new();
+        let probes = agent.flows.borrow_mut().tick(now, &mut steps);
+        agent.carry_out(None, &mut [], &steps);
+        for peer in probes {
+            agent.node.send(peer.0, &flows::encode_probe());
+        }
+        let record = agent.record();
+        if number != record.number {
+            number = record.number;
+            log::info!(
+                "event=target-state state={:?} number={number}",
+                record.state
+            );
+            agent.tell_entries(usize::MAX);
+            agent.changed.notify_one();
+        }
+    }
+}
+
+async fn say_hello(agent: Rc<Agent>) {
+    let mut interval = time::interval(HELLO_INTERVAL);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        agent.tell_entries(HELLO_FANOUT);
+    }
+}
+
+impl Agent {
+    /// What the agent says of itself.
+    pub(crate) fn record(&self) -> AgentRecord {
+        self.flows.borrow().hello(self.node.clock.now()).record
+    }
+
+    /// Waits until the record is to be written anew.
+    pub(crate) async fn record_changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Whether the store's list lacked the own record since the last question.
+    pub(crate) fn take_unlisted(&self) -> bool {
+        self.unlisted.take()
+    }
+
+    /// Takes settings that have changed.
+    fn reload(&self, file: &std::path::Path) {
+        let settings = match FlowAgentSettings::load(file) {
+            Ok(settings) => settings,
+            Err(faults) => {
+                return log::error!("event=settings-refused faults=\"{faults}\"");
+            }
+        };
+        let service = NameKey::from(settings.service.as_str());
+        self.flows.borrow_mut().set_service(service);
+        *self.settings.borrow_mut() = settings;
+    }
+
+    /// Lets requests inside the target finish.
+    async fn leave(&self) {
+        self.node.leaving.set(true);
+        self.flows.borrow_mut().leave();
+        self.tell_entries(usize::MAX);
+        let start = self.node.clock.now();
+        loop {
+            time::sleep(node::TICK).await;
+            let now = self.node.clock.now();
+            let running = self.flows.borrow().load(now).running;
+            if running == 0 || now.since(start) > LEAVE_LIMIT {
+                return;
+            }
+        }
+    }
+
+    /// Tells up to `count` entries of the agent, by turns.
+    fn tell_entries(&self, count: usize) {
+        let now = self.node.clock.now();
+        let hello = flows::encode_hello(&self.flows.borrow().hello(now));
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|_, seen| now.since(*seen) < ENTRY_LIFE);
+        let mut known: Vec<SocketAddrV4> = entries.keys().map(|id| id.0).collect();
+        for contact in self.node.contacts() {
+            if !known.contains(&contact) {
+                known.push(contact);
+            }
+        }
+        let turn = self.turn.get();
+        let count = count.min(known.len());
+        for entry in known.iter().cycle().skip(turn).take(count) {
+            self.node.send(*entry, &hello);
+        }
+        self.turn.set((turn + count) % known.len().max(1));
+    }
+
+    /// Takes a word of the target.
+    fn on_call(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
+        match Call::parse(method, path) {
+            Some(Call::Heartbeat(id)) => self.on_heartbeat(&id, body),
+            Some(Call::Leave(id)) => {
+                let known = self.flows.borrow_mut().on_leave(&id);
+                log::info!("event=target-left target={id} known={known}");
+                Answer::empty(StatusCode::OK)
+            }
+            Some(Call::Ready) => Answer::ready(true),
+            None => Answer::found(None),
+        }
+    }
+
+    fn on_heartbeat(&self, id: &str, body: &[u8]) -> Answer {
+        let announced = match calls::heartbeat(id, body) {
+            Ok(announced) => announced,
+            Err(error) => {
+                self.node.count("heartbeat-unreadable");
+                log::warn!("event=heartbeat-unreadable target={id:?} error=\"{error}\"");
+                return Answer::empty(StatusCode::BAD_REQUEST);
+            }
+        };
+        let own = self.settings.borrow().target.to_string();
+        let service = announced.heartbeat.service;
+        if announced.address != own || service != self.flows.borrow().service() {
+            self.node.count("heartbeat-foreign");
+            let address = &announced.address;
+            log::warn!(
+                "event=heartbeat-foreign target={id:?} address={address:?} service={service}"
+            );
+            return Answer::empty(StatusCode::BAD_REQUEST);
+        }
+        let now = self.node.clock.now();
+        let mut steps = Vec::new();
+        let beat = announced.heartbeat;
+        let (born, number, draining) = (beat.born, beat.number, beat.draining);
+        let heard = self.flows.borrow_mut().on_heartbeat(now, beat, &mut steps);
+        if heard != Heard::Same {
+            log::info!(
+                "event=heartbeat target={id} born={born} number={number} draining={draining} \
+                 heard={heard:?}"
+            );
+        }
+        self.carry_out(None, &mut [], &steps);
+        Answer::empty(StatusCode::OK)
+    }
+
+    fn on_agents(&self, news: News) {
+        let now = self.node.clock.now();
+        let own = self.node.settings.data;
+        let mut flows = self.flows.borrow_mut();
+        match news {
+            News::All(found) => {
+                let records = listing::records(&self.node, &found);
+                if !records.iter().any(|record| record.id == own) {
+                    self.unlist();
+                }
+                flows.agents_mut().replace(now, &records);
+            }
+            News::Put(stored) => {
+                if let Some(record) = listing::record(&self.node, &stored) {
+                    flows.agents_mut().list(record);
+                }
+            }
+            News::Deleted(key) => match agents::key_id(&key) {
+                Some(id) if id == own => self.unlist(),
+                Some(id) => flows.agents_mut().unlist(now, id),
+                None => {}
+            },
+            News::Reached | News::Unreached => {}
+        }
+    }
+
+    fn unlist(&self) {
+        self.unlisted.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Takes a message of a process of the system.
+    fn on_message(self: &Rc<Self>, datagram: &mut [u8], from: SocketAddrV4) {
+        let now = self.node.clock.now();
+        match flows::decode(datagram) {
+            Some(Message::Packet(header, _)) => {
+                let packet = &mut datagram[flows::HEADER_LEN..];
+                self.on_client(now, &header, packet);
+            }
+            Some(Message::Registration(registration)) => {
+                let mut flows = self.flows.borrow_mut();
+                flows.on_registration(now, &registration);
+            }
+            Some(Message::Hello(hello)) => {
+                self.flows.borrow_mut().agents_mut().hear(now, hello.record);
+            }
+            Some(Message::Probe) => {
+                let hello = self.flows.borrow().hello(now);
+                self.node.send(from, &flows::encode_hello(&hello));
+            }
+            Some(Message::Receipt(_)) | None => self.node.count("message-unexpected"),
+        }
+    }
+
+    fn on_client(self: &Rc<Self>, now: Timestamp, header: &Header, packet: &mut [u8]) {
+        let Some(segment) = packet::decode(packet) else {
+            return self.node.count("packet-unreadable");
+        };
+        self.see_entry(now, header);
+        let mut steps = Vec::new();
+        let mut flows = self.flows.borrow_mut();
+        flows.on_client(now, header, &segment, &mut steps);
+        drop(flows);
+        self.carry_out(Some(&segment.inbound_flow()), packet, &steps);
+    }
+
+    /// Takes a packet that the target wrote or gave back.
+    fn on_target(&self, packet: &mut [u8]) {
+        let Some(segment) = packet::decode(packet) else {
+            return self.node.count("packet-unreadable");
+        };
+        if segment.flags.bounced {
+            packet::clear_bounced(packet);
+        }
+        let now = self.node.clock.now();
+        let mut steps = Vec::new();
+        let mut flows = self.flows.borrow_mut();
+        flows.on_target(now, &segment, &mut steps);
+        drop(flows);
+        let flow = if segment.flags.bounced {
+            segment.inbound_flow()
+        } else {
+            segment.outbound_flow()
+        };
+        self.carry_out(Some(&flow), packet, &steps);
+    }
+
+    /// Remembers who sends packets, and fetches a newer configuration from it.
+    fn see_entry(self: &Rc<Self>, now: Timestamp, header: &Header) {
+        let mut entries = self.entries.borrow_mut();
+        if entries.len() < ENTRIES_MAX || entries.contains_key(&header.entry) {
+            entries.insert(header.entry, now);
+        }
+        drop(entries);
+        if header.version <= self.node.version() || self.fetching.replace(true) {
+            return;
+        }
+        let (agent, entry) = (self.clone(), header.entry.0);
+        task::spawn_local(async move {
+            time::sleep(FETCH_DELAY).await;
+            if let Some(raw) = peers::ask(entry, peers::CONFIG_PATH).await {
+                agent.node.offer(raw, "peer");
+            }
+            agent.fetching.set(false);
+        });
+    }
+
+    /// Does what was decided on `packet`.
+    fn carry_out(&self, flow: Option<&FlowKey>, packet: &mut [u8], steps: &[AgentStep]) {
+        for step in steps {
+            self.log_step(flow, step);
+            match step {
+                AgentStep::ToTarget => {
+                    let target = self.settings.borrow().target;
+                    self.node.send_by(&self.outbound, target, packet);
+                }
+                AgentStep::ToClient => {
+                    if let Some(flow) = flow {
+                        self.node.send_client(&self.outbound, flow.client, packet);
+                    }
+                }
+                AgentStep::ToAgents(agents, header) => {
+                    let mut buffer = self.buffer.borrow_mut();
+                    flows::write_packet(header, packet, &mut buffer);
+                    for agent in agents {
+                        self.node.send(agent.0, &buffer);
+                    }
+                }
+                AgentStep::ToEntry(entry, receipt) => {
+                    self.node.send(entry.0, &flows::encode_receipt(receipt));
+                }
+                AgentStep::ToHome(home, registration) => {
+                    let datagram = flows::encode_registration(registration);
+                    self.node.send(home.0, &datagram);
+                }
+                AgentStep::Reset(reset, _) => {
+                    let reset_packet = packet::encode_reset(reset);
+                    let client = reset.flow.client;
+                    self.node.send_client(&self.outbound, client, &reset_packet);
+                }
+                AgentStep::Drop(_) => {}
+            }
+        }
+    }
+
+    /// Counts each decision, and logs those that start, move or end a flow.
+    fn log_step(&self, flow: Option<&FlowKey>, step: &AgentStep) {
+        let (kind, detail) = match step {
+            AgentStep::ToTarget => return self.node.count("packet-to-target"),
+            AgentStep::ToClient => return self.node.count("packet-to-client"),
+            AgentStep::ToHome(..) => return self.node.count("flow-registered"),
+            AgentStep::ToAgents(agents, header) => {
+                let kind = match header.errand {
+                    Errand::Open => "flow-passed-on",
+                    Errand::Owned => "packet-to-owner",
+                    Errand::Locate => "packet-to-home",
+                    Errand::Search => "packet-to-all",
+                };
+                let first = agents.first().map(|it| it.0);
+                (kind, format!("agent={first:?} hops={}", header.hops))
+            }
+            AgentStep::ToEntry(entry, receipt) => match receipt.verdict {
+                Verdict::Holds => ("flow-held", format!("entry={entry}")),
+                Verdict::Waits => ("flow-waits", format!("entry={entry}")),
+                Verdict::Refused(reason) => {
+                    let load = receipt.load;
+                    let reason = reason.as_str();
+                    (
+                        "flow-refused",
+                        format!("entry={entry} reason={reason} state={:?}", load.state),
+                    )
+                }
+            },
+            AgentStep::Reset(reset, reason) => {
+                let kind = "flow-reset";
+                self.node.count(kind);
+                return self.log_flow(kind, &reset.flow, reason.as_str());
+            }
+            AgentStep::Drop(reason) => ("packet-dropped", format!("reason={}", reason.as_str())),
+        };
+        self.node.count(kind);
+        if let Some(flow) = flow {
+            self.log_flow(kind, flow, &detail);
+        }
+    }
+
+    fn log_flow(&self, kind: &'static str, flow: &FlowKey, detail: &str) {
+        if self.node.budget.allows(self.node.clock.now(), kind) {
+            let version = self.flows.borrow().version();
+            log::info!("event={kind} flow={flow} {detail} version={version}");
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway/src/packets/budget.rs
@@ -0,0 +1,65 @@
+//! A bound on log lines: so many a second of each kind, the rest is counted and
+//! said.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use marigoldway_core::time::Timestamp;
+
+/// Lines of one kind a second: the lines of a few requests in each part of a
+/// second, at a hundredth of the processor time of a small instance.
+const LINES_MAX: u32 = 20;
+
+/// Time over which lines are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// `Budget` says which lines may be written.
+#[derive(Debug, Default)]
+pub(crate) struct Budget {
+    state: RefCell<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    start: Timestamp,
+    kinds: IndexMap<&'static str, Count>,
+}
+
+#[derive(Debug, Default)]
+struct Count {
+    written: u32,
+    left_out: u32,
+}
+
+impl Budget {
+    /// Whether one more line of `kind` may be written.
+    pub(crate) fn allows(&self, now: Timestamp, kind: &'static str) -> bool {
+        let mut state = self.state.borrow_mut();
+        if now.since(state.start) >= WINDOW {
+            state.start = now;
+            state.report();
+        }
+        let count = state.kinds.entry(kind).or_default();
+        if count.written < LINES_MAX {
+            count.written += 1;
+            return true;
+        }
+        count.left_out += 1;
+        false
+    }
+}
+
+impl State {
+    /// Says what was left out, and starts over.
+    fn report(&mut self) {
+        for (kind, count) in &mut self.kinds {
+            if count.left_out > 0 {
+                let left_out = count.left_out;
+                log::info!("event=lines-left-out kind={kind} count={left_out}");
+            }
+            *count = Count::default();
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway/src/packets/entry.rs
@@ -0,0 +1,378 @@
+//! An entry for packets: takes them from routers, and sends each to an agent.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::net::UdpSocket;
+use tokio::task;
+use tokio::time;
+
+use marigoldway_core::flow::entry::EntryFlows;
+use marigoldway_core::flow::entry::EntryOptions;
+use marigoldway_core::flow::entry::EntryStep;
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::message::Errand;
+use marigoldway_core::flow::message::Verdict;
+use marigoldway_core::flow::segment::Segment;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::wire::agents;
+use marigoldway_net::wire::flows;
+use marigoldway_net::wire::flows::Message;
+use marigoldway_platform::calls::Call;
+use marigoldway_platform::config;
+use marigoldway_platform::packet;
+
+use crate::errors::Result;
+use crate::packets::listing;
+use crate::packets::node;
+use crate::packets::node::Node;
+use crate::packets::peers;
+use crate::packets::server;
+use crate::packets::server::Answer;
+use crate::packets::store;
+use crate::packets::store::News;
+use crate::settings::FlowSettings;
+
+/// Flows that are remembered for each megabyte of memory: at some 200 octets a
+/// flow, a fifth of it.
+const FLOWS_PER_MB: usize = 1_000;
+
+/// Time after the store's last answer for which the configuration is taken for
+/// the one in force.
+const CURRENT_LIFE: Duration = Duration::from_secs(15);
+
+/// Time that a newer configuration may take to come from the store before it is
+/// fetched from whoever has shown it.
+const FETCH_DELAY: Duration = Duration::from_millis(150);
+
+/// Time between two questions of a newcomer to its contacts.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which routers no longer hand packets to an instance that isn't
+/// ready: two questions each half a second, and one on its way.
+const ROUTER_DELAY: Duration = Duration::from_millis(1_600);
+
+/// Silence of routers after which a leaving entry ends.
+const QUIET: Duration = Duration::from_millis(400);
+
+struct Entry {
+    node: Rc<Node>,
+    clients: UdpSocket,
+    flows: RefCell<EntryFlows>,
+    buffer: RefCell<Vec<u8>>,
+    /// Whether the agents were listed, by the store or by a peer.
+    listed: Cell<bool>,
+    /// When the store last answered for the configuration.
+    reached: Cell<Option<Timestamp>>,
+    /// When a client's packet last came.
+    packet: Cell<Timestamp>,
+    fetching: Cell<bool>,
+}
+
+/// Runs an entry until it has left.
+pub(crate) async fn run(settings: FlowSettings, file: PathBuf) -> Result<()> {
+    let node = Rc::new(Node::start(&settings)?);
+    let options = EntryOptions {
+        own: settings.data,
+        domain: NameKey::from(settings.domain.as_str()),
+        limit: settings.memory as usize * FLOWS_PER_MB,
+        life: settings.lifetime,
+        seed: rand::random(),
+    };
+    let entry = Rc::new(Entry {
+        clients: node::bind(settings.listen)?,
+        flows: RefCell::new(EntryFlows::new(options)),
+        buffer: RefCell::new(Vec::new()),
+        listed: Cell::new(false),
+        reached: Cell::new(None),
+        packet: Cell::new(Timestamp::ZERO),
+        fetching: Cell::new(false),
+        node,
+    });
+    start(&entry)?;
+    node::leave_signal(file, || {}).await?;
+    entry.leave().await;
+    Ok(())
+}
+
+fn start(entry: &Rc<Entry>) -> Result<()> {
+    let shared = entry.clone();
+    let agents = move || peers::encode_agents(shared.flows.borrow().agents());
+    node::serve_peers(&entry.node, agents)?;
+    let shared = entry.clone();
+    server::serve(
+        entry.node.settings.ready,
+        move |method, path, _| match Call::parse(method, path) {
+            Some(Call::Ready) => Answer::ready(shared.is_ready()),
+            _ => Answer::found(None),
+        },
+    )?;
+    if let Some(control) = entry.node.settings.control {
+        // Targets call the agent beside them; the address only names a contact.
+        server::serve(control, |_, _, _| Answer::empty(StatusCode::NOT_FOUND))?;
+    }
+
+    let shared = entry.clone();
+    task::spawn_local(async move {
+        let on_packet = |datagram: &mut [u8], _| shared.on_packet(datagram);
+        node::receive(&shared.clients, on_packet).await;
+    });
+    let shared = entry.clone();
+    task::spawn_local(async move {
+        let on_message = |datagram: &mut [u8], from| shared.on_message(datagram, from);
+        node::receive(&shared.node.data, on_message).await;
+    });
+    let store = entry.node.store();
+    let shared = entry.clone();
+    let key = config::CONFIG_KEY.to_owned();
+    task::spawn_local(store::follow(store.clone(), key, move |news| {
+        shared.on_config(news);
+    }));
+    let shared = entry.clone();
+    let prefix = agents::AGENTS_PREFIX.to_owned();
+    task::spawn_local(store::follow(store, prefix, move |news| {
+        shared.on_agents(news);
+    }));
+    task::spawn_local(tick(entry.clone()));
+    task::spawn_local(ask_contacts(entry.clone()));
+    Ok(())
+}
+
+async fn tick(entry: Rc<Entry>) {
+    let mut interval = time::interval(node::TICK);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = entry.node.clock.now();
+        let current = entry.reached.get();
+        let current = current.is_some_and(|at| now.since(at) < CURRENT_LIFE);
+        let mut flows = entry.flows.borrow_mut();
+        flows.set_current(current);
+        for agent in flows.tick(now) {
+            entry.node.send(agent.0, &flows::encode_probe());
+        }
+    }
+}
+
+/// A newcomer that the store doesn't answer asks its contacts.
+async fn ask_contacts(entry: Rc<Entry>) {
+    let contacts = entry.node.contacts();
+    for contact in contacts.iter().cycle() {
+        time::sleep(CONTACT_INTERVAL).await;
+        let configured = entry.node.version() > 0;
+        if configured && entry.listed.get() {
+            return;
+        }
+        if !configured {
+            fetch(&entry, *contact).await;
+        }
+        if entry.listed.get() {
+            continue;
+        }
+        if let Some(body) = peers::ask(*contact, peers::AGENTS_PATH).await {
+            let records = peers::decode_agents(&body);
+            entry.listed.set(!records.is_empty());
+            // Whoever doesn't answer for itself is forgotten soon.
+            let now = entry.node.clock.now();
+            for record in &records {
+                entry.flows.borrow_mut().hear_of(now, record);
+            }
+        }
+    }
+}
+
+/// Fetches the configuration of a peer.
+async fn fetch(entry: &Rc<Entry>, peer: SocketAddrV4) {
+    if let Some(raw) = peers::ask(peer, peers::CONFIG_PATH).await {
+        let routes = entry.node.offer(raw, "peer");
+        if let Some(routes) = routes {
+            entry.flows.borrow_mut().set_routes(routes);
+        }
+    }
+}
+
+impl Entry {
+    fn is_ready(&self) -> bool {
+        !self.node.leaving.get() && self.node.version() > 0 && self.listed.get()
+    }
+
+    /// Forwards until the routers have left, or the time is up.
+    async fn leave(&self) {
+        self.node.leaving.set(true);
+        let start = self.node.clock.now();
+        let limit = self.node.settings.grace.mul_f64(0.8);
+        loop {
+            time::sleep(node::TICK).await;
+            let now = self.node.clock.now();
+            let gone = now.since(start) > ROUTER_DELAY && now.since(self.packet.get()) > QUIET;
+            if gone || now.since(start) > limit {
+                return;
+            }
+        }
+    }
+
+    fn on_config(&self, news: News) {
+        let stored = match news {
+            News::All(found) => found.into_iter().find(|it| it.key == config::CONFIG_KEY),
+            News::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
+            News::Put(_) | News::Deleted(_) | News::Unreached => None,
+            News::Reached => {
+                self.reached.set(Some(self.node.clock.now()));
+                None
+            }
+        };
+        let Some(stored) = stored else {
+            return;
+        };
+        if let Some(routes) = self.node.offer(stored.value.into(), "store") {
+            self.flows.borrow_mut().set_routes(routes);
+        }
+    }
+
+    fn on_agents(&self, news: News) {
+        let now = self.node.clock.now();
+        let mut flows = self.flows.borrow_mut();
+        match news {
+            News::All(found) => {
+                let records = listing::records(&self.node, &found);
+                self.listed.set(self.listed.get() || !records.is_empty());
+                flows.replace_agents(now, &records);
+                log::info!("event=agents-listed count={}", records.len());
+            }
+            News::Put(stored) => {
+                if let Some(record) = listing::record(&self.node, &stored) {
+                    let (id, state) = (record.id, record.state);
+                    log::info!(
+                        "event=agent-listed agent={id} state={state:?} revision={}",
+                        stored.revision
+                    );
+                    self.listed.set(true);
+                    flows.list_agent(record);
+                }
+            }
+            News::Deleted(key) => {
+                if let Some(id) = agents::key_id(&key) {
+                    log::info!("event=agent-unlisted agent={id}");
+                    flows.unlist_agent(now, id);
+                }
+            }
+            News::Reached | News::Unreached => {}
+        }
+    }
+
+    /// Takes a client's packet.
+    fn on_packet(&self, datagram: &[u8]) {
+        let now = self.node.clock.now();
+        self.packet.set(now);
+        let Some(segment) = packet::decode(datagram) else {
+            return self.node.count("packet-unreadable");
+        };
+        let step = self.flows.borrow_mut().on_packet(now, &segment);
+        self.log_step(now, &segment, &step);
+        match step {
+            EntryStep::Forward { to, header } => {
+                let mut buffer = self.buffer.borrow_mut();
+                flows::write_packet(&header, datagram, &mut buffer);
+                for agent in to {
+                    self.node.send(agent.0, &buffer);
+                }
+            }
+            EntryStep::Reset(reset, _) => {
+                let reset_packet = packet::encode_reset(&reset);
+                let client = reset.flow.client;
+                self.node.send_client(&self.clients, client, &reset_packet);
+            }
+            EntryStep::Drop(_) => {}
+        }
+    }
+
+    /// Counts each decision, and logs those that place or end a flow.
+    fn log_step(&self, now: Timestamp, segment: &Segment, step: &EntryStep) {
+        let flow = segment.inbound_flow();
+        let version = self.node.version();
+        match step {
+            EntryStep::Forward { to, header } => {
+                let kind = match header.errand {
+                    Errand::Open => "flow-placed",
+                    Errand::Locate => "flow-sought",
+                    Errand::Owned | Errand::Search => return self.node.count("packet-passed"),
+                };
+                self.node.count(kind);
+                if self.node.budget.allows(now, kind) {
+                    let agent = to.first().map(|it| it.0);
+                    let other = header.other.map(|it| it.0);
+                    let (service, copy) = (header.service, segment.ack);
+                    log::info!(
+                        "event={kind} flow={flow} agent={agent:?} other={other:?} \
+                         service={service} copy={copy} version={version}"
+                    );
+                }
+            }
+            EntryStep::Reset(_, reason) => {
+                self.node.count("flow-reset");
+                if self.node.budget.allows(now, "flow-reset") {
+                    let reason = reason.as_str();
+                    log::info!("event=flow-reset flow={flow} reason={reason} version={version}");
+                }
+            }
+            EntryStep::Drop(reason) => {
+                self.node.count("packet-dropped");
+                if self.node.budget.allows(now, "packet-dropped") {
+                    let reason = reason.as_str();
+                    log::info!(
+                        "event=packet-dropped flow={flow} reason={reason} version={version}"
+                    );
+                }
+            }
+        }
+    }
+
+    /// Takes a message of a process of the system.
+    fn on_message(self: &Rc<Self>, datagram: &[u8], from: SocketAddrV4) {
+        let now = self.node.clock.now();
+        match flows::decode(datagram) {
+            Some(Message::Receipt(receipt)) => {
+                let from = InstanceId(from);
+                self.flows.borrow_mut().on_receipt(now, from, &receipt);
+                if let Verdict::Refused(reason) = receipt.verdict {
+                    self.node.count("flow-refused");
+                    if self.node.budget.allows(now, "flow-refused") {
+                        let (flow, reason) = (receipt.flow, reason.as_str());
+                        log::info!("event=flow-refused flow={flow} agent={from} reason={reason}");
+                    }
+                }
+                self.see_version(receipt.version, from.0);
+            }
+            Some(Message::Hello(hello)) => {
+                self.flows.borrow_mut().on_hello(now, &hello);
+                self.listed.set(true);
+                self.see_version(hello.version, from);
+            }
+            Some(Message::Packet(..) | Message::Registration(_) | Message::Probe) | None => {
+                self.node.count("message-unexpected");
+            }
+        }
+    }
+
+    /// Fetches a newer configuration from who has shown it, if the store
+    /// doesn't bring it.
+    fn see_version(self: &Rc<Self>, version: u64, from: SocketAddrV4) {
+        if version <= self.node.version() || self.fetching.replace(true) {
+            return;
+        }
+        let entry = self.clone();
+        task::spawn_local(async move {
+            time::sleep(FETCH_DELAY).await;
+            if version > entry.node.version() {
+                fetch(&entry, from).await;
+            }
+            entry.fetching.set(false);
+        });
+    }
+}
--- /dev/null
+++ b/marigoldway/src/packets/listing.rs
@@ -0,0 +1,30 @@
+//! Agents' records in the store, as the roles take them.
+
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_net::platform::Stored;
+use marigoldway_net::wire::agents;
+
+use crate::packets::node::Node;
+
+/// Reads one record. What another program wrote under our keys names nobody.
+pub(crate) fn record(node: &Node, stored: &Stored) -> Option<AgentRecord> {
+    let key = &stored.key;
+    let error = match agents::decode(&stored.value) {
+        Ok(record) if agents::key_id(key) == Some(record.id) => return Some(record),
+        Ok(_) => "the key names another agent".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    node.count("record-unreadable");
+    log::warn!(
+        "event=record-unreadable key={key:?} revision={} error={error:?}",
+        stored.revision
+    );
+    None
+}
+
+/// Reads all records of a list.
+pub(crate) fn records(node: &Node, list: &[Stored]) -> Vec<AgentRecord> {
+    list.iter()
+        .filter_map(|stored| record(node, stored))
+        .collect()
+}
--- /dev/null
+++ b/marigoldway/src/packets/peers.rs
@@ -0,0 +1,58 @@
+//! What processes of the system tell each other over HTTP at their data
+//! address: the configuration document, and the agents that they know.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use tokio::time;
+
+use marigoldway_core::flow::agents::Agents;
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_net::platform::transport;
+use marigoldway_net::wire::agents;
+
+/// Path of the configuration document.
+pub(crate) const CONFIG_PATH: &str = "/config";
+
+/// Path of the list of agents.
+pub(crate) const AGENTS_PATH: &str = "/agents";
+
+/// Time that a peer may take.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Asks a peer. `None` where it can't be reached or has nothing to say.
+pub(crate) async fn ask(peer: SocketAddrV4, path: &str) -> Option<Bytes> {
+    let exchange = transport::exchange(SocketAddr::V4(peer), Method::GET, path, Bytes::new());
+    match time::timeout(LIMIT, exchange).await {
+        Ok(Ok((StatusCode::OK, body))) => Some(body),
+        Ok(Ok((status, _))) => {
+            log::debug!("event=peer-empty peer={peer} path={path} status={status}");
+            None
+        }
+        Ok(Err(error)) => {
+            log::debug!("event=peer-failed peer={peer} path={path} error=\"{error}\"");
+            None
+        }
+        Err(_) => {
+            log::debug!("event=peer-timeout peer={peer} path={path}");
+            None
+        }
+    }
+}
+
+/// Encodes the known agents, one a line.
+pub(crate) fn encode_agents(agents: &Agents) -> Bytes {
+    let lines: Vec<Vec<u8>> = agents.records().map(agents::encode).collect();
+    Bytes::from(lines.join(&b'\n'))
+}
+
+/// Reads agents; a line that can't be read names nobody.
+pub(crate) fn decode_agents(body: &[u8]) -> Vec<AgentRecord> {
+    body.split(|byte| *byte == b'\n')
+        .filter_map(|line| agents::decode(line).ok())
+        .collect()
+}
--- /dev/null
+++ b/marigoldway/src/packets/registrar.rs
@@ -0,0 +1,152 @@
+//! Keeps an agent's record in the store, under a lease.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_net::platform::LeaseId;
+use marigoldway_net::platform::Platform;
+use marigoldway_net::platform::Range;
+use marigoldway_net::platform::Swap;
+use marigoldway_net::platform::Swapped;
+use marigoldway_net::platform::backoff::Backoff;
+use marigoldway_net::platform::errors::Error;
+use marigoldway_net::platform::errors::Result;
+use marigoldway_net::wire::agents;
+use marigoldway_platform::store::KvStore;
+
+use crate::packets::agent::Agent;
+use crate::packets::node::RETRY_MAX;
+
+/// Life of a lease without a renewal. Entries notice a dead agent by its
+/// silence long before.
+const LEASE_TTL: Duration = Duration::from_secs(10);
+
+/// Time between two renewals: two may be lost.
+const RENEWAL: Duration = Duration::from_millis(3_300);
+
+/// What is known of the own key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Written {
+    /// Nothing: it has to be read before it can be written.
+    Unknown,
+    /// It has this revision, 0 if it isn't there.
+    Revision(u64),
+    /// It holds this record.
+    Record(AgentRecord, u64),
+}
+
+/// `Registrar` keeps the record of one agent.
+pub(crate) struct Registrar {
+    agent: Rc<Agent>,
+    store: Rc<KvStore>,
+    lease: Option<LeaseId>,
+    /// When the lease was last renewed.
+    renewed: time::Instant,
+    key: String,
+    written: Written,
+}
+
+impl Registrar {
+    /// Makes a registrar that has written nothing.
+    pub(crate) fn new(agent: Rc<Agent>, store: Rc<KvStore>) -> Registrar {
+        Registrar {
+            agent,
+            store,
+            lease: None,
+            renewed: time::Instant::now(),
+            key: String::new(),
+            written: Written::Unknown,
+        }
+    }
+
+    /// Keeps the record until the process leaves.
+    pub(crate) async fn run(mut self) {
+        let mut backoff = Backoff::default();
+        loop {
+            match self.step().await {
+                Ok(()) => {
+                    backoff.reset();
+                    let until = self.renewed + RENEWAL;
+                    tokio::select! {
+                        () = self.agent.record_changed() => {}
+                        () = time::sleep_until(until) => {}
+                    }
+                }
+                Err(Error::LeaseLost) => {
+                    log::info!("event=lease-lost lease={:?}", self.lease.map(|it| it.0));
+                    self.agent.node.count("lease-lost");
+                    self.lease = None;
+                    self.written = Written::Unknown;
+                }
+                Err(error) => {
+                    log::debug!("event=record-delayed error=\"{error}\"");
+                    let wait = backoff.next_wait(&mut rand::rng()).min(RETRY_MAX);
+                    time::sleep(wait).await;
+                }
+            }
+        }
+    }
+
+    /// Does the next thing that is due, if any.
+    async fn step(&mut self) -> Result<()> {
+        let record = self.agent.record();
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => {
+                let lease = self.store.lease(LEASE_TTL).await?;
+                self.renewed = time::Instant::now();
+                *self.lease.insert(lease)
+            }
+        };
+        if self.renewed.elapsed() >= RENEWAL {
+            self.store.keep_alive(lease).await?;
+            self.renewed = time::Instant::now();
+        }
+        if self.agent.take_unlisted() {
+            self.written = Written::Unknown;
+        }
+        if matches!(self.written, Written::Record(written, _) if written == record) {
+            return Ok(());
+        }
+        self.write(lease, record).await
+    }
+
+    async fn write(&mut self, lease: LeaseId, record: AgentRecord) -> Result<()> {
+        let key = agents::agent_key(&record);
+        let mut removes = Vec::new();
+        if self.key != key {
+            if !self.key.is_empty() {
+                removes.push(self.key.clone());
+            }
+            self.key.clone_from(&key);
+            self.written = Written::Revision(0);
+        }
+        let revision = match self.written {
+            Written::Revision(revision) | Written::Record(_, revision) => revision,
+            Written::Unknown => self.read().await?,
+        };
+        // A write whose answer is lost may be done later: only over this
+        // revision, so never over a later record.
+        self.written = Written::Unknown;
+        let swap = Swap {
+            compares: vec![(key.clone(), revision)],
+            puts: vec![(key, agents::encode(&record))],
+            removes,
+            lease: Some(lease),
+        };
+        if let Swapped::Applied(revision) = self.store.compare_and_swap(&swap).await? {
+            let (state, number) = (record.state, record.number);
+            log::info!("event=record-written state={state:?} number={number} revision={revision}");
+            self.written = Written::Record(record, revision);
+        }
+        Ok(())
+    }
+
+    async fn read(&self) -> Result<u64> {
+        let read = self.store.get(Range::Key(&self.key)).await?;
+        Ok(read.found.first().map_or(0, |stored| stored.revision))
+    }
+}
--- /dev/null
+++ b/marigoldway/src/packets/server.rs
@@ -0,0 +1,130 @@
+//! A small HTTP/1.1 server for routers, targets and peers.
+
+use std::convert::Infallible;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::ResultExt;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Longest body in octets: a heartbeat has some hundred.
+const BODY_MAX: usize = 16 * 1024;
+
+/// Time that the head of a request may take.
+const HEAD_LIMIT: Duration = Duration::from_secs(5);
+
+/// `Answer` is the answer to a request.
+pub(crate) struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Answer {
+    /// An answer without a body.
+    pub(crate) fn empty(status: StatusCode) -> Answer {
+        Answer {
+            status,
+            body: Bytes::new(),
+        }
+    }
+
+    /// An answer with a body, or 404 where there is none.
+    pub(crate) fn found(body: Option<Bytes>) -> Answer {
+        match body {
+            Some(body) => Answer {
+                status: StatusCode::OK,
+                body,
+            },
+            None => Answer::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// 200 for yes, 503 for no.
+    pub(crate) fn ready(ready: bool) -> Answer {
+        Answer::empty(if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        })
+    }
+}
+
+/// Binds `addr` and answers requests there by `handler`, in a task of its own.
+pub(crate) fn serve(
+    addr: SocketAddrV4,
+    handler: impl Fn(&Method, &str, &[u8]) -> Answer + 'static,
+) -> Result<()> {
+    let failed = || Error::Bind(addr.into());
+    let listener = std::net::TcpListener::bind(addr).change_context_lazy(failed)?;
+    listener.set_nonblocking(true).change_context_lazy(failed)?;
+    let listener = TcpListener::from_std(listener).change_context_lazy(failed)?;
+    task::spawn_local(accept(listener, Rc::new(handler)));
+    Ok(())
+}
+
+async fn accept<H>(listener: TcpListener, handler: Rc<H>)
+where
+    H: Fn(&Method, &str, &[u8]) -> Answer + 'static,
+{
+    /// Pause after a connection that could not be taken, such as for want of
+    /// descriptors.
+    const PAUSE: Duration = Duration::from_millis(50);
+
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(answer(stream, handler.clone()));
+            }
+            Err(error) => {
+                log::warn!("event=accept-failed error=\"{error}\"");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer<H>(stream: TcpStream, handler: Rc<H>)
+where
+    H: Fn(&Method, &str, &[u8]) -> Answer + 'static,
+{
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let answer = match Limited::new(body, BODY_MAX).collect().await {
+                Ok(body) => handler(&parts.method, parts.uri.path(), &body.to_bytes()),
+                Err(_) => Answer::empty(StatusCode::BAD_REQUEST),
+            };
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() = answer.status;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("event=connection-ended error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/marigoldway/src/packets/store.rs
@@ -0,0 +1,111 @@
+//! Keys of the platform's store, followed through its outages.
+
+use std::rc::Rc;
+
+use tokio::time;
+
+use marigoldway_net::platform::Change;
+use marigoldway_net::platform::Platform;
+use marigoldway_net::platform::Range;
+use marigoldway_net::platform::Stored;
+use marigoldway_net::platform::backoff::Backoff;
+use marigoldway_platform::store::KvStore;
+
+use crate::packets::node::RETRY_MAX;
+
+/// `News` is what the store has to tell of the keys of one prefix.
+pub(crate) enum News {
+    /// All keys, in place of what was known.
+    All(Vec<Stored>),
+    /// A value was written.
+    Put(Stored),
+    /// A key was deleted.
+    Deleted(String),
+    /// The store answers.
+    Reached,
+    /// The store doesn't answer.
+    Unreached,
+}
+
+/// Tells `on_news` of the keys of a prefix for as long as the process runs.
+pub(crate) async fn follow(store: Rc<KvStore>, prefix: String, mut on_news: impl FnMut(News)) {
+    let mut backoff = Backoff::default();
+    let mut away = Away::new(prefix.clone());
+    loop {
+        match store.get(Range::Prefix(&prefix)).await {
+            Ok(read) => {
+                away.reached();
+                backoff.reset();
+                on_news(News::All(read.found));
+                on_news(News::Reached);
+                watch(&store, &prefix, read.revision, &mut away, &mut on_news).await;
+            }
+            Err(error) => {
+                away.unreached(&error);
+                on_news(News::Unreached);
+            }
+        }
+        let wait = backoff.next_wait(&mut rand::rng()).min(RETRY_MAX);
+        time::sleep(wait).await;
+    }
+}
+
+async fn watch(
+    store: &KvStore,
+    prefix: &str,
+    revision: u64,
+    away: &mut Away,
+    on_news: &mut impl FnMut(News),
+) {
+    let Ok(mut watch) = store.watch(prefix, revision + 1).await else {
+        return;
+    };
+    while let Some(change) = watch.next().await {
+        match change {
+            Change::Put(stored) => on_news(News::Put(stored)),
+            Change::Deleted { key, .. } => on_news(News::Deleted(key)),
+            Change::Reached => {
+                away.reached();
+                on_news(News::Reached);
+            }
+            Change::Unreached(error) => {
+                away.unreached(&error);
+                on_news(News::Unreached);
+            }
+            Change::Lost => {
+                log::info!("event=store-history-lost prefix={prefix} revision={revision}");
+                return;
+            }
+        }
+    }
+}
+
+/// `Away` logs when the store is lost and when it is back.
+struct Away {
+    prefix: String,
+    since: Option<time::Instant>,
+}
+
+impl Away {
+    fn new(prefix: String) -> Away {
+        Away {
+            prefix,
+            since: None,
+        }
+    }
+
+    fn reached(&mut self) {
+        if let Some(since) = self.since.take() {
+            let (prefix, ms) = (&self.prefix, since.elapsed().as_millis());
+            log::info!("event=store-regained prefix={prefix} away-ms={ms}");
+        }
+    }
+
+    fn unreached(&mut self, error: &marigoldway_net::platform::errors::Error) {
+        if self.since.is_none() {
+            self.since = Some(time::Instant::now());
+            let prefix = &self.prefix;
+            log::warn!("event=store-lost prefix={prefix} error=\"{error}\"");
+        }
+    }
+}
--- a/marigoldway/src/settings/mod.rs
+++ b/marigoldway/src/settings/mod.rs
@@ -6,6 +6,7 @@
 
 mod document;
 mod faults;
+mod flows;
 mod keys;
 mod parts;
 mod values;
@@ -16,6 +17,10 @@
 pub use crate::settings::faults::Expected;
 pub use crate::settings::faults::Fault;
 pub use crate::settings::faults::Faults;
+pub use crate::settings::flows::FLOWS_SECTION;
+pub use crate::settings::flows::FlowAgentSettings;
+pub use crate::settings::flows::FlowSettings;
+pub use crate::settings::flows::for_packets;
 pub use crate::settings::keys::EPOCH_MAX;
 pub use crate::settings::keys::FleetKeys;
 pub use crate::settings::keys::KeySource;
--- a/marigoldway/src/settings/parts.rs
+++ b/marigoldway/src/settings/parts.rs
@@ -129,7 +129,7 @@
 }
 
 /// `PlatformSettings` is the section `[platform]`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformSettings {
     /// TCP address of the key-value service.
     pub address: SocketAddrV4,
--- a/marigoldway/src/settings/values.rs
+++ b/marigoldway/src/settings/values.rs
@@ -138,6 +138,14 @@
     Ok(text.to_owned())
 }
 
+/// Any text without white space.
+pub(crate) fn text(text: &str) -> Result<String, Expected> {
+    if text.is_empty() || text.contains(char::is_whitespace) {
+        return Err(Expected::new("a name without white space"));
+    }
+    Ok(text.to_owned())
+}
+
 /// The path of a URL.
 pub(crate) fn url_path(text: &str) -> Result<String, Expected> {
     if !text.starts_with('/') || text.contains(char::is_whitespace) {
