Find flows at restarted homes, keep packets to their service, and tell entries who holds a flow

Cause, found by a fleet of core machines without sockets (marigoldway-core/tests/flow): an entry sent packets of a flow to a known address under the service that the address has now, so one taken over by another service got them; a packet that came by way of a home carried the errand of one sent by an entry that knows, so its owner never told the entry and every later packet took the detour; a home that had restarted beside the flow's own target neither asked its target nor was asked by the search.

Ruled out: the order of events (found with no loss and no doubling).

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -59,6 +59,8 @@
     pub limit: usize,
     /// Time that an unused flow is remembered.
     pub life: Duration,
+    /// When the process started.
+    pub started: Timestamp,
 }
 
 /// `AgentStep` is one thing to do.
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -34,7 +34,8 @@
         let flow = segment.inbound_flow();
         let held = self.flows.touch(now, &flow).filter(|it| it.fits(segment));
         if let Some(local) = held {
-            let told = header.errand == Errand::Owned;
+            // Whoever sent the packet by way of a home doesn't know it yet.
+            let told = header.errand == Errand::Owned && header.hops == 0;
             let holds = matches!(local.phase, Phase::Answered | Phase::Open);
             local.header = *header;
             local.on_client(now, segment);
@@ -45,7 +46,7 @@
             }
             return;
         }
-        if self.flows.peek(&flow).is_none() && self.may_visit(now, header) {
+        if self.flows.peek(&flow).is_none() && self.may_visit(now, header, segment) {
             return self.visit(now, header, segment, steps);
         }
         self.find(header, segment, steps);
@@ -123,12 +124,16 @@
     /// Whether the target is asked by the packet itself: the sender thinks that
     /// it holds the flow, or the agent may have forgotten it with its former
     /// process.
-    fn may_visit(&self, now: Timestamp, header: &Header) -> bool {
-        let young = now.since(Timestamp::ZERO) < self.options.life;
+    fn may_visit(&self, now: Timestamp, header: &Header, segment: &Segment) -> bool {
+        let young = now.since(self.options.started) < self.options.life;
         match header.errand {
             Errand::Owned => true,
             Errand::Search => young,
-            Errand::Locate | Errand::Open => false,
+            Errand::Locate => {
+                let owner = self.owner(&segment.inbound_flow(), segment.ack);
+                young && owner.is_none()
+            }
+            Errand::Open => false,
         }
     }
 
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -274,7 +274,7 @@
             // Its agent answers each copy, or holds the first one back.
             Some(Track::Located(agent)) => {
                 let agent = *agent;
-                if self.agents.record(agent).is_some() {
+                if let Some(service) = self.serves(agent, route) {
                     self.owe(now, agent);
                     let header = self.header(Errand::Open, service, route.work, None);
                     return EntryStep::Forward {
@@ -307,9 +307,7 @@
         let asked = match self.flows.touch(now, &flow) {
             Some(Track::Located(agent)) => {
                 let agent = *agent;
-                if self.agents.record(agent).is_some() {
-                    let service = self.agents.record(agent).map(|it| it.service);
-                    let service = service.unwrap_or_else(|| route.service(&flow));
+                if let Some(service) = self.serves(agent, route) {
                     return EntryStep::Forward {
                         to: vec![agent],
                         header: self.header(Errand::Owned, service, route.work, None),
@@ -332,6 +330,14 @@
         }
     }
 
+    /// The service of a known agent, if the route's flows may go there: its
+    /// address may have passed to another service.
+    fn serves(&self, agent: InstanceId, route: &Route) -> Option<NameKey> {
+        let service = self.agents.record(agent)?.service;
+        let mut shares = route.shares.iter();
+        shares.any(|share| share.service == service).then_some(service)
+    }
+
     /// The home that is asked: by turns, and the other one where the one whose
     /// turn it is owes an answer.
     fn home(
--- /dev/null
+++ b/marigoldway-core/tests/flow/found.rs
@@ -0,0 +1,175 @@
+//! A flow is found by an entry that has never seen it.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::fleet::LIFE;
+use crate::fleet::agent_id;
+use crate::fleet::flow;
+use crate::fleet::service;
+
+const ORDERS: [(u8, &str); 5] = [
+    (1, "orders"),
+    (2, "orders"),
+    (3, "orders"),
+    (4, "orders"),
+    (5, "orders"),
+];
+
+/// Flows that a case opens: enough for each pair of homes.
+const FLOWS: u16 = 60;
+
+fn open_all(fleet: &mut Fleet) -> Vec<(u16, u32)> {
+    let opened = (0..FLOWS).map(|n| (n, fleet.open(0, flow(1_000 + n, 443)).unwrap()));
+    opened.collect()
+}
+
+/// Flows whose target answers through entry `n`, and whose clients got no reset.
+fn answered(fleet: &mut Fleet, n: usize, opened: &[(u16, u32)]) -> usize {
+    let mut count = 0;
+    for (client, origin) in opened {
+        let key = flow(1_000 + client, 443);
+        if fleet.talk(n, key, *origin) && fleet.resets(key) == 0 {
+            count += 1;
+        }
+    }
+    count
+}
+
+#[test]
+fn locate_at_an_entry_that_never_saw_the_flow() {
+    let mut fleet = Fleet::new(1, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_after_one_change_of_the_roster() {
+    let mut fleet = Fleet::new(2, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    fleet.start_agent(6, "orders");
+    fleet.start_target(6, "orders");
+    fleet.share_roster();
+    // No owner has registered anew yet.
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_after_two_changes_of_the_roster() {
+    let mut fleet = Fleet::new(3, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    for n in 6..=9 {
+        fleet.start_agent(n, "orders");
+        fleet.start_target(n, "orders");
+        fleet.share_roster();
+    }
+    fleet.tick();
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_while_no_home_knows_the_flow() {
+    let mut fleet = Fleet::new(4, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    for n in 6..=20 {
+        fleet.start_agent(n, "orders");
+        fleet.start_target(n, "orders");
+    }
+    fleet.share_roster();
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_an_idle_flow_after_a_change() {
+    let mut fleet = Fleet::new(5, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    fleet.pass(LIFE - Duration::from_secs(5));
+    fleet.start_agent(6, "orders");
+    fleet.start_target(6, "orders");
+    fleet.share_roster();
+    fleet.tick();
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_with_a_dead_home() {
+    let mut fleet = Fleet::new(6, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    let living: Vec<(u16, u32)> = opened
+        .into_iter()
+        .filter(|(n, _)| fleet.holder(flow(1_000 + n, 443)) != Some(agent_id(3)))
+        .collect();
+    // The store still lists the dead agent.
+    fleet.stop(3);
+    let first = answered(&mut fleet, 1, &living);
+    assert!(first < living.len(), "no home was dead");
+    // A retransmission goes to the other home.
+    answered(&mut fleet, 1, &living);
+    // By now each owner has told the entry that it holds the flow.
+    assert_eq!(answered(&mut fleet, 1, &living), living.len());
+}
+
+#[test]
+fn locate_with_every_home_restarted() {
+    let mut fleet = Fleet::new(7, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    for n in 1..=5 {
+        fleet.start_agent(n, "orders");
+        fleet.beat(n);
+    }
+    fleet.share_roster();
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn owned_after_the_owner_restarted() {
+    let mut fleet = Fleet::new(8, 1, &ORDERS);
+    let opened = open_all(&mut fleet);
+    for n in 1..=5 {
+        fleet.start_agent(n, "orders");
+        fleet.beat(n);
+        fleet.share_roster();
+        assert_eq!(answered(&mut fleet, 0, &opened), opened.len());
+    }
+}
+
+#[test]
+fn locate_after_all_entries_restarted() {
+    let mut fleet = Fleet::new(9, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    fleet.restart_entry(0);
+    fleet.restart_entry(1);
+    assert_eq!(answered(&mut fleet, 0, &opened), opened.len());
+    assert_eq!(answered(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn locate_of_a_flow_that_two_targets_answered() {
+    let mut fleet = Fleet::new(10, 2, &ORDERS);
+    for n in 0..FLOWS {
+        let key = flow(3_000 + n, 443);
+        let first = fleet.open(0, key).unwrap();
+        // A late copy of the opening packet opens the flow elsewhere too.
+        fleet.send(1, crate::fleet::syn(key, 1));
+        assert!(fleet.talk(1, key, first), "flow {n}");
+        assert_eq!(fleet.resets(key), 0);
+    }
+}
+
+#[test]
+fn packets_never_reach_another_service() {
+    let mut fleet = Fleet::new(11, 2, &[(1, "orders"), (2, "orders"), (3, "papers")]);
+    let opened = open_all(&mut fleet);
+    // The instance of agent 2 is taken over by another service.
+    fleet.stop(2);
+    fleet.start_agent(2, "papers");
+    fleet.start_target(2, "papers");
+    answered(&mut fleet, 0, &opened);
+    fleet.open(0, flow(9_000, 443));
+    for node in fleet.agents.values() {
+        let target = node.target.as_ref().unwrap();
+        if target.service == service("papers") {
+            assert!(target.met.iter().all(|key| key.server.port() == 444));
+        }
+    }
+}
--- /dev/null
+++ b/marigoldway-core/tests/flow/main.rs
@@ -0,0 +1,7 @@
+//! Flows of packets find their targets through changes of every process.
+
+mod fleet;
+mod found;
+mod properties;
+mod refused;
+mod target;
--- /dev/null
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -0,0 +1,118 @@
+//! Promises that hold for any order, loss and doubling, and any history of the
+//! roster.
+
+use proptest::prelude::*;
+
+use crate::fleet::Fleet;
+use crate::fleet::Got;
+use crate::fleet::agent_id;
+use crate::fleet::flow;
+use crate::fleet::service;
+use crate::fleet::syn;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Open(u8, u16),
+    Copy(u8, u16),
+    Talk(u8, u16),
+    RestartEntry(u8),
+    RestartAgent(u8),
+    AddAgent(u8),
+    TakeOver(u8),
+    ShareRoster,
+    Tick,
+}
+
+fn arb_event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0..2_u8, 0..12_u16).prop_map(|(n, it)| Event::Open(n, it)),
+        2 => (0..2_u8, 0..12_u16).prop_map(|(n, it)| Event::Copy(n, it)),
+        8 => (0..2_u8, 0..12_u16).prop_map(|(n, it)| Event::Talk(n, it)),
+        1 => (0..2_u8).prop_map(Event::RestartEntry),
+        1 => (1..5_u8).prop_map(Event::RestartAgent),
+        1 => (5..9_u8).prop_map(Event::AddAgent),
+        1 => (3..5_u8).prop_map(Event::TakeOver),
+        2 => Just(Event::ShareRoster),
+        2 => Just(Event::Tick),
+    ]
+}
+
+/// Names of services by what a test did to the agents.
+fn name(fleet: &Fleet, n: u8) -> &'static str {
+    let known = fleet.agents.get(&agent_id(n));
+    match known.map(|node| node.flows.service()) {
+        Some(it) if it == service("papers") => "papers",
+        _ => "orders",
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn history_never_misleads_a_packet(
+        seed: u64,
+        loss in 0..30_u32,
+        doubling in 0..20_u32,
+        events in prop::collection::vec(arb_event(), 1..80),
+    ) {
+        let targets = [(1, "orders"), (2, "orders"), (3, "orders"), (4, "papers")];
+        let mut fleet = Fleet::new(seed, 2, &targets);
+        fleet.loss = loss;
+        fleet.doubling = doubling;
+        let mut origins = vec![None; 12];
+        let mut ended: Vec<bool> = vec![false; 12];
+        for event in events {
+            match event {
+                Event::Open(n, it) => {
+                    if origins[usize::from(it)].is_none() {
+                        origins[usize::from(it)] = fleet.open(usize::from(n), flow(it, 443));
+                    }
+                }
+                Event::Copy(n, it) => {
+                    fleet.send(usize::from(n), syn(flow(it, 443), 1));
+                }
+                Event::Talk(n, it) => {
+                    if let Some(origin) = origins[usize::from(it)] {
+                        fleet.talk(usize::from(n), flow(it, 443), origin);
+                    }
+                }
+                Event::RestartEntry(n) => fleet.restart_entry(usize::from(n)),
+                Event::RestartAgent(n) => {
+                    let name = name(&fleet, n);
+                    fleet.start_agent(n, name);
+                    fleet.beat(n);
+                }
+                Event::AddAgent(n) => {
+                    fleet.start_agent(n, "orders");
+                    fleet.start_target(n, "orders");
+                }
+                Event::TakeOver(n) => {
+                    for (it, ended) in (0..).zip(&mut ended) {
+                        *ended |= fleet.holder(flow(it, 443)) == Some(agent_id(n));
+                    }
+                    fleet.stop(n);
+                    fleet.start_agent(n, "papers");
+                    fleet.start_target(n, "papers");
+                }
+                Event::ShareRoster => fleet.share_roster(),
+                Event::Tick => fleet.tick(),
+            }
+            // Targets that were replaced by new ones took their flows along.
+            for (it, ended) in (0..).zip(&mut ended) {
+                *ended |= fleet.holder(flow(it, 443)).is_none();
+            }
+        }
+        for (it, ended) in (0..).zip(&ended) {
+            let key = flow(it, 443);
+            prop_assert!(*ended || fleet.resets(key) == 0, "a living flow was reset");
+        }
+        for node in fleet.agents.values() {
+            let target = node.target.as_ref().unwrap();
+            let other = target.service != service("orders");
+            prop_assert!(!other || target.met.is_empty(), "a packet at another service");
+        }
+        let segments = fleet.got.iter().filter(|(_, got)| matches!(got, Got::Segment(_)));
+        prop_assert!(segments.count() <= fleet.got.len());
+    }
+}
--- /dev/null
+++ b/marigoldway-core/tests/flow/refused.rs
@@ -0,0 +1,103 @@
+//! New flows that an agent doesn't take, and flows that are broken off.
+
+use std::time::Duration;
+
+use marigoldway_core::flow::entry::DropReason;
+use marigoldway_core::flow::entry::EntryStep;
+
+use crate::fleet::Fleet;
+use crate::fleet::agent_id;
+use crate::fleet::data;
+use crate::fleet::flow;
+use crate::fleet::routes;
+use crate::fleet::syn;
+
+const TWO: [(u8, &str); 2] = [(1, "orders"), (2, "orders")];
+
+#[test]
+fn open_goes_on_to_the_other_candidate() {
+    let mut fleet = Fleet::new(1, 1, &TWO);
+    // The target of agent 1 is gone; the entry hasn't heard of it.
+    let node = fleet.agents.get_mut(&agent_id(1)).unwrap();
+    node.target = None;
+    assert!(node.flows.on_leave("t1"));
+    for n in 0..20 {
+        let key = flow(1_000 + n, 443);
+        assert!(fleet.open(0, key).is_some(), "flow {n}");
+        assert_eq!(fleet.holder(key), Some(agent_id(2)));
+    }
+}
+
+#[test]
+fn open_of_a_silent_agent_is_placed_anew_with_the_copy() {
+    let mut fleet = Fleet::new(2, 1, &TWO);
+    fleet.stop(1);
+    for n in 0..20 {
+        let key = flow(1_000 + n, 443);
+        if fleet.open(0, key).is_none() {
+            fleet.now = fleet.now + Duration::from_millis(200);
+            fleet.send(0, syn(key, 1));
+        }
+        assert_eq!(fleet.holder(key), Some(agent_id(2)), "flow {n}");
+    }
+}
+
+#[test]
+fn route_unknown_resets_only_under_the_configuration_in_force() {
+    let mut fleet = Fleet::new(3, 1, &TWO);
+    let key = flow(1_000, 999);
+    assert!(matches!(fleet.send(0, syn(key, 0)), EntryStep::Reset(..)));
+    fleet.entries[0].set_current(false);
+    let step = fleet.send(0, syn(key, 0));
+    assert_eq!(step, EntryStep::Drop(DropReason::Unrouted));
+}
+
+#[test]
+fn routes_never_go_back() {
+    let mut fleet = Fleet::new(4, 1, &TWO);
+    let entry = &mut fleet.entries[0];
+    assert!(entry.set_routes(routes(5, &[(443, "orders")])));
+    assert!(!entry.set_routes(routes(4, &[(443, "papers")])));
+    assert!(!entry.set_routes(routes(5, &[(443, "papers")])));
+    assert_eq!(entry.version(), 5);
+}
+
+#[test]
+fn open_under_an_older_version_is_refused() {
+    let mut fleet = Fleet::new(5, 2, &[(1, "orders")]);
+    fleet.entries[0].set_routes(routes(5, &[(443, "orders")]));
+    assert!(fleet.open(0, flow(1_000, 443)).is_some());
+    // The second entry still routes by version 1.
+    assert!(fleet.open(1, flow(1_001, 443)).is_none());
+    fleet.entries[1].set_routes(routes(5, &[(443, "orders")]));
+    assert!(fleet.open(1, flow(1_002, 443)).is_some());
+}
+
+#[test]
+fn flow_of_a_restarted_target_is_reset_once_it_speaks() {
+    let mut fleet = Fleet::new(6, 1, &[(1, "orders")]);
+    let key = flow(1_000, 443);
+    fleet.open(0, key).unwrap();
+    fleet.now = fleet.now + Duration::from_millis(300);
+    fleet.start_target(1, "orders");
+    assert_eq!(fleet.resets(key), 1);
+}
+
+#[test]
+fn flow_that_the_target_forgot_is_reset() {
+    let mut fleet = Fleet::new(7, 1, &[(1, "orders")]);
+    let key = flow(1_000, 443);
+    let origin = fleet.open(0, key).unwrap();
+    let node = fleet.agents.get_mut(&agent_id(1)).unwrap();
+    node.target.as_mut().unwrap().open.clear();
+    fleet.send(0, data(key, origin, 100));
+    assert_eq!(fleet.resets(key), 1);
+}
+
+#[test]
+fn flow_that_nobody_holds_is_not_reset() {
+    let mut fleet = Fleet::new(8, 1, &TWO);
+    let key = flow(1_000, 443);
+    fleet.send(0, data(key, 77, 100));
+    assert_eq!(fleet.resets(key), 0);
+}
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -96,6 +96,7 @@
         interval: settings.shared.heartbeat,
         limit: settings.shared.memory as usize * FLOWS_PER_MB,
         life: settings.shared.lifetime,
+        started: node.clock.now(),
     };
     let agent = Rc::new(Agent {
         outbound: node::bind(settings.outbound)?,
