Hold requests in front of a target's slots, and read the store anew sooner

Cause: at a crest, and when all come back after an outage, targets shed what exceeds their queue; who is shed comes back, and all are late. A process without configuration waited up to 1.7 s after the store's return.

What was done: the agent lets in slots + 1 requests; of the others those that can be in time go first, by rank and time left, late ones newest first. First reads of the store are tried again after 350 + 60 ms.

Ruled out: leaks of places (retransmissions are told by their numbers, RST, bounce, restart and time each give a place back).

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -1,5 +1,6 @@
 //! An agent's decisions on packets of clients and of its target.
 
+pub mod gate;
 mod local;
 mod locate;
 mod outbound;
@@ -8,6 +9,10 @@
 
 use indexmap::IndexMap;
 
+use crate::flow::agent::gate::Arrival;
+use crate::flow::agent::gate::Entrance;
+use crate::flow::agent::gate::Gate;
+use crate::flow::agent::gate::Released;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
 use crate::flow::agents::Agents;
@@ -24,6 +29,7 @@
 use crate::flow::message::Registration;
 use crate::flow::message::TargetState;
 use crate::flow::message::Verdict;
+use crate::flow::routes::WorkClass;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
@@ -42,6 +48,12 @@
 /// Time for which a closed flow's last packets are still delivered.
 const CLOSED_LIFE: Duration = Duration::from_secs(3);
 
+/// Time from a client's opening packet to its first copy.
+const FIRST_COPY: Duration = Duration::from_millis(200);
+
+/// Time from a client's opening packet to its second copy.
+const SECOND_COPY: Duration = Duration::from_millis(600);
+
 /// `AgentOptions` says who an agent is and how much it remembers.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentOptions {
@@ -68,6 +80,12 @@
 pub enum AgentStep {
     /// The packet at hand goes to the target.
     ToTarget,
+    /// The packet at hand is held until the target has room.
+    Hold,
+    /// Packets of a held request go to the target.
+    Release(Released),
+    /// Nobody waits for a held request any more.
+    GiveUp(FlowKey),
     /// The packet at hand goes to its client.
     ToClient,
     /// The packet at hand goes to other agents.
@@ -112,6 +130,8 @@
     Unknown,
     /// The flow is closed.
     Closed,
+    /// A copy of the packet is held already.
+    Held,
 }
 
 impl DropReason {
@@ -122,6 +142,7 @@
             DropReason::Hops => "hops",
             DropReason::Unknown => "unknown",
             DropReason::Closed => "closed",
+            DropReason::Held => "held",
         }
     }
 }
@@ -143,7 +164,7 @@
     /// State of the target that the record tells.
     stated: TargetState,
     leaving: bool,
-    running: u16,
+    gate: Gate,
     open: u32,
 }
 
@@ -162,7 +183,7 @@
             number: 1,
             stated: TargetState::Absent,
             leaving: false,
-            running: 0,
+            gate: Gate::default(),
             open: 0,
         }
     }
@@ -232,9 +253,9 @@
     pub fn load(&self, now: Timestamp) -> Load {
         Load {
             state: self.state(now),
-            slots: self.target.current().map_or(1, |it| it.slots),
-            running: self.running,
-            waiting: 0,
+            slots: self.slots(),
+            running: saturate(self.gate.running()),
+            waiting: saturate(self.gate.waiting()),
             flows: self.open,
             warmup: self.target.warmup(now),
         }
@@ -298,6 +319,7 @@
         now: Timestamp,
         header: &Header,
         segment: &Segment,
+        packet: &[u8],
         steps: &mut Vec<AgentStep>,
     ) {
         let flow = segment.inbound_flow();
@@ -305,9 +327,9 @@
             return self.refuse(now, header, flow, RefuseReason::Service, steps);
         }
         match header.errand {
-            Errand::Open => self.open(now, header, flow, steps),
+            Errand::Open => self.open(now, header, segment, steps),
             Errand::Owned | Errand::Locate | Errand::Search => {
-                self.pass(now, header, segment, steps);
+                self.pass(now, header, segment, packet, steps);
             }
         }
     }
@@ -326,6 +348,10 @@
         self.flows.sweep(now);
         self.homed.sweep(now);
         self.recount();
+        for flow in self.gate.expire(now) {
+            steps.push(AgentStep::GiveUp(flow));
+        }
+        self.release(now, steps);
         if self.epoch != self.agents.epoch() {
             self.epoch = self.agents.epoch();
             self.register_all(now, steps);
@@ -334,7 +360,14 @@
     }
 
     /// A new flow: to the target, or on to the other candidate.
-    fn open(&mut self, now: Timestamp, header: &Header, flow: FlowKey, steps: &mut Vec<AgentStep>) {
+    fn open(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
+        let flow = segment.inbound_flow();
         if header.version < self.version {
             return self.refuse(now, header, flow, RefuseReason::Version, steps);
         }
@@ -350,7 +383,8 @@
         if let Some(local) = self.flows.touch(now, &flow) {
             local.header = *header;
         } else {
-            let local = LocalFlow::new(Phase::Opening, *header);
+            let asked = opened(now, segment.ack);
+            let local = LocalFlow::new(Phase::Opening, *header, asked);
             self.flows.insert(now, flow, local);
         }
         steps.push(AgentStep::ToTarget);
@@ -401,13 +435,32 @@
     }
 
     fn recount(&mut self) {
-        let (mut running, mut open) = (0, 0);
-        for (_, flow) in self.flows.iter() {
-            running += u16::from(flow.running);
-            open += u32::from(flow.phase == Phase::Open && flow.closed.is_none());
+        let flows = self.flows.iter();
+        let open = flows.filter(|(_, it)| it.phase == Phase::Open && it.closed.is_none());
+        self.open = u32::try_from(open.count()).unwrap_or(u32::MAX);
+    }
+
+    fn slots(&self) -> u16 {
+        self.target.current().map_or(1, |it| it.slots)
+    }
+
+    /// Lets a packet with new data in, or holds it.
+    fn admit(&mut self, now: Timestamp, arrival: &Arrival<'_>) -> AgentStep {
+        // Uploads take little of a slot and long on the way.
+        if arrival.work.class == WorkClass::Upload {
+            return AgentStep::ToTarget;
+        }
+        match self.gate.arrive(now, self.slots(), arrival) {
+            Entrance::Open => AgentStep::ToTarget,
+            Entrance::Held => AgentStep::Hold,
+        }
+    }
+
+    /// Lets waiting requests in while the target has room.
+    fn release(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
+        while let Some(released) = self.gate.release(now, self.slots()) {
+            steps.push(AgentStep::Release(released));
         }
-        self.running = running;
-        self.open = open;
     }
 
     /// Breaks off every flow of an earlier incarnation of the target.
@@ -422,6 +475,7 @@
             }
             false
         });
+        self.gate.clear();
         self.recount();
     }
 
@@ -461,3 +515,17 @@
         }
     }
 }
+
+/// When the client sent the first copy of an opening packet.
+fn opened(now: Timestamp, copies: u32) -> Timestamp {
+    let ago = match copies {
+        0 => Duration::ZERO,
+        1 => FIRST_COPY,
+        _ => SECOND_COPY,
+    };
+    Timestamp::from_micros(now.as_micros().saturating_sub(ago.as_micros() as u64))
+}
+
+fn saturate(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/marigoldway-core/src/flow/agent/gate.rs
@@ -0,0 +1,248 @@
+//! Requests in front of a target's slots.
+//!
+//! The load that this answers: a crest of more requests than the targets' slots
+//! can run. A target queues a few, first come first served, and sheds the rest;
+//! who is shed comes back, and all are late. The gate lets in as many requests
+//! as the target runs at a time and a few more, and holds the first packets of
+//! the others. Whoever can still be answered within its objective goes first,
+//! by the route's rank and then by the time that is left; requests that are
+//! late already use what room remains, the newest first, since the oldest will
+//! soon have nobody who waits.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::flow::key::FlowKey;
+use crate::flow::routes::Work;
+use crate::time::Timestamp;
+
+/// Requests let in beyond the target's slots, so that a slot that frees finds
+/// the next request at the target.
+const AHEAD: usize = 1;
+
+/// Time on the way from the client and back that the agent can't see.
+const TRAVEL: Duration = Duration::from_millis(12);
+
+/// Time that a request takes while none was measured.
+const TYPICAL_TIME: Duration = Duration::from_millis(30);
+
+/// Part of a new measurement in the mean.
+const MEAN_SHARE: f64 = 0.05;
+
+/// Requests that are held at most: beyond, the target says itself that it is
+/// full.
+const WAITING_MAX: usize = 512;
+
+/// Octets of held packets at most.
+const OCTETS_MAX: usize = 4 << 20;
+
+/// Time after which a request that may have been answered before this process
+/// saw its flow no longer counts.
+const DOUBTFUL_LIFE: Duration = Duration::from_millis(300);
+
+/// Time after which any request no longer counts where its route says nothing.
+const LIFE_MAX: Duration = Duration::from_secs(3);
+
+/// `Gate` holds requests back until the target has room.
+#[derive(Debug, Default)]
+pub struct Gate {
+    running: IndexMap<FlowKey, Running>,
+    waiting: IndexMap<FlowKey, Waiting>,
+    octets: usize,
+    mean: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Timestamp,
+    /// When it no longer counts.
+    end: Timestamp,
+    measured: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    since: Timestamp,
+    /// When its objective is over.
+    aim: Timestamp,
+    /// When nobody waits for it any more.
+    end: Timestamp,
+    priority: u8,
+    packets: Vec<Vec<u8>>,
+}
+
+/// `Entrance` says what becomes of a packet that brings data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entrance {
+    /// It goes to the target.
+    Open,
+    /// It is held.
+    Held,
+}
+
+/// `Arrival` is a packet with data, as the gate needs it.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The packet.
+    pub packet: &'a [u8],
+    /// The request, as its route describes it.
+    pub work: Work,
+    /// When the client began to wait.
+    pub asked: Timestamp,
+    /// Whether the data may belong to a request that was answered before.
+    pub doubtful: bool,
+}
+
+/// `Released` are the packets of a request whose turn has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Released {
+    /// The flow.
+    pub flow: FlowKey,
+    /// How long the request was held.
+    pub waited: Duration,
+    /// Its packets, in the order of their arrival.
+    pub packets: Vec<Vec<u8>>,
+}
+
+impl Gate {
+    /// Requests inside the target.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes a packet that brings new data.
+    pub fn arrive(&mut self, now: Timestamp, slots: u16, arrival: &Arrival<'_>) -> Entrance {
+        if self.running.contains_key(&arrival.flow) {
+            return Entrance::Open;
+        }
+        if let Some(waiting) = self.waiting.get_mut(&arrival.flow) {
+            waiting.packets.push(arrival.packet.to_vec());
+            self.octets += arrival.packet.len();
+            return Entrance::Held;
+        }
+        let full = self.waiting.len() >= WAITING_MAX || self.octets >= OCTETS_MAX;
+        if full || self.has_room(slots) {
+            self.start(now, arrival.flow, arrival.work, arrival.doubtful);
+            return Entrance::Open;
+        }
+        let waiting = Waiting {
+            since: now,
+            aim: arrival.asked + arrival.work.objective,
+            end: arrival.asked + arrival.work.timeout,
+            priority: arrival.work.priority,
+            packets: vec![arrival.packet.to_vec()],
+        };
+        self.octets += arrival.packet.len();
+        self.waiting.insert(arrival.flow, waiting);
+        Entrance::Held
+    }
+
+    /// Whether the flow's request waits.
+    pub fn holds(&self, flow: &FlowKey) -> bool {
+        self.waiting.contains_key(flow)
+    }
+
+    /// Takes note that the target has answered, or will not.
+    pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) {
+        let Some(running) = self.running.swap_remove(flow) else {
+            return;
+        };
+        if !running.measured {
+            return;
+        }
+        let took = now.since(running.since);
+        let mean = self.mean.unwrap_or(took);
+        self.mean = Some(mean.mul_f64(1.0 - MEAN_SHARE) + took.mul_f64(MEAN_SHARE));
+    }
+
+    /// Forgets a flow that is gone.
+    pub fn forget(&mut self, flow: &FlowKey) {
+        self.running.swap_remove(flow);
+        self.unqueue(flow);
+    }
+
+    /// Forgets every flow.
+    pub fn clear(&mut self) {
+        self.running.clear();
+        self.waiting.clear();
+        self.octets = 0;
+    }
+
+    /// Forgets what is over, and gives the flows that nobody waits for.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<FlowKey> {
+        self.running.retain(|_, running| now < running.end);
+        let over = self.waiting.iter().filter(|(_, it)| now >= it.end);
+        let over: Vec<FlowKey> = over.map(|(flow, _)| *flow).collect();
+        for flow in &over {
+            self.unqueue(flow);
+        }
+        over
+    }
+
+    /// The next request whose turn has come, if the target has room.
+    pub fn release(&mut self, now: Timestamp, slots: u16) -> Option<Released> {
+        if self.waiting.is_empty() || !self.has_room(slots) {
+            return None;
+        }
+        let flow = self.next(now)?;
+        let waiting = self.unqueue(&flow)?;
+        let running = Running {
+            since: now,
+            end: waiting.end.max(now + DOUBTFUL_LIFE),
+            measured: true,
+        };
+        self.running.insert(flow, running);
+        Some(Released {
+            flow,
+            waited: now.since(waiting.since),
+            packets: waiting.packets,
+        })
+    }
+
+    fn has_room(&self, slots: u16) -> bool {
+        self.running.len() < usize::from(slots) + AHEAD
+    }
+
+    fn start(&mut self, now: Timestamp, flow: FlowKey, work: Work, doubtful: bool) {
+        let life = if doubtful {
+            DOUBTFUL_LIFE
+        } else {
+            work.timeout.min(LIFE_MAX)
+        };
+        let running = Running {
+            since: now,
+            end: now + life,
+            measured: !doubtful,
+        };
+        self.running.insert(flow, running);
+    }
+
+    /// Who goes next: by rank and by the time that is left among those that can
+    /// be in time, else by rank the newest.
+    fn next(&self, now: Timestamp) -> Option<FlowKey> {
+        let needed = now + self.mean.unwrap_or(TYPICAL_TIME) + TRAVEL;
+        let in_time = self.waiting.iter().filter(|(_, it)| it.aim >= needed);
+        let first = in_time.min_by_key(|(_, it)| (it.priority, it.aim));
+        let late = || {
+            self.waiting
+                .iter()
+                .min_by_key(|(_, it)| (it.priority, std::cmp::Reverse(it.since)))
+        };
+        first.or_else(late).map(|(flow, _)| *flow)
+    }
+
+    fn unqueue(&mut self, flow: &FlowKey) -> Option<Waiting> {
+        let waiting = self.waiting.swap_remove(flow)?;
+        let octets: usize = waiting.packets.iter().map(Vec::len).sum();
+        self.octets -= octets;
+        Some(waiting)
+    }
+}
--- a/marigoldway-core/src/flow/agent/local.rs
+++ b/marigoldway-core/src/flow/agent/local.rs
@@ -35,8 +35,12 @@
     pub origin: u32,
     /// The client's last acknowledgement.
     pub acked: u32,
-    /// Whether a request is inside the target.
-    pub running: bool,
+    /// Number after the last octet that the client sent, once it sent any.
+    pub client_end: Option<u32>,
+    /// Whether the flow was open before this process saw it.
+    pub learned: bool,
+    /// When the client began to wait for the flow to open.
+    pub asked: Timestamp,
     /// Whether the client has nothing more to send.
     pub client_done: bool,
     /// Whether the target has nothing more to send.
@@ -46,14 +50,17 @@
 }
 
 impl LocalFlow {
-    /// Makes a flow of which only the header is known.
-    pub fn new(phase: Phase, header: Header) -> LocalFlow {
+    /// Makes a flow of which only the header is known, and when the client
+    /// began to wait.
+    pub fn new(phase: Phase, header: Header, asked: Timestamp) -> LocalFlow {
         LocalFlow {
             phase,
             header,
             origin: 0,
             acked: 0,
-            running: false,
+            client_end: None,
+            learned: false,
+            asked,
             client_done: false,
             target_done: false,
             closed: None,
@@ -68,29 +75,36 @@
         }
     }
 
-    /// Takes note of a client's packet.
-    pub fn on_client(&mut self, now: Timestamp, segment: &Segment) {
+    /// Takes note of a client's packet, and tells whether it brings data for
+    /// the first time.
+    pub fn on_client(&mut self, now: Timestamp, segment: &Segment) -> bool {
         self.acked = segment.ack;
         self.client_done |= segment.flags.fin;
-        if segment.len > 0 {
-            self.running = true;
-        }
         self.close(now);
+        if segment.len == 0 {
+            return false;
+        }
+        let end = segment.seq.wrapping_add(u32::from(segment.len));
+        let fresh = self
+            .client_end
+            .is_none_or(|seen| end.wrapping_sub(seen).cast_signed() > 0);
+        if fresh {
+            self.client_end = Some(end);
+        }
+        fresh
     }
 
-    /// Takes note of the target's packet.
-    pub fn on_target(&mut self, now: Timestamp, segment: &Segment) {
+    /// Takes note of the target's packet, and tells whether a request is
+    /// answered by it.
+    pub fn on_target(&mut self, now: Timestamp, segment: &Segment) -> bool {
         self.target_done |= segment.flags.fin;
-        if segment.len > 0 || segment.flags.fin {
-            self.running = false;
-        }
         self.close(now);
+        segment.len > 0 || segment.flags.fin
     }
 
     fn close(&mut self, now: Timestamp) {
         if self.client_done && self.target_done {
             self.closed.get_or_insert(now);
-            self.running = false;
         }
     }
 }
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -4,6 +4,7 @@
 use crate::flow::agent::AgentStep;
 use crate::flow::agent::DropReason;
 use crate::flow::agent::HOPS_MAX;
+use crate::flow::agent::gate::Arrival;
 use crate::flow::agent::local;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
@@ -29,6 +30,7 @@
         now: Timestamp,
         header: &Header,
         segment: &Segment,
+        packet: &[u8],
         steps: &mut Vec<AgentStep>,
     ) {
         let flow = segment.inbound_flow();
@@ -38,8 +40,19 @@
             let told = header.errand == Errand::Owned && header.hops == 0;
             let holds = matches!(local.phase, Phase::Answered | Phase::Open);
             local.header = *header;
-            local.on_client(now, segment);
-            steps.push(AgentStep::ToTarget);
+            let begun = local.client_end.is_some();
+            let doubtful = local.phase == Phase::Visiting || (!begun && local.learned);
+            let asked = if begun { now } else { local.asked };
+            let fresh = local.on_client(now, segment);
+            let arrival = Arrival {
+                flow,
+                packet,
+                work: header.work,
+                asked,
+                doubtful,
+            };
+            let step = self.enter(now, segment, fresh, &arrival);
+            steps.push(step);
             if holds && !told {
                 let receipt = self.receipt(now, flow, Verdict::Holds);
                 steps.push(AgentStep::ToEntry(header.entry, receipt));
@@ -137,6 +150,29 @@
         }
     }
 
+    /// A packet of a held flow: acknowledgements go on at once, data takes its
+    /// turn.
+    fn enter(
+        &mut self,
+        now: Timestamp,
+        segment: &Segment,
+        fresh: bool,
+        arrival: &Arrival<'_>,
+    ) -> AgentStep {
+        if segment.flags.rst {
+            self.gate.forget(&arrival.flow);
+            return AgentStep::ToTarget;
+        }
+        if fresh || (segment.flags.fin && self.gate.holds(&arrival.flow)) {
+            return self.admit(now, arrival);
+        }
+        if segment.len > 0 && self.gate.holds(&arrival.flow) {
+            // The first copy is held.
+            return AgentStep::Drop(DropReason::Held);
+        }
+        AgentStep::ToTarget
+    }
+
     fn visit(
         &mut self,
         now: Timestamp,
@@ -144,7 +180,8 @@
         segment: &Segment,
         steps: &mut Vec<AgentStep>,
     ) {
-        let mut local = LocalFlow::new(Phase::Visiting, *header);
+        let mut local = LocalFlow::new(Phase::Visiting, *header, now);
+        local.learned = true;
         local.on_client(now, segment);
         self.flows.insert(now, segment.inbound_flow(), local);
         steps.push(AgentStep::ToTarget);
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -31,7 +31,8 @@
         let flow = segment.outbound_flow();
         if segment.flags.rst {
             self.flows.remove(&flow);
-            return;
+            self.gate.forget(&flow);
+            return self.release(now, steps);
         }
         let Some(local) = self.flows.touch(now, &flow) else {
             return self.learn(now, flow, segment, steps);
@@ -44,13 +45,17 @@
         if matches!(before, Phase::Opening | Phase::Visiting) {
             local.origin = segment.seq;
         }
-        local.on_target(now, segment);
+        let answered = local.on_target(now, segment);
         if matches!(before, Phase::Opening | Phase::Visiting) {
             let entry = local.header.entry;
             self.announce(now, flow, steps);
             let receipt = self.receipt(now, flow, Verdict::Holds);
             steps.push(AgentStep::ToEntry(entry, receipt));
         }
+        if answered {
+            self.gate.finish(now, &flow);
+            self.release(now, steps);
+        }
     }
 
     /// A flow that the target holds and that this process hasn't seen yet.
@@ -61,7 +66,8 @@
         segment: &Segment,
         steps: &mut Vec<AgentStep>,
     ) {
-        let mut local = LocalFlow::new(Phase::Open, self.unknown_header());
+        let mut local = LocalFlow::new(Phase::Open, self.unknown_header(), now);
+        local.learned = true;
         local.origin = segment.seq;
         local.on_target(now, segment);
         self.flows.insert(now, flow, local);
@@ -90,6 +96,8 @@
     /// A client's packet that the target doesn't take.
     fn on_bounced(&mut self, now: Timestamp, segment: &Segment, steps: &mut Vec<AgentStep>) {
         let flow = segment.inbound_flow();
+        self.gate.forget(&flow);
+        self.release(now, steps);
         let Some(local) = self.flows.remove(&flow) else {
             return steps.push(AgentStep::Drop(DropReason::Unknown));
         };
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -335,7 +335,9 @@
     fn serves(&self, agent: InstanceId, route: &Route) -> Option<NameKey> {
         let service = self.agents.record(agent)?.service;
         let mut shares = route.shares.iter();
-        shares.any(|share| share.service == service).then_some(service)
+        shares
+            .any(|share| share.service == service)
+            .then_some(service)
     }
 
     /// The home that is asked: by turns, and the other one where the one whose
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -185,7 +185,10 @@
             life: LIFE,
             started: self.now,
         });
-        let before = self.agents.get_mut(&agent_id(n)).and_then(|it| it.target.take());
+        let before = self
+            .agents
+            .get_mut(&agent_id(n))
+            .and_then(|it| it.target.take());
         let node = Node {
             flows,
             target: before,
@@ -348,7 +351,11 @@
     pub fn holder(&self, key: FlowKey) -> Option<InstanceId> {
         let mut holders = self.agents.iter();
         holders
-            .find(|(_, node)| node.target.as_ref().is_some_and(|it| it.open.contains_key(&key)))
+            .find(|(_, node)| {
+                node.target
+                    .as_ref()
+                    .is_some_and(|it| it.open.contains_key(&key))
+            })
             .map(|(id, _)| *id)
     }
 
@@ -380,7 +387,8 @@
                     return;
                 };
                 let mut steps = Vec::new();
-                node.flows.on_client(self.now, &header, &segment, &mut steps);
+                node.flows
+                    .on_client(self.now, &header, &segment, &[], &mut steps);
                 self.carry_out(to, Some(segment), steps);
             }
             Datagram::Receipt(from, to, receipt) => {
@@ -403,7 +411,8 @@
                 AgentStep::ToTarget => self.meet(agent, segment.unwrap()),
                 AgentStep::ToClient => {
                     let segment = segment.unwrap();
-                    self.got.push((segment.outbound_flow(), Got::Segment(segment)));
+                    self.got
+                        .push((segment.outbound_flow(), Got::Segment(segment)));
                 }
                 AgentStep::ToAgents(to, header) => {
                     for other in to {
@@ -420,6 +429,7 @@
                 AgentStep::Reset(reset, _) => {
                     self.got.push((reset.flow, Got::Reset(reset.seq)));
                 }
+                AgentStep::Hold | AgentStep::Release(_) | AgentStep::GiveUp(_) => {}
                 AgentStep::Drop(_) => {}
             }
         }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -367,7 +367,7 @@
         self.see_entry(now, header);
         let mut steps = Vec::new();
         let mut flows = self.flows.borrow_mut();
-        flows.on_client(now, header, &segment, &mut steps);
+        flows.on_client(now, header, &segment, packet, &mut steps);
         drop(flows);
         self.carry_out(Some(&segment.inbound_flow()), packet, &steps);
     }
@@ -422,6 +422,12 @@
                     let target = self.settings.borrow().target;
                     self.node.send_by(&self.outbound, target, packet);
                 }
+                AgentStep::Release(released) => {
+                    let target = self.settings.borrow().target;
+                    for held in &released.packets {
+                        self.node.send_by(&self.outbound, target, held);
+                    }
+                }
                 AgentStep::ToClient => {
                     if let Some(flow) = flow {
                         self.node.send_client(&self.outbound, flow.client, packet);
@@ -446,7 +452,7 @@
                     let client = reset.flow.client;
                     self.node.send_client(&self.outbound, client, &reset_packet);
                 }
-                AgentStep::Drop(_) => {}
+                AgentStep::Hold | AgentStep::GiveUp(_) | AgentStep::Drop(_) => {}
             }
         }
     }
@@ -457,6 +463,24 @@
             AgentStep::ToTarget => return self.node.count("packet-to-target"),
             AgentStep::ToClient => return self.node.count("packet-to-client"),
             AgentStep::ToHome(..) => return self.node.count("flow-registered"),
+            AgentStep::Release(released) => {
+                let kind = "request-released";
+                self.node.count(kind);
+                let waited = format!("waited-ms={}", released.waited.as_millis());
+                return self.log_flow(kind, &released.flow, &waited);
+            }
+            AgentStep::GiveUp(flow) => {
+                let kind = "request-given-up";
+                self.node.count(kind);
+                return self.log_flow(kind, flow, "reason=timeout");
+            }
+            AgentStep::Hold => {
+                let load = self.flows.borrow().load(self.node.clock.now());
+                (
+                    "request-held",
+                    format!("running={} waiting={}", load.running, load.waiting),
+                )
+            }
             AgentStep::ToAgents(agents, header) => {
                 let kind = match header.errand {
                     Errand::Open => "flow-passed-on",
--- a/marigoldway/src/packets/store.rs
+++ b/marigoldway/src/packets/store.rs
@@ -1,6 +1,7 @@
 //! Keys of the platform's store, followed through its outages.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time;
 
@@ -9,6 +10,7 @@
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::Stored;
 use marigoldway_net::platform::backoff::Backoff;
+use marigoldway_net::platform::errors::Error;
 use marigoldway_platform::store::KvStore;
 
 use crate::packets::node::RETRY_MAX;
@@ -27,13 +29,24 @@
     Unreached,
 }
 
+/// Time that the first read may take: until it is done, the process can't do
+/// its work, and the answer may come any moment.
+const FIRST_LIMIT: Duration = Duration::from_millis(350);
+
+/// Wait between two tries of the first read.
+const FIRST_WAIT: Duration = Duration::from_millis(60);
+
 /// Tells `on_news` of the keys of a prefix for as long as the process runs.
 pub(crate) async fn follow(store: Rc<KvStore>, prefix: String, mut on_news: impl FnMut(News)) {
     let mut backoff = Backoff::default();
     let mut away = Away::new(prefix.clone());
+    let mut known = false;
     loop {
-        match store.get(Range::Prefix(&prefix)).await {
+        let limit = if known { Duration::MAX } else { FIRST_LIMIT };
+        let read = time::timeout(limit, store.get(Range::Prefix(&prefix)));
+        match read.await.unwrap_or(Err(Error::Timeout { limit })) {
             Ok(read) => {
+                known = true;
                 away.reached();
                 backoff.reset();
                 on_news(News::All(read.found));
@@ -46,7 +59,7 @@
             }
         }
         let wait = backoff.next_wait(&mut rand::rng()).min(RETRY_MAX);
-        time::sleep(wait).await;
+        time::sleep(if known { wait } else { FIRST_WAIT }).await;
     }
 }
 
@@ -101,7 +114,7 @@
         }
     }
 
-    fn unreached(&mut self, error: &marigoldway_net::platform::errors::Error) {
+    fn unreached(&mut self, error: &Error) {
         if self.since.is_none() {
             self.since = Some(time::Instant::now());
             let prefix = &self.prefix;
