Tell clients of flows that died together with all their targets

Cause: after a loss of power no home knows a flow and every target has lost it; clients waited until their own timeout, since silence is all that anybody said.

What was done: the agent that searches a flow collects the word of every agent of the service: from its table, or by its target's bounce while the process is younger than flows may be. Once all have said that they lack it the client gets a reset. A route with several services is left out, and so is a search in which one listed agent stays silent. A target's word is remembered for 3 s, so a flow's packets don't visit other targets twice.

Ruled out: the target's birth against the process's start, since clocks step.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -4,6 +4,7 @@
 mod local;
 mod locate;
 mod outbound;
+mod search;
 
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::flow::agent::gate::Released;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
+use crate::flow::agent::search::Searches;
 use crate::flow::agents::Agents;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
@@ -94,6 +96,8 @@
     ToEntry(InstanceId, Receipt),
     /// A home is told who holds flows.
     ToHome(InstanceId, Registration),
+    /// An agent that searches a flow is told that the target lacks it.
+    ToSearcher(InstanceId, FlowKey),
     /// A client is told that its flow is broken off.
     Reset(Reset, ResetReason),
     /// The packet at hand is let fall.
@@ -107,6 +111,8 @@
     TargetRestarted,
     /// The target gave back a packet of a flow that it had answered.
     TargetForgot,
+    /// Every agent of the service says that its target lacks the flow.
+    NobodyHolds,
 }
 
 impl ResetReason {
@@ -115,6 +121,7 @@
         match self {
             ResetReason::TargetRestarted => "target-restarted",
             ResetReason::TargetForgot => "target-forgot",
+            ResetReason::NobodyHolds => "nobody-holds",
         }
     }
 }
@@ -132,6 +139,8 @@
     Closed,
     /// A copy of the packet is held already.
     Held,
+    /// The flow is being searched.
+    Searched,
 }
 
 impl DropReason {
@@ -143,6 +152,7 @@
             DropReason::Unknown => "unknown",
             DropReason::Closed => "closed",
             DropReason::Held => "held",
+            DropReason::Searched => "searched",
         }
     }
 }
@@ -165,6 +175,7 @@
     stated: TargetState,
     leaving: bool,
     gate: Gate,
+    searches: Searches,
     open: u32,
 }
 
@@ -184,6 +195,7 @@
             stated: TargetState::Absent,
             leaving: false,
             gate: Gate::default(),
+            searches: Searches::default(),
             open: 0,
         }
     }
@@ -313,6 +325,18 @@
         }
     }
 
+    /// Takes another agent's word that its target lacks a flow that is searched
+    /// here.
+    pub fn on_lack(&mut self, from: InstanceId, flow: FlowKey, steps: &mut Vec<AgentStep>) {
+        let Some(seq) = self.searches.on_lack(from, &flow) else {
+            return;
+        };
+        if self.flows.peek(&flow).is_none() {
+            let reset = Reset { flow, seq };
+            steps.push(AgentStep::Reset(reset, ResetReason::NobodyHolds));
+        }
+    }
+
     /// Takes a client's packet that came with a header.
     pub fn on_client(
         &mut self,
@@ -347,6 +371,7 @@
             .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFE));
         self.flows.sweep(now);
         self.homed.sweep(now);
+        self.searches.expire(now);
         self.recount();
         for flow in self.gate.expire(now) {
             steps.push(AgentStep::GiveUp(flow));
@@ -476,6 +501,7 @@
             false
         });
         self.gate.clear();
+        self.searches.clear();
         self.recount();
     }
 
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -62,13 +62,22 @@
         if self.flows.peek(&flow).is_none() && self.may_visit(now, header, segment) {
             return self.visit(now, header, segment, steps);
         }
-        self.find(header, segment, steps);
+        self.find(now, header, segment, steps);
     }
 
     /// Passes a packet on to the registered owner, to the other home, or to
     /// every agent of the service.
-    pub(super) fn find(&self, header: &Header, segment: &Segment, steps: &mut Vec<AgentStep>) {
+    pub(super) fn find(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        steps: &mut Vec<AgentStep>,
+    ) {
         if header.errand == Errand::Search {
+            if let Some(searcher) = header.other {
+                steps.push(AgentStep::ToSearcher(searcher, segment.inbound_flow()));
+            }
             return steps.push(AgentStep::Drop(DropReason::Unknown));
         }
         if header.hops >= HOPS_MAX {
@@ -91,9 +100,15 @@
             }
         }
         next.errand = Errand::Search;
+        next.other = Some(self.options.own);
         let all = self.agents.of(self.service).iter().copied();
         let others: Vec<InstanceId> = all.filter(|id| *id != self.options.own).collect();
-        steps.push(if others.is_empty() {
+        let begun = self
+            .searches
+            .begin(now, flow, segment.ack, header.sole, &others);
+        steps.push(if !begun {
+            AgentStep::Drop(DropReason::Searched)
+        } else if others.is_empty() {
             AgentStep::Drop(DropReason::Unknown)
         } else {
             AgentStep::ToAgents(others, next)
@@ -138,14 +153,15 @@
     /// it holds the flow, or the agent may have forgotten it with its former
     /// process.
     fn may_visit(&self, now: Timestamp, header: &Header, segment: &Segment) -> bool {
+        let flow = segment.inbound_flow();
+        if self.searches.lacks(now, &flow) {
+            return false;
+        }
         let young = now.since(self.options.started) < self.options.life;
         match header.errand {
             Errand::Owned => true,
             Errand::Search => young,
-            Errand::Locate => {
-                let owner = self.owner(&segment.inbound_flow(), segment.ack);
-                young && owner.is_none()
-            }
+            Errand::Locate => young && self.owner(&flow, segment.ack).is_none(),
             Errand::Open => false,
         }
     }
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -76,6 +76,7 @@
 
     /// Registers one flow at its homes.
     fn announce(&mut self, now: Timestamp, flow: FlowKey, steps: &mut Vec<AgentStep>) {
+        self.searches.found(&flow);
         let Some(local) = self.flows.peek(&flow) else {
             return;
         };
@@ -114,7 +115,8 @@
             let reset = Reset { flow, seq };
             return steps.push(AgentStep::Reset(reset, ResetReason::TargetForgot));
         }
-        self.find(&local.header, segment, steps);
+        self.searches.lack(now, flow);
+        self.find(now, &local.header, segment, steps);
     }
 
     /// The header of a flow of which no client's packet was seen.
@@ -126,6 +128,7 @@
             version: self.version,
             entry: self.options.own,
             other: None,
+            sole: false,
             work: Work {
                 class: WorkClass::Unsafe,
                 priority: u8::MAX,
--- /dev/null
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -0,0 +1,111 @@
+//! The search for a flow that no home knows, among all agents of the service.
+//!
+//! It happens after agents have died together. Each agent asked either holds
+//! the flow, or says that it doesn't: from its own table, or, if its process is
+//! younger than flows may be, by the word of its target, which gives back what
+//! it doesn't hold. Once every known agent has said so the flow is known to be
+//! gone, and its client is told at once instead of being left to its timeout.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::flow::key::FlowKey;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+/// Time that a search may take before the next packet of the flow starts
+/// another.
+const SEARCH_LIFE: Duration = Duration::from_millis(300);
+
+/// Time for which a target's word that it doesn't hold a flow is remembered.
+const LACK_LIFE: Duration = Duration::from_secs(3);
+
+/// Searches and words that are remembered at most.
+const MEMORY_MAX: usize = 8_192;
+
+/// `Searches` are the searches that this agent has begun, and the flows that its
+/// target is known to lack.
+#[derive(Debug, Default)]
+pub(super) struct Searches {
+    open: IndexMap<FlowKey, Search>,
+    lacked: IndexMap<FlowKey, Timestamp>,
+}
+
+#[derive(Debug)]
+struct Search {
+    since: Timestamp,
+    missing: Vec<InstanceId>,
+    /// The client's last acknowledgement.
+    acked: u32,
+    /// Whether the flow can be gone: no other service may hold it.
+    sole: bool,
+}
+
+impl Searches {
+    /// Begins a search, unless one is under way.
+    pub(super) fn begin(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        acked: u32,
+        sole: bool,
+        asked: &[InstanceId],
+    ) -> bool {
+        let under_way = self.open.get(&flow);
+        if under_way.is_some_and(|it| now.since(it.since) < SEARCH_LIFE) {
+            return false;
+        }
+        if self.open.len() >= MEMORY_MAX {
+            return false;
+        }
+        let search = Search {
+            since: now,
+            missing: asked.to_vec(),
+            acked,
+            sole,
+        };
+        self.open.insert(flow, search);
+        true
+    }
+
+    /// Takes an agent's word that its target lacks a flow. Gives the client's
+    /// last acknowledgement once all have said so.
+    pub(super) fn on_lack(&mut self, from: InstanceId, flow: &FlowKey) -> Option<u32> {
+        let search = self.open.get_mut(flow)?;
+        search.missing.retain(|id| *id != from);
+        if !search.missing.is_empty() || !search.sole {
+            return None;
+        }
+        self.open.swap_remove(flow).map(|search| search.acked)
+    }
+
+    /// Remembers that the own target lacks a flow.
+    pub(super) fn lack(&mut self, now: Timestamp, flow: FlowKey) {
+        if self.lacked.len() < MEMORY_MAX {
+            self.lacked.insert(flow, now);
+        }
+    }
+
+    /// Whether the own target said lately that it lacks a flow.
+    pub(super) fn lacks(&self, now: Timestamp, flow: &FlowKey) -> bool {
+        let said = self.lacked.get(flow);
+        said.is_some_and(|at| now.since(*at) < LACK_LIFE)
+    }
+
+    /// Forgets a flow that was found.
+    pub(super) fn found(&mut self, flow: &FlowKey) {
+        self.lacked.swap_remove(flow);
+    }
+
+    /// Forgets everything, since the target is another one.
+    pub(super) fn clear(&mut self) {
+        self.lacked.clear();
+    }
+
+    /// Forgets what is over.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        self.open.retain(|_, it| now.since(it.since) < LACK_LIFE);
+        self.lacked.retain(|_, at| now.since(*at) < LACK_LIFE);
+    }
+}
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -276,7 +276,7 @@
                 let agent = *agent;
                 if let Some(service) = self.serves(agent, route) {
                     self.owe(now, agent);
-                    let header = self.header(Errand::Open, service, route.work, None);
+                    let header = self.header(Errand::Open, service, route, None);
                     return EntryStep::Forward {
                         to: vec![agent],
                         header,
@@ -299,7 +299,7 @@
         self.flows.insert(now, flow, Track::Opening { tried });
         EntryStep::Forward {
             to: vec![placed.agent],
-            header: self.header(Errand::Open, service, route.work, placed.other),
+            header: self.header(Errand::Open, service, route, placed.other),
         }
     }
 
@@ -310,7 +310,7 @@
                 if let Some(service) = self.serves(agent, route) {
                     return EntryStep::Forward {
                         to: vec![agent],
-                        header: self.header(Errand::Owned, service, route.work, None),
+                        header: self.header(Errand::Owned, service, route, None),
                     };
                 }
                 0
@@ -326,7 +326,7 @@
         self.owe(now, home);
         EntryStep::Forward {
             to: vec![home],
-            header: self.header(Errand::Locate, service, route.work, None),
+            header: self.header(Errand::Locate, service, route, None),
         }
     }
 
@@ -411,7 +411,7 @@
         &self,
         errand: Errand,
         service: NameKey,
-        work: Work,
+        route: &Route,
         other: Option<InstanceId>,
     ) -> Header {
         Header {
@@ -421,7 +421,8 @@
             version: self.version(),
             entry: self.options.own,
             other,
-            work,
+            sole: route.shares.len() == 1,
+            work: route.work,
         }
     }
 
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -36,8 +36,11 @@
     pub version: u64,
     /// The entry that took the packet from the client.
     pub entry: InstanceId,
-    /// Another agent that may take a new flow.
+    /// Another agent that may take a new flow; in a search the agent that
+    /// collects the answers.
     pub other: Option<InstanceId>,
+    /// Whether the flow can belong to no other service.
+    pub sole: bool,
     /// The requests inside, as the route describes them.
     pub work: Work,
 }
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -106,6 +106,7 @@
     Packet(InstanceId, Header, Segment),
     Receipt(InstanceId, InstanceId, Receipt),
     Registration(InstanceId, Registration),
+    Lack(InstanceId, InstanceId, FlowKey),
 }
 
 /// What a client got.
@@ -359,6 +360,15 @@
             .map(|(id, _)| *id)
     }
 
+    /// Whether some target holds the flow that began with `origin`: copies of
+    /// an opening packet may leave half-open ones at others.
+    pub fn lives(&self, key: FlowKey, origin: u32) -> bool {
+        self.agents.values().any(|node| {
+            let target = node.target.as_ref();
+            target.is_some_and(|it| it.open.get(&key) == Some(&origin))
+        })
+    }
+
     fn settle(&mut self) {
         for _ in 0..CHAIN_MAX {
             if self.wire.is_empty() {
@@ -397,6 +407,13 @@
                     self.entries[n].on_receipt(self.now, from, &receipt);
                 }
             }
+            Datagram::Lack(from, to, flow) => {
+                if let Some(node) = self.agents.get_mut(&to) {
+                    let mut steps = Vec::new();
+                    node.flows.on_lack(from, flow, &mut steps);
+                    self.carry_out(to, None, steps);
+                }
+            }
             Datagram::Registration(to, registration) => {
                 if let Some(node) = self.agents.get_mut(&to) {
                     node.flows.on_registration(self.now, &registration);
@@ -423,6 +440,9 @@
                 AgentStep::ToEntry(entry, receipt) => {
                     self.wire.push(Datagram::Receipt(agent, entry, receipt));
                 }
+                AgentStep::ToSearcher(searcher, flow) => {
+                    self.wire.push(Datagram::Lack(agent, searcher, flow));
+                }
                 AgentStep::ToHome(home, registration) => {
                     self.wire.push(Datagram::Registration(home, registration));
                 }
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -48,6 +48,9 @@
 /// First octet of the question whether an agent lives.
 const PROBE: u8 = 0xe5;
 
+/// First octet of an agent's word that its target lacks a flow.
+const LACK: u8 = 0xe6;
+
 /// `Message` is one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message<'a> {
@@ -61,6 +64,8 @@
     Hello(Hello),
     /// The question whether an agent lives.
     Probe,
+    /// An agent's word that its target lacks a flow.
+    Lack(FlowKey),
 }
 
 /// Octets of a header before a client's packet, with the first octet.
@@ -106,6 +111,11 @@
     vec![PROBE]
 }
 
+/// Encodes an agent's word that its target lacks a flow.
+pub fn encode_lack(flow: &FlowKey) -> Vec<u8> {
+    encode(LACK, &WireFlow::from(flow))
+}
+
 /// Reads a datagram, or gives `None` for one that breaks the format.
 pub fn decode(datagram: &[u8]) -> Option<Message<'_>> {
     let (kind, body) = datagram.split_first()?;
@@ -124,6 +134,10 @@
             Some(Message::Hello(Hello::try_from(wire).ok()?))
         }
         PROBE => Some(Message::Probe),
+        LACK => {
+            let wire = WireFlow::ref_from_bytes(body).ok()?;
+            Some(Message::Lack(FlowKey::from(*wire)))
+        }
         _ => None,
     }
 }
@@ -174,6 +188,8 @@
     errand: u8,
     hops: u8,
     class: u8,
+    /// 1 for yes.
+    sole: u8,
     priority: u8,
     service: U64,
     version: U64,
@@ -279,6 +295,7 @@
                 WorkClass::Unsafe => 1,
                 WorkClass::Upload => 2,
             },
+            sole: u8::from(header.sole),
             priority: header.work.priority,
             service: header.service.0.into(),
             version: header.version.into(),
@@ -308,6 +325,7 @@
             version: wire.version.get(),
             entry: InstanceId(wire.entry.into()),
             other: (other.port() > 0).then_some(InstanceId(other)),
+            sole: wire.sole == 1,
             work: Work {
                 class: match wire.class {
                     0 => WorkClass::Safe,
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -356,6 +356,12 @@
                 let hello = self.flows.borrow().hello(now);
                 self.node.send(from, &flows::encode_hello(&hello));
             }
+            Some(Message::Lack(flow)) => {
+                let mut steps = Vec::new();
+                let from = InstanceId(from);
+                self.flows.borrow_mut().on_lack(from, flow, &mut steps);
+                self.carry_out(Some(&flow), &mut [], &steps);
+            }
             Some(Message::Receipt(_)) | None => self.node.count("message-unexpected"),
         }
     }
@@ -443,6 +449,9 @@
                 AgentStep::ToEntry(entry, receipt) => {
                     self.node.send(entry.0, &flows::encode_receipt(receipt));
                 }
+                AgentStep::ToSearcher(searcher, flow) => {
+                    self.node.send(searcher.0, &flows::encode_lack(flow));
+                }
                 AgentStep::ToHome(home, registration) => {
                     let datagram = flows::encode_registration(registration);
                     self.node.send(home.0, &datagram);
@@ -463,6 +472,7 @@
             AgentStep::ToTarget => return self.node.count("packet-to-target"),
             AgentStep::ToClient => return self.node.count("packet-to-client"),
             AgentStep::ToHome(..) => return self.node.count("flow-registered"),
+            AgentStep::ToSearcher(..) => return self.node.count("flow-lacked"),
             AgentStep::Release(released) => {
                 let kind = "request-released";
                 self.node.count(kind);
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -354,7 +354,10 @@
                 self.listed.set(true);
                 self.see_version(hello.version, from);
             }
-            Some(Message::Packet(..) | Message::Registration(_) | Message::Probe) | None => {
+            Some(
+                Message::Packet(..) | Message::Registration(_) | Message::Probe | Message::Lack(_),
+            )
+            | None => {
                 self.node.count("message-unexpected");
             }
         }
