--- /dev/null
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -0,0 +1,186 @@
+//! Messages about flows read back as they were written, and any octets are
+//! taken without harm.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use marigoldway_core::flow::key::FlowKey;
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::message::Errand;
+use marigoldway_core::flow::message::Header;
+use marigoldway_core::flow::message::Hello;
+use marigoldway_core::flow::message::Load;
+use marigoldway_core::flow::message::Receipt;
+use marigoldway_core::flow::message::RefuseReason;
+use marigoldway_core::flow::message::Registered;
+use marigoldway_core::flow::message::Registration;
+use marigoldway_core::flow::message::TargetState;
+use marigoldway_core::flow::message::Verdict;
+use marigoldway_core::flow::routes::Work;
+use marigoldway_core::flow::routes::WorkClass;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_net::wire::agents;
+use marigoldway_net::wire::flows;
+use marigoldway_net::wire::flows::Message;
+
+fn arb_addr() -> impl Strategy<Value = SocketAddrV4> {
+    (any::<u32>(), 1..=u16::MAX).prop_map(|(ip, port)| SocketAddrV4::new(Ipv4Addr::from(ip), port))
+}
+
+fn arb_id() -> impl Strategy<Value = InstanceId> {
+    arb_addr().prop_map(InstanceId)
+}
+
+fn arb_flow() -> impl Strategy<Value = FlowKey> {
+    (arb_addr(), arb_addr()).prop_map(|(client, server)| FlowKey { client, server })
+}
+
+fn arb_millis() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|ms| Duration::from_millis(u64::from(ms)))
+}
+
+fn arb_work() -> impl Strategy<Value = Work> {
+    let class = prop_oneof![
+        Just(WorkClass::Safe),
+        Just(WorkClass::Unsafe),
+        Just(WorkClass::Upload),
+    ];
+    (class, any::<u8>(), arb_millis(), arb_millis()).prop_map(
+        |(class, priority, objective, timeout)| Work {
+            class,
+            priority,
+            objective,
+            timeout,
+        },
+    )
+}
+
+fn arb_header() -> impl Strategy<Value = Header> {
+    let errand = prop_oneof![
+        Just(Errand::Open),
+        Just(Errand::Owned),
+        Just(Errand::Locate),
+        Just(Errand::Search),
+    ];
+    let rest = (any::<u8>(), any::<u64>(), any::<u64>(), any::<bool>());
+    let others = (arb_id(), prop::option::of(arb_id()), arb_work());
+    (errand, rest, others).prop_map(
+        |(errand, (hops, service, version, sole), (entry, other, work))| Header {
+            errand,
+            hops,
+            service: NameKey(service),
+            version,
+            entry,
+            other,
+            sole,
+            work,
+        },
+    )
+}
+
+fn arb_state() -> impl Strategy<Value = TargetState> {
+    prop_oneof![
+        Just(TargetState::Serving),
+        Just(TargetState::Draining),
+        Just(TargetState::Absent),
+    ]
+}
+
+fn arb_load() -> impl Strategy<Value = Load> {
+    let counts = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u32>());
+    (arb_state(), counts, arb_millis()).prop_map(
+        |(state, (slots, running, waiting, flows), warmup)| Load {
+            state,
+            slots,
+            running,
+            waiting,
+            flows,
+            warmup,
+        },
+    )
+}
+
+fn arb_record() -> impl Strategy<Value = AgentRecord> {
+    let names = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
+    (arb_id(), names, arb_state(), any::<u16>()).prop_map(
+        |(id, (incarnation, number, service, domain), state, slots)| AgentRecord {
+            id,
+            incarnation,
+            number,
+            service: NameKey(service),
+            domain: NameKey(domain),
+            state,
+            slots,
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn packet_reads_back(header in arb_header(), packet in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut datagram = Vec::new();
+        flows::write_packet(&header, &packet, &mut datagram);
+        prop_assert_eq!(datagram.len(), flows::HEADER_LEN + packet.len());
+        prop_assert_eq!(flows::decode(&datagram), Some(Message::Packet(header, &packet)));
+    }
+
+    #[test]
+    fn receipt_reads_back(
+        flow in arb_flow(),
+        verdict in 0..8_usize,
+        load in arb_load(),
+        version: u64,
+    ) {
+        let verdict = match verdict {
+            0 => Verdict::Holds,
+            1 => Verdict::Waits,
+            n => Verdict::Refused(RefuseReason::ALL[n - 2]),
+        };
+        let receipt = Receipt { flow, verdict, load, version };
+        let datagram = flows::encode_receipt(&receipt);
+        prop_assert_eq!(flows::decode(&datagram), Some(Message::Receipt(receipt)));
+    }
+
+    #[test]
+    fn registration_reads_back(
+        owner in arb_id(),
+        service: u64,
+        named in prop::collection::vec((arb_flow(), any::<u32>()), 0..64),
+    ) {
+        let named = named.into_iter().map(|(flow, origin)| Registered { flow, origin });
+        let registration = Registration {
+            service: NameKey(service),
+            owner,
+            flows: named.collect(),
+        };
+        let datagram = flows::encode_registration(&registration);
+        prop_assert!(datagram.len() <= 1_400);
+        prop_assert_eq!(flows::decode(&datagram), Some(Message::Registration(registration)));
+    }
+
+    #[test]
+    fn hello_reads_back(record in arb_record(), load in arb_load(), version: u64) {
+        let record = AgentRecord { state: load.state, slots: load.slots, ..record };
+        let hello = Hello { record, load, version };
+        let datagram = flows::encode_hello(&hello);
+        prop_assert_eq!(flows::decode(&datagram), Some(Message::Hello(hello)));
+    }
+
+    #[test]
+    fn record_reads_back_from_the_store(record in arb_record()) {
+        prop_assert_eq!(agents::decode(&agents::encode(&record)).unwrap(), record);
+        prop_assert_eq!(agents::key_id(&agents::agent_key(&record)), Some(record.id));
+    }
+
+    #[test]
+    fn decode_takes_any_octets(kind in 0xe0..0xe8_u8, octets in prop::collection::vec(any::<u8>(), 0..300)) {
+        let datagram: Vec<u8> = [kind].into_iter().chain(octets).collect();
+        // Whatever is read is a message; nothing panics.
+        let _ = flows::decode(&datagram);
+        prop_assert!(agents::decode(&datagram).is_err());
+    }
+}
