Introduce a new agent to its peers before it is listed

Shown by the test with the greeting taken out: the flow is reset.

Ruled out: the word of a target (none bounced it), and the record of the entry.

What was done: an agent tells every peer of itself before its first listing, once more after 0.1 s, and each second for 12 s.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -47,9 +47,22 @@
 /// Flows named by one registration at most, so that it fits a datagram.
 pub const REGISTRATION_LEN: usize = 64;
 
+/// Time for which entries may still route by the version before: a part of the
+/// seconds within which a configuration has to be in force.
+const VERSION_GRACE: Duration = Duration::from_secs(1);
+
 /// Time between two rounds of questions and answers of searches.
 const CONVERSE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time from an agent's first greeting to the second, should the first be lost.
+const GREETING_REPEAT: Duration = Duration::from_millis(100);
+
+/// Time between later greetings: less than an agent without a listing is known.
+const GREETING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Greetings of a new process: the store has told its peers long before.
+const GREETINGS_MAX: u32 = 12;
+
 /// Milliseconds by which a target may seem older than the process that started
 /// with it. A process that ends isn't back as soon.
 const FRESH_SLACK_MS: u64 = 100;
@@ -113,6 +126,8 @@
     Inquire(Vec<InstanceId>, Vec<FlowKey>),
     /// An agent that searches flows is told that the target lacks these.
     ToSearcher(InstanceId, Vec<FlowKey>),
+    /// Other agents are told of this one.
+    Greet(Vec<InstanceId>),
     /// A client is told that its flow is broken off.
     Reset(Reset, ResetReason),
     /// The packet at hand is let fall.
@@ -183,6 +198,8 @@
     /// What owners registered here, at most two owners a flow.
     homed: FlowTable<Vec<(InstanceId, u32)>>,
     version: u64,
+    /// When the version was first seen.
+    version_since: Timestamp,
     /// State of `agents` for which flows are registered.
     epoch: u64,
     number: u64,
@@ -192,6 +209,8 @@
     fresh: bool,
     /// When questions and answers of searches last went out.
     asked: Timestamp,
+    /// Rounds of greetings that went out, and when the last did.
+    greetings: (u32, Timestamp),
     leaving: bool,
     gate: Gate,
     searches: Searches,
@@ -218,11 +237,13 @@
             flows: FlowTable::new(options.limit, options.life),
             homed: FlowTable::new(options.limit, options.life),
             version: 0,
+            version_since: Timestamp::ZERO,
             epoch: 0,
             number: 1,
             stated: None,
             fresh: false,
             asked: Timestamp::ZERO,
+            greetings: (0, Timestamp::ZERO),
             leaving: false,
             gate: Gate::default(),
             searches: Searches::default(),
@@ -256,8 +277,11 @@
     }
 
     /// Takes note of a version of the configuration.
-    pub fn see_version(&mut self, version: u64) {
-        self.version = self.version.max(version);
+    pub fn see_version(&mut self, now: Timestamp, version: u64) {
+        if version > self.version {
+            self.version = version;
+            self.version_since = now;
+        }
     }
 
     /// Flows of the own target, and flows of others that are registered here.
@@ -409,6 +433,33 @@
         self.converse(now, steps);
     }
 
+    /// Whether the known agents of the service were told of this one. Only then
+    /// may it be listed: a flow that is searched among agents that don't know
+    /// of a newcomer would be taken for gone.
+    pub fn is_introduced(&self) -> bool {
+        self.greetings.0 > 0 || self.peers().next().is_none()
+    }
+
+    /// Tells the known agents of the service of this one, again and again while
+    /// the store may not have told them yet.
+    fn greet(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
+        let (count, last) = self.greetings;
+        let interval = match count {
+            0 => Duration::ZERO,
+            1 => GREETING_REPEAT,
+            _ => GREETING_INTERVAL,
+        };
+        if count >= GREETINGS_MAX || now.since(last) < interval {
+            return;
+        }
+        let peers: Vec<InstanceId> = self.peers().map(|record| record.id).collect();
+        if peers.is_empty() {
+            return;
+        }
+        self.greetings = (count + 1, now);
+        steps.push(AgentStep::Greet(peers));
+    }
+
     /// Sends the questions and answers of searches that have gathered, not too
     /// often.
     fn converse(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
@@ -468,6 +519,7 @@
         self.homed.sweep(now);
         self.searches.expire(now);
         self.recount();
+        self.greet(now, steps);
         self.converse(now, steps);
         for flow in self.gate.expire(now) {
             steps.push(AgentStep::GiveUp(flow));
@@ -489,10 +541,12 @@
         steps: &mut Vec<AgentStep>,
     ) {
         let flow = segment.inbound_flow();
-        if header.version < self.version {
+        // Entries learn of a version within a moment of each other.
+        let settled = now.since(self.version_since) > VERSION_GRACE;
+        if header.version < self.version && settled {
             return self.refuse(now, header, flow, RefuseReason::Version, steps);
         }
-        self.see_version(header.version);
+        self.see_version(now, header.version);
         let reason = match self.state(now) {
             TargetState::Serving => None,
             TargetState::Draining => Some(RefuseReason::Draining),
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -283,6 +283,30 @@
             .collect()
     }
 
+    /// Agent `n` learns who is there, and tells them of itself.
+    pub fn introduce(&mut self, n: u8) {
+        let own = agent_id(n);
+        let peers = self.records();
+        let node = self.agents.get_mut(&own).unwrap();
+        let service = node.flows.service();
+        let peers = peers.iter().filter(|it| it.service == service);
+        let peers: Vec<AgentRecord> = peers.copied().collect();
+        node.flows.agents_mut().replace(self.now, &peers);
+        let mut steps = Vec::new();
+        node.flows.tick(self.now, &mut steps);
+        assert!(node.flows.is_introduced());
+        self.carry_out(own, None, steps);
+        self.carry_out(own, None, steps);
+    }
+
+    /// Entries learn who is there, other agents not yet.
+    pub fn share_with_entries(&mut self) {
+        let records = self.records();
+        for entry in &mut self.entries {
+            entry.replace_agents(self.now, &records);
+        }
+    }
+
     /// Every process learns who is there.
     pub fn share_roster(&mut self) {
         let records = self.records();
@@ -458,6 +482,14 @@
                 AgentStep::ToEntry(entry, receipt) => {
                     self.wire.push(Datagram::Receipt(agent, entry, receipt));
                 }
+                AgentStep::Greet(agents) => {
+                    let record = self.agents[&agent].flows.hello(self.now).record;
+                    for other in agents {
+                        if let Some(node) = self.agents.get_mut(&other) {
+                            node.flows.agents_mut().hear(self.now, record);
+                        }
+                    }
+                }
                 AgentStep::Inquire(agents, flows) => {
                     for other in agents {
                         self.wire
--- a/marigoldway-core/tests/flow/refused.rs
+++ b/marigoldway-core/tests/flow/refused.rs
@@ -67,7 +67,9 @@
     let mut fleet = Fleet::new(5, 2, &[(1, "orders")]);
     fleet.entries[0].set_routes(routes(5, &[(443, "orders")]));
     assert!(fleet.open(0, flow(1_000, 443)).is_some());
-    // The second entry still routes by version 1.
+    // The second entry still routes by version 1, as it may for a moment.
+    assert!(fleet.open(1, flow(1_003, 443)).is_some());
+    fleet.now = fleet.now + Duration::from_millis(1_100);
     assert!(fleet.open(1, flow(1_001, 443)).is_none());
     fleet.entries[1].set_routes(routes(5, &[(443, "orders")]));
     assert!(fleet.open(1, flow(1_002, 443)).is_some());
@@ -138,3 +140,28 @@
         assert_eq!(fleet.resets(key), 0, "{key}");
     }
 }
+
+#[test]
+fn flow_of_a_newcomer_is_not_reset_by_agents_that_the_store_has_not_told() {
+    let three = [(1, "orders"), (2, "orders"), (3, "orders")];
+    let mut fleet = Fleet::new(10, 2, &three);
+    fleet.pass(Duration::from_secs(2));
+    fleet.start_agent(4, "orders");
+    fleet.start_target(4, "orders");
+    fleet.introduce(4);
+    fleet.share_with_entries();
+    let keys: Vec<_> = (0..80).map(|n| flow(1_000 + n, 443)).collect();
+    let origins: Vec<u32> = keys
+        .iter()
+        .map(|key| fleet.open(0, *key).unwrap())
+        .collect();
+    for _ in 0..4 {
+        for (key, origin) in keys.iter().zip(&origins) {
+            fleet.send(1, data(*key, *origin, 100));
+        }
+        fleet.pass(Duration::from_millis(500));
+    }
+    for key in &keys {
+        assert_eq!(fleet.resets(*key), 0, "{key} of {:?}", fleet.holder(*key));
+    }
+}
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -70,7 +70,7 @@
 
 /// Time over which changes of the service's agents gather: until then homes
 /// that know nothing ask the others.
-const PEERS_PAUSE: Duration = Duration::from_millis(1_500);
+const PEERS_PAUSE: Duration = Duration::from_secs(3);
 
 /// Time that requests inside the target may take once the process leaves.
 const LEAVE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -86,9 +86,11 @@
     /// Where the next round of words to entries begins.
     turn: Cell<usize>,
     changed: Notify,
-    /// Whether the store's list lacks the own record.
-    unlisted: Cell<bool>,
+    /// Revision at which the store's list lacked the own record.
+    unlisted: Cell<Option<u64>>,
     fetching: Cell<bool>,
+    /// Whether the store's list was read.
+    listed: Cell<bool>,
 }
 
 /// Runs an agent until it has left.
@@ -112,8 +114,9 @@
         entries: RefCell::new(IndexMap::new()),
         turn: Cell::new(0),
         changed: Notify::new(),
-        unlisted: Cell::new(false),
+        unlisted: Cell::new(None),
         fetching: Cell::new(false),
+        listed: Cell::new(false),
         settings: RefCell::new(settings),
         node,
     });
@@ -217,8 +220,9 @@
         self.changed.notified().await;
     }
 
-    /// Whether the store's list lacked the own record since the last question.
-    pub(crate) fn take_unlisted(&self) -> bool {
+    /// The revision at which the store's list last lacked the own record, told
+    /// once.
+    pub(crate) fn take_unlisted(&self) -> Option<u64> {
         self.unlisted.take()
     }
 
@@ -326,20 +330,21 @@
         let own = self.node.settings.data;
         let mut flows = self.flows.borrow_mut();
         match news {
-            News::All(found) => {
+            News::All(found, revision) => {
                 let records = listing::records(&self.node, &found);
                 if !records.iter().any(|record| record.id == own) {
-                    self.unlist();
+                    self.unlist(revision);
                 }
                 flows.agents_mut().replace(now, &records);
+                self.listed.set(true);
             }
             News::Put(stored) => {
                 if let Some(record) = listing::record(&self.node, &stored) {
                     flows.agents_mut().list(record);
                 }
             }
-            News::Deleted(key) => match agents::key_id(&key) {
-                Some(id) if id == own => self.unlist(),
+            News::Deleted(key, revision) => match agents::key_id(&key) {
+                Some(id) if id == own => self.unlist(revision),
                 Some(id) => flows.agents_mut().unlist(now, id),
                 None => {}
             },
@@ -347,8 +352,8 @@
         }
     }
 
-    fn unlist(&self) {
-        self.unlisted.set(true);
+    fn unlist(&self, revision: u64) {
+        self.unlisted.set(Some(revision));
         self.changed.notify_one();
     }
 
@@ -357,9 +362,10 @@
         self.node.leaving.get() && self.flows.borrow().target().current().is_none()
     }
 
-    /// Whether the target is known.
-    pub(crate) fn has_target(&self) -> bool {
-        self.flows.borrow().target().current().is_some()
+    /// Whether the target is known, and the agent known to its peers.
+    pub(crate) fn is_introduced(&self) -> bool {
+        let flows = self.flows.borrow();
+        self.listed.get() && flows.target().current().is_some() && flows.is_introduced()
     }
 
     /// Takes a message of a process of the system.
@@ -482,6 +488,13 @@
                 AgentStep::ToEntry(entry, receipt) => {
                     self.node.send(entry.0, &flows::encode_receipt(receipt));
                 }
+                AgentStep::Greet(agents) => {
+                    let now = self.node.clock.now();
+                    let hello = flows::encode_hello(&self.flows.borrow().hello(now));
+                    for agent in agents {
+                        self.node.send(agent.0, &hello);
+                    }
+                }
                 AgentStep::Inquire(agents, asked) => {
                     let datagram = flows::encode_inquiry(asked);
                     for agent in agents {
@@ -511,6 +524,7 @@
             AgentStep::ToTarget => return self.node.count("packet-to-target"),
             AgentStep::ToClient => return self.node.count("packet-to-client"),
             AgentStep::ToHome(..) => return self.node.count("flow-registered"),
+            AgentStep::Greet(..) => return self.node.count("peers-greeted"),
             AgentStep::Inquire(..) => return self.node.count("flows-inquired"),
             AgentStep::ToSearcher(..) => return self.node.count("flows-lacked"),
             AgentStep::Release(released) => {
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -49,15 +49,15 @@
 
 /// Time that a newer configuration may take to come from the store before it is
 /// fetched from whoever has shown it.
-const FETCH_DELAY: Duration = Duration::from_millis(150);
+const FETCH_DELAY: Duration = Duration::from_millis(700);
 
 /// Time over which changes of the configuration gather: a small part of the
 /// seconds within which it has to be in force.
-const CONFIG_PAUSE: Duration = Duration::from_millis(300);
+const CONFIG_PAUSE: Duration = Duration::from_millis(500);
 
 /// Time over which changes of the agents gather. Agents tell the entries that
 /// they know at once.
-const AGENTS_PAUSE: Duration = Duration::from_millis(700);
+const AGENTS_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time between two questions of a newcomer to its contacts.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
@@ -228,9 +228,9 @@
 
     fn on_config(&self, news: News) {
         let stored = match news {
-            News::All(found) => found.into_iter().find(|it| it.key == config::CONFIG_KEY),
+            News::All(found, _) => found.into_iter().find(|it| it.key == config::CONFIG_KEY),
             News::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
-            News::Put(_) | News::Deleted(_) | News::Unreached => None,
+            News::Put(_) | News::Deleted(..) | News::Unreached => None,
             News::Reached => {
                 self.reached.set(Some(self.node.clock.now()));
                 None
@@ -248,7 +248,7 @@
         let now = self.node.clock.now();
         let mut flows = self.flows.borrow_mut();
         match news {
-            News::All(found) => {
+            News::All(found, _) => {
                 let records = listing::records(&self.node, &found);
                 self.listed.set(self.listed.get() || !records.is_empty());
                 flows.replace_agents(now, &records);
@@ -265,7 +265,7 @@
                     flows.list_agent(record);
                 }
             }
-            News::Deleted(key) => {
+            News::Deleted(key, _) => {
                 if let Some(id) = agents::key_id(&key) {
                     log::info!("event=agent-unlisted agent={id}");
                     flows.unlist_agent(now, id);
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -24,6 +24,8 @@
 
 use marigoldway_core::flow::routes::Routes;
 use marigoldway_net::clock::Clock;
+use marigoldway_net::platform::calls::CallCounts;
+use marigoldway_net::platform::calls::CallKind;
 use marigoldway_platform::config;
 use marigoldway_platform::store::KvStore;
 use marigoldway_platform::store::StoreOptions;
@@ -49,6 +51,9 @@
 /// each answer is a call. Probes of the connection notice a dead one sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Time between two lines that say what was spent.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Datagrams that are read in one turn.
 const BATCH_LEN: usize = 32;
 
@@ -79,6 +84,8 @@
     /// Whether the process is to end.
     pub(crate) leaving: Cell<bool>,
     document: RefCell<Option<Document>>,
+    /// The calls of each client of the store.
+    calls: RefCell<Vec<Arc<CallCounts>>>,
 }
 
 impl Node {
@@ -92,18 +99,39 @@
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
             document: RefCell::new(None),
+            calls: RefCell::default(),
         })
     }
 
     /// A client of the store. Changes that come within `pause` are one call of
     /// a watch.
     pub(crate) fn store(&self, pause: Duration) -> Rc<KvStore> {
-        Rc::new(KvStore::new(StoreOptions {
+        let store = KvStore::new(StoreOptions {
             address: SocketAddr::V4(self.settings.platform.address),
             timeout: self.settings.platform.timeout,
             wait: WATCH_WAIT,
             pause,
-        }))
+        });
+        self.calls.borrow_mut().push(store.calls().clone());
+        Rc::new(store)
+    }
+
+    /// Calls to the store of one kind since the start.
+    fn calls(&self, kind: CallKind) -> u64 {
+        self.calls.borrow().iter().map(|it| it.of(kind)).sum()
+    }
+
+    /// Says now and then what the process spends and holds.
+    pub(crate) async fn report(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            let version = self.version();
+            let mut line = format!("event=calls version={version}");
+            for kind in CallKind::ALL {
+                line.push_str(&format!(" {}={}", kind.as_str(), self.calls(kind)));
+            }
+            log::info!("{line}");
+        }
     }
 
     /// The configuration in use.
@@ -189,6 +217,7 @@
         peers::AGENTS_PATH => Answer::found(Some(agents())),
         _ => Answer::found(None),
     })?;
+    task::spawn_local(node.clone().report());
     let Some(addr) = node.settings.metrics else {
         return Ok(());
     };
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -32,6 +32,9 @@
 /// itself without one.
 const FIRST_WORD: Duration = Duration::from_millis(1_500);
 
+/// Time between two looks whether the target has spoken.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
+
 /// Time that a target may be absent before that is worth a call: entries that
 /// send it flows are told by the agent itself.
 const ABSENCE: Duration = Duration::from_secs(2);
@@ -78,9 +81,8 @@
     pub(crate) async fn run(mut self) {
         let mut backoff = Backoff::default();
         let started = time::Instant::now();
-        while !self.agent.has_target() && started.elapsed() < FIRST_WORD {
-            let rest = FIRST_WORD.saturating_sub(started.elapsed());
-            let _ = time::timeout(rest, self.agent.record_changed()).await;
+        while !self.agent.is_introduced() && started.elapsed() < FIRST_WORD {
+            time::sleep(FIRST_LOOK).await;
         }
         loop {
             match self.step().await {
@@ -129,8 +131,11 @@
             self.renewed = time::Instant::now();
         }
         let unlisted = self.agent.take_unlisted();
-        if unlisted && matches!(self.written, Written::Record(..)) {
-            self.written = Written::Unknown;
+        if let (Some(at), Written::Record(_, revision)) = (unlisted, &self.written)
+            && at > *revision
+        {
+            // The lease may have ended with the key.
+            self.written = Written::Revision(0);
         }
         if let Written::Record(written, _) = self.written
             && (written == record || self.is_brief(&written, &record))
--- a/marigoldway/src/packets/store.rs
+++ b/marigoldway/src/packets/store.rs
@@ -17,12 +17,12 @@
 
 /// `News` is what the store has to tell of the keys of one prefix.
 pub(crate) enum News {
-    /// All keys, in place of what was known.
-    All(Vec<Stored>),
+    /// All keys at a revision, in place of what was known.
+    All(Vec<Stored>, u64),
     /// A value was written.
     Put(Stored),
-    /// A key was deleted.
-    Deleted(String),
+    /// A key was deleted at a revision.
+    Deleted(String, u64),
     /// The store answers.
     Reached,
     /// The store doesn't answer.
@@ -49,7 +49,7 @@
                 known = true;
                 away.reached();
                 backoff.reset();
-                on_news(News::All(read.found));
+                on_news(News::All(read.found, read.revision));
                 on_news(News::Reached);
                 watch(&store, &prefix, read.revision, &mut away, &mut on_news).await;
             }
@@ -76,7 +76,7 @@
     while let Some(change) = watch.next().await {
         match change {
             Change::Put(stored) => on_news(News::Put(stored)),
-            Change::Deleted { key, .. } => on_news(News::Deleted(key)),
+            Change::Deleted { key, revision } => on_news(News::Deleted(key, revision)),
             Change::Reached => {
                 away.reached();
                 on_news(News::Reached);
