--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -296,7 +296,7 @@
         node.flows.tick(self.now, &mut steps);
         assert!(node.flows.is_introduced());
         self.carry_out(own, None, steps);
-        self.carry_out(own, None, steps);
+        self.settle();
     }
 
     /// Entries learn who is there, other agents not yet.
