Keep flows that a restarted agent met before its target's first heartbeat

A new process learns flows from the target's packets; the first heartbeat it hears counted as a restart of the target and ended them.

Ruled out: the search among agents (no such reset in the log). Another target's word can't be meant by the first one that a process hears.

The test fails without the change (one reset).

--- /dev/null
+++ b/marigoldway-core/examples/measure_slots.rs
@@ -0,0 +1,235 @@
+//! Worth of requests at one target over a crest, by the gate's options.
+//!
+//! The load: a wave of requests of two classes that for some seconds asks for
+//! more than the target's slots can run. The target runs a few requests at a
+//! time, queues eight, and sheds the rest. An answer within its objective earns
+//! its worth, a later one a part of it, none after its deadline.
+//!
+//! `cargo run --release --example measure_slots`
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use marigoldway_core::flow::agent::gate::Arrival;
+use marigoldway_core::flow::agent::gate::Entrance;
+use marigoldway_core::flow::agent::gate::Gate;
+use marigoldway_core::flow::agent::gate::GateOptions;
+use marigoldway_core::flow::key::FlowKey;
+use marigoldway_core::flow::routes::Work;
+use marigoldway_core::flow::routes::WorkClass;
+use marigoldway_core::time::Timestamp;
+
+const SEEDS: u64 = 200;
+const SLOTS: u16 = 2;
+const QUEUE: usize = 8;
+
+/// Seconds of a run, and when its crest begins and ends.
+const LENGTH: f64 = 14.0;
+const CREST: (f64, f64) = (3.0, 7.0);
+
+/// Way of a request and its answer between client and agent.
+const TRAVEL_MS: f64 = 12.0;
+
+#[derive(Clone, Copy)]
+struct Class {
+    share: f64,
+    mean_ms: f64,
+    worth: f64,
+    late: f64,
+    work: Work,
+}
+
+#[derive(Clone, Copy)]
+struct Request {
+    class: usize,
+    asked: f64,
+    takes: f64,
+}
+
+fn work(priority: u8, objective: u64, timeout: u64) -> Work {
+    Work {
+        class: WorkClass::Safe,
+        priority,
+        objective: Duration::from_millis(objective),
+        timeout: Duration::from_millis(timeout),
+    }
+}
+
+/// The two classes of the ordering service on the grown deployment.
+fn classes() -> [Class; 2] {
+    [
+        Class {
+            share: 7.0 / 9.0,
+            mean_ms: 26.0,
+            worth: 1.0,
+            late: 0.3,
+            work: work(2, 250, 3_000),
+        },
+        Class {
+            share: 2.0 / 9.0,
+            mean_ms: 33.0,
+            worth: 2.0,
+            late: 0.6,
+            work: work(1, 300, 3_000),
+        },
+    ]
+}
+
+/// A time with a spread of a half, and a tail of one in 33 seven times as long.
+fn draw(rng: &mut StdRng, mean: f64) -> f64 {
+    let (a, b): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
+    let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+    let sigma = 0.25_f64.ln_1p().sqrt();
+    let time = mean * (sigma * normal - sigma * sigma / 2.0).exp();
+    if rng.random::<f64>() < 0.03 {
+        time * 7.0
+    } else {
+        time
+    }
+}
+
+fn arrivals(rng: &mut StdRng, classes: &[Class], crest: f64) -> Vec<Request> {
+    let mean: f64 = classes.iter().map(|it| it.share * it.mean_ms * 1.18).sum();
+    let full = f64::from(SLOTS) * 1e3 / mean;
+    let mut requests = Vec::new();
+    let mut now = 0.0;
+    while now < LENGTH {
+        let load = if (CREST.0..CREST.1).contains(&now) {
+            crest
+        } else {
+            0.6
+        };
+        let gap: f64 = rng.random_range(1e-9..1.0_f64);
+        now += -gap.ln() / (full * load);
+        let class = usize::from(rng.random::<f64>() > classes[0].share);
+        requests.push(Request {
+            class,
+            asked: now,
+            takes: draw(rng, classes[class].mean_ms) / 1e3,
+        });
+    }
+    requests
+}
+
+fn at(seconds: f64) -> Timestamp {
+    Timestamp::from_micros((seconds * 1e6) as u64)
+}
+
+fn key(index: usize) -> FlowKey {
+    let client = SocketAddrV4::new(Ipv4Addr::from(index as u32), 1);
+    FlowKey {
+        client,
+        server: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+    }
+}
+
+/// One target: requests inside by their index, those in slots with their end.
+#[derive(Default)]
+struct Target {
+    slots: Vec<(usize, f64)>,
+    queue: std::collections::VecDeque<usize>,
+}
+
+impl Target {
+    /// Takes a request; `false` where it is shed.
+    fn take(&mut self, now: f64, index: usize, requests: &[Request]) -> bool {
+        if self.slots.len() < usize::from(SLOTS) {
+            self.slots.push((index, now + requests[index].takes));
+            return true;
+        }
+        if self.queue.len() >= QUEUE {
+            return false;
+        }
+        self.queue.push_back(index);
+        true
+    }
+
+    fn next_end(&self) -> Option<(usize, f64)> {
+        let ends = self.slots.iter().copied();
+        ends.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
+
+/// Part of the worth that was earned.
+fn run(seed: u64, options: GateOptions, crest: f64) -> f64 {
+    let classes = classes();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let requests = arrivals(&mut rng, &classes, crest);
+    let mut gate = Gate::new(options);
+    let mut target = Target::default();
+    let (mut earned, mut owed) = (0.0, 0.0);
+    let mut next = 0;
+    loop {
+        let end = target.next_end();
+        let arrival = requests.get(next).map(|it| it.asked);
+        let now = match (end, arrival) {
+            (Some((_, end)), Some(at)) if end <= at => end,
+            (Some((_, end)), None) => end,
+            (_, Some(at)) => at,
+            (None, None) => break,
+        };
+        gate.expire(at(now));
+        if end.is_some_and(|(_, end)| end <= now) {
+            let (index, _) = end.unwrap_or_default();
+            target.slots.retain(|(it, _)| *it != index);
+            let request = requests[index];
+            let class = classes[request.class];
+            let took = (now - request.asked) * 1e3 + TRAVEL_MS;
+            if took <= class.work.objective.as_millis() as f64 {
+                earned += class.worth;
+            } else if took <= class.work.timeout.as_millis() as f64 {
+                earned += class.late;
+            }
+            gate.finish(at(now), &key(index));
+            if let Some(queued) = target.queue.pop_front() {
+                target.take(now, queued, &requests);
+            }
+        } else {
+            let class = classes[requests[next].class];
+            owed += class.worth;
+            let arrival = Arrival {
+                flow: key(next),
+                packet: &[],
+                work: class.work,
+                asked: at(now),
+                doubtful: false,
+            };
+            if gate.arrive(at(now), SLOTS, &arrival) == Entrance::Open {
+                target.take(now, next, &requests);
+            }
+            next += 1;
+        }
+        while let Some(released) = gate.release(at(now), SLOTS) {
+            let index = released.flow.client.ip().to_bits() as usize;
+            target.take(now, index, &requests);
+        }
+    }
+    earned / owed
+}
+
+fn main() {
+    println!(
+        "{:>6} {:>8} {:>8} {:>8} {:>8}",
+        "ahead", "reserve", "1.0", "1.2", "1.6"
+    );
+    for ahead in [0, 1, 2, 3] {
+        for reserve in [0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0] {
+            let options = GateOptions { ahead, reserve };
+            let worth = |crest| {
+                let sum: f64 = (0..SEEDS).map(|seed| run(seed, options, crest)).sum();
+                sum / SEEDS as f64
+            };
+            println!(
+                "{ahead:>6} {reserve:>8} {:>8.3} {:>8.3} {:>8.3}",
+                worth(1.0),
+                worth(1.2),
+                worth(1.6)
+            );
+        }
+    }
+}
--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -336,7 +336,10 @@
         let heard = self.target.on_heartbeat(now, heartbeat);
         if heard == Heard::Started {
             self.fresh = first.0 + FRESH_SLACK_MS >= self.options.born && first.1 <= FRESH_BEATS;
-            self.end_flows(steps);
+            // Flows that were met before the first word are this target's.
+            if self.target.incarnations() > 1 {
+                self.end_flows(steps);
+            }
         }
         self.restate(now);
         heard
--- a/marigoldway-core/src/flow/agent/gate.rs
+++ b/marigoldway-core/src/flow/agent/gate.rs
@@ -3,8 +3,7 @@
 //! The load that this answers: a crest of more requests than the targets' slots
 //! can run. A target queues a few, first come first served, and sheds the rest;
 //! who is shed comes back, and all are late. The gate lets in as many requests
-//! as the target runs at a time and a few more, and holds the first packets of
-//! the others. Whoever can still be answered within its objective goes first,
+//! as the target runs at a time, and holds the first packets of the others. Whoever can still be answered within its objective goes first,
 //! by the route's rank and then by the time that is left; requests that are
 //! late already use what room remains, the newest first, since the oldest will
 //! soon have nobody who waits.
@@ -17,10 +16,6 @@
 use crate::flow::routes::Work;
 use crate::time::Timestamp;
 
-/// Requests let in beyond the target's slots, so that a slot that frees finds
-/// the next request at the target.
-const AHEAD: usize = 1;
-
 /// Time on the way from the client and back that the agent can't see.
 const TRAVEL: Duration = Duration::from_millis(12);
 
@@ -44,9 +39,30 @@
 /// Time after which any request no longer counts where its route says nothing.
 const LIFE_MAX: Duration = Duration::from_secs(3);
 
+/// `GateOptions` says whom the gate lets in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateOptions {
+    /// Requests let in beyond the target's slots, so that a slot that frees
+    /// finds the next request at the target.
+    pub ahead: usize,
+    /// Time that has to be left of a request's objective for it to be in time,
+    /// in mean times that requests take: few take more.
+    pub reserve: f64,
+}
+
+impl Default for GateOptions {
+    fn default() -> GateOptions {
+        GateOptions {
+            ahead: 0,
+            reserve: 1.5,
+        }
+    }
+}
+
 /// `Gate` holds requests back until the target has room.
 #[derive(Debug, Default)]
 pub struct Gate {
+    options: GateOptions,
     running: IndexMap<FlowKey, Running>,
     waiting: IndexMap<FlowKey, Waiting>,
     octets: usize,
@@ -108,6 +124,14 @@
 }
 
 impl Gate {
+    /// Makes a gate that holds nothing.
+    pub fn new(options: GateOptions) -> Gate {
+        Gate {
+            options,
+            ..Gate::default()
+        }
+    }
+
     /// Requests inside the target.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -208,7 +232,7 @@
     }
 
     fn has_room(&self, slots: u16) -> bool {
-        self.running.len() < usize::from(slots) + AHEAD
+        self.running.len() < usize::from(slots) + self.options.ahead
     }
 
     fn start(&mut self, now: Timestamp, flow: FlowKey, work: Work, doubtful: bool) {
@@ -228,7 +252,8 @@
     /// Who goes next: by rank and by the time that is left among those that can
     /// be in time, else by rank the newest.
     fn next(&self, now: Timestamp) -> Option<FlowKey> {
-        let needed = now + self.mean.unwrap_or(TYPICAL_TIME) + TRAVEL;
+        let mean = self.mean.unwrap_or(TYPICAL_TIME);
+        let needed = now + mean.mul_f64(self.options.reserve) + TRAVEL;
         let in_time = self.waiting.iter().filter(|(_, it)| it.aim >= needed);
         let first = in_time.min_by_key(|(_, it)| (it.priority, it.aim));
         let late = || {
--- a/marigoldway-core/tests/flow/refused.rs
+++ b/marigoldway-core/tests/flow/refused.rs
@@ -165,3 +165,16 @@
         assert_eq!(fleet.resets(*key), 0, "{key} of {:?}", fleet.holder(*key));
     }
 }
+
+#[test]
+fn flow_that_a_restarted_agent_met_before_the_first_heartbeat_is_not_reset() {
+    let mut fleet = Fleet::new(11, 1, &[(1, "orders")]);
+    let key = flow(1_000, 443);
+    let origin = fleet.open(0, key).unwrap();
+    fleet.pass(Duration::from_secs(2));
+    fleet.start_agent(1, "orders");
+    fleet.share_roster();
+    assert!(fleet.talk(0, key, origin));
+    fleet.beat(1);
+    assert_eq!(fleet.resets(key), 0);
+}
