--- a/marigoldway-core/src/flow/agent/gate.rs
+++ b/marigoldway-core/src/flow/agent/gate.rs
@@ -3,7 +3,8 @@
 //! The load that this answers: a crest of more requests than the targets' slots
 //! can run. A target queues a few, first come first served, and sheds the rest;
 //! who is shed comes back, and all are late. The gate lets in as many requests
-//! as the target runs at a time, and holds the first packets of the others. Whoever can still be answered within its objective goes first,
+//! as the target runs at a time and a few more, and holds the first packets of
+//! the others. Whoever can still be answered within its objective goes first,
 //! by the route's rank and then by the time that is left; requests that are
 //! late already use what room remains, the newest first, since the oldest will
 //! soon have nobody who waits.
@@ -43,7 +44,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GateOptions {
     /// Requests let in beyond the target's slots, so that a slot that frees
-    /// finds the next request at the target.
+    /// finds the next request at the target: the agent's turn on its core comes
+    /// some milliseconds later.
     pub ahead: usize,
     /// Time that has to be left of a request's objective for it to be in time,
     /// in mean times that requests take: few take more.
@@ -53,7 +55,7 @@
 impl Default for GateOptions {
     fn default() -> GateOptions {
         GateOptions {
-            ahead: 0,
+            ahead: 2,
             reserve: 1.5,
         }
     }
