Explain a request from logs; conclude that a flow is gone only with the whole list

Added: marigoldway explain, which follows a request's id or a flow through the logs of several processes, and says what may be missing; each line names its instance; lines for each request (let in, held, released, answered, given up) with its id as it stands in the first data; logs on standard output that a full pipe never blocks; histograms of waits, answers and late ticks on the metrics address.

What was done: without the store's whole list nothing is concluded; an agent tells entries of itself only once its peers know it, which it learns from contacts where the store doesn't answer.

--- a/marigoldway-core/examples/measure_slots.rs
+++ b/marigoldway-core/examples/measure_slots.rs
@@ -197,6 +197,7 @@
                 packet: &[],
                 work: class.work,
                 asked: at(now),
+                first: false,
                 doubtful: false,
             };
             if gate.arrive(at(now), SLOTS, &arrival) == Entrance::Open {
--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -106,6 +106,10 @@
 /// `AgentStep` is one thing to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgentStep {
+    /// A request begins with the packet at hand.
+    Request(Entrance),
+    /// The target answers the request of a flow, this long after it was let in.
+    Answered(FlowKey, Duration),
     /// The packet at hand goes to the target.
     ToTarget,
     /// The packet at hand is held until the target has room.
@@ -623,15 +627,21 @@
     }
 
     /// Lets a packet with new data in, or holds it.
-    fn admit(&mut self, now: Timestamp, arrival: &Arrival<'_>) -> AgentStep {
+    fn admit(&mut self, now: Timestamp, arrival: &Arrival<'_>, steps: &mut Vec<AgentStep>) {
+        let known = self.gate.knows(&arrival.flow);
         // Uploads take little of a slot and long on the way.
-        if arrival.work.class == WorkClass::Upload {
-            return AgentStep::ToTarget;
+        let entrance = if arrival.work.class == WorkClass::Upload {
+            Entrance::Open
+        } else {
+            self.gate.arrive(now, self.slots(), arrival)
+        };
+        if !known && (arrival.first || arrival.work.class != WorkClass::Upload) {
+            steps.push(AgentStep::Request(entrance));
         }
-        match self.gate.arrive(now, self.slots(), arrival) {
+        steps.push(match entrance {
             Entrance::Open => AgentStep::ToTarget,
             Entrance::Held => AgentStep::Hold,
-        }
+        });
     }
 
     /// Lets waiting requests in while the target has room.
--- a/marigoldway-core/src/flow/agent/gate.rs
+++ b/marigoldway-core/src/flow/agent/gate.rs
@@ -110,6 +110,8 @@
     pub work: Work,
     /// When the client began to wait.
     pub asked: Timestamp,
+    /// Whether it is the first data of the flow.
+    pub first: bool,
     /// Whether the data may belong to a request that was answered before.
     pub doubtful: bool,
 }
@@ -171,22 +173,26 @@
         Entrance::Held
     }
 
+    /// Whether a request of the flow waits or runs.
+    pub fn knows(&self, flow: &FlowKey) -> bool {
+        self.running.contains_key(flow) || self.waiting.contains_key(flow)
+    }
+
     /// Whether the flow's request waits.
     pub fn holds(&self, flow: &FlowKey) -> bool {
         self.waiting.contains_key(flow)
     }
 
-    /// Takes note that the target has answered, or will not.
-    pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) {
-        let Some(running) = self.running.swap_remove(flow) else {
-            return;
-        };
-        if !running.measured {
-            return;
-        }
+    /// Takes note that the target has answered, or will not, and gives the time
+    /// that the request was inside, if one was.
+    pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Duration> {
+        let running = self.running.swap_remove(flow)?;
         let took = now.since(running.since);
-        let mean = self.mean.unwrap_or(took);
-        self.mean = Some(mean.mul_f64(1.0 - MEAN_SHARE) + took.mul_f64(MEAN_SHARE));
+        if running.measured {
+            let mean = self.mean.unwrap_or(took);
+            self.mean = Some(mean.mul_f64(1.0 - MEAN_SHARE) + took.mul_f64(MEAN_SHARE));
+        }
+        Some(took)
     }
 
     /// Forgets a flow that is gone.
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -49,10 +49,10 @@
                 packet,
                 work: header.work,
                 asked,
+                first: !begun,
                 doubtful,
             };
-            let step = self.enter(now, segment, fresh, &arrival);
-            steps.push(step);
+            self.enter(now, segment, fresh, &arrival, steps);
             if holds && !told {
                 let receipt = self.receipt(now, flow, Verdict::Holds);
                 steps.push(AgentStep::ToEntry(header.entry, receipt));
@@ -117,7 +117,8 @@
         let flow = segment.inbound_flow();
         let peers: Vec<(InstanceId, bool)> = self.peers().map(|it| (it.id, it.complete)).collect();
         let asked: Vec<InstanceId> = peers.iter().map(|(id, _)| *id).collect();
-        let sole = header.sole;
+        // Among some of the agents alone nothing is known to be gone.
+        let sole = header.sole && self.agents.is_listed();
         if asked.is_empty() {
             return steps.push(AgentStep::Drop(DropReason::Unknown));
         }
@@ -195,19 +196,20 @@
         segment: &Segment,
         fresh: bool,
         arrival: &Arrival<'_>,
-    ) -> AgentStep {
+        steps: &mut Vec<AgentStep>,
+    ) {
         if segment.flags.rst {
             self.gate.forget(&arrival.flow);
-            return AgentStep::ToTarget;
+            return steps.push(AgentStep::ToTarget);
         }
         if fresh || (segment.flags.fin && self.gate.holds(&arrival.flow)) {
-            return self.admit(now, arrival);
+            return self.admit(now, arrival, steps);
         }
         if segment.len > 0 && self.gate.holds(&arrival.flow) {
             // The first copy is held.
-            return AgentStep::Drop(DropReason::Held);
+            return steps.push(AgentStep::Drop(DropReason::Held));
         }
-        AgentStep::ToTarget
+        steps.push(AgentStep::ToTarget);
     }
 
     fn visit(
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -53,7 +53,9 @@
             steps.push(AgentStep::ToEntry(entry, receipt));
         }
         if answered {
-            self.gate.finish(now, &flow);
+            if let Some(took) = self.gate.finish(now, &flow) {
+                steps.push(AgentStep::Answered(flow, took));
+            }
             self.release(now, steps);
         }
     }
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -32,6 +32,8 @@
     known: IndexMap<InstanceId, Known>,
     services: IndexMap<NameKey, Members>,
     epoch: u64,
+    /// Whether the store's whole list was read.
+    listed: bool,
 }
 
 #[derive(Debug)]
@@ -59,6 +61,12 @@
         self.epoch
     }
 
+    /// Whether the store's whole list was read, so that every agent is known
+    /// but for newcomers.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Agents that are known.
     pub fn len(&self) -> usize {
         self.known.len()
@@ -93,6 +101,7 @@
 
     /// Takes the store's list as a whole: who isn't in it is unlisted.
     pub fn replace(&mut self, now: Timestamp, records: &[AgentRecord]) {
+        self.listed = true;
         let missing: Vec<InstanceId> = self
             .known
             .keys()
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -505,7 +505,11 @@
                 AgentStep::Reset(reset, _) => {
                     self.got.push((reset.flow, Got::Reset(reset.seq)));
                 }
-                AgentStep::Hold | AgentStep::Release(_) | AgentStep::GiveUp(_) => {}
+                AgentStep::Hold
+                | AgentStep::Release(_)
+                | AgentStep::GiveUp(_)
+                | AgentStep::Request(_)
+                | AgentStep::Answered(..) => {}
                 AgentStep::Drop(_) => {}
             }
         }
--- a/marigoldway/src/cli.rs
+++ b/marigoldway/src/cli.rs
@@ -16,6 +16,8 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::errors::describe;
+use crate::explain;
+use crate::explain::ExplainArgs;
 use crate::keys;
 use crate::lists;
 use crate::lists::ListsArgs;
@@ -77,6 +79,9 @@
     /// Asks a process what it sees.
     #[options(help = "ask the process with the operator address ADDR what it sees")]
     Status(AddressArgs),
+    /// Follows a request through logs.
+    #[options(help = "follow a request or a flow through the logs in FILES")]
+    Explain(ExplainArgs),
     /// Makes fleet keys and certificates.
     #[options(help = "make fleet keys and development certificates")]
     Keys(KeysArgs),
@@ -199,6 +204,7 @@
             Command::Entry(args) | Command::Agent(args) | Command::Check(args) => args.version,
             Command::Lists(args) => args.version,
             Command::Status(args) => args.version,
+            Command::Explain(args) => args.version,
             Command::Keys(args) => {
                 args.version
                     || args
@@ -227,6 +233,7 @@
         Command::Agent(args) => with(args.file, "FILE", |file| run_agent(&file)),
         Command::Check(args) => with(args.file, "FILE", |file| check::run(&file)),
         Command::Status(args) => with(args.addr, "ADDR", status::run),
+        Command::Explain(args) => run_explain(args),
         Command::Lists(args) => lists::run(args),
         Command::Keys(args) => match args.command {
             Some(command) => run_keys(command),
@@ -251,6 +258,14 @@
     process::agent(file)
 }
 
+/// The first word is the id, the others are files.
+fn run_explain(args: ExplainArgs) -> ExitCode {
+    let mut words = args.words.into_iter();
+    let id = words.next();
+    let files: Vec<PathBuf> = words.map(PathBuf::from).collect();
+    with(id, "ID", |id| explain::run(&id, &files))
+}
+
 fn run_keys(command: KeysCommand) -> ExitCode {
     match command {
         KeysCommand::New(args) => with(args.file, "FILE", |file| keys::create(&file)),
--- a/marigoldway/src/errors.rs
+++ b/marigoldway/src/errors.rs
@@ -32,6 +32,10 @@
     Write(String),
     /// Another process could not be asked.
     Ask(String),
+    /// A file could not be read.
+    Read(String),
+    /// None of so many lines of logs names an id.
+    Unnamed(String, usize),
 }
 
 impl Error {
@@ -51,6 +55,10 @@
             Error::Run(part) => write!(f, "{part} failed"),
             Error::Replaced => f.write_str("a later process has the same data address"),
             Error::Write(file) => write!(f, "{file} could not be written"),
+            Error::Read(file) => write!(f, "{file} could not be read"),
+            Error::Unnamed(id, lines) => {
+                write!(f, "none of {lines} lines names the request or flow {id}")
+            }
             Error::Ask(addr) => write!(f, "{addr} could not be asked"),
         }
     }
--- /dev/null
+++ b/marigoldway/src/explain/mod.rs
@@ -0,0 +1,69 @@
+//! `marigoldway explain`: follows a request or a flow through the logs of
+//! several processes.
+
+pub mod line;
+pub mod story;
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::path::PathBuf;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use gumdrop::Options;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::explain::line::Line;
+use crate::explain::story::Story;
+
+/// Arguments of `marigoldway explain`.
+#[derive(Debug, Options)]
+#[options(help = "Logs are read from the files, or from standard input.")]
+pub struct ExplainArgs {
+    /// Asks for the usage text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Asks for the version.
+    #[options(help = "print the version")]
+    pub version: bool,
+    /// The request's id or the flow, then the files.
+    #[options(free, help = "id of a request, or a flow as in the logs; then files")]
+    pub words: Vec<String>,
+}
+
+/// Prints the way of a request. Fails where a file can't be read or no line
+/// names the id.
+pub fn run(id: &str, files: &[PathBuf]) -> Result<()> {
+    let mut text = String::new();
+    if files.is_empty() {
+        let read = io::stdin().read_to_string(&mut text);
+        read.change_context(Error::Read("standard input".to_owned()))?;
+    }
+    for file in files {
+        let read = fs::read_to_string(file);
+        text += &read.change_context_lazy(|| Error::Read(file.display().to_string()))?;
+    }
+    let lines: Vec<Line> = text.lines().filter_map(Line::parse).collect();
+    match story::follow(&lines, id) {
+        Some(story) => {
+            print(&story);
+            Ok(())
+        }
+        None => Err(Report::new(Error::Unnamed(id.to_owned(), lines.len()))),
+    }
+}
+
+fn print(story: &Story) {
+    println!("flow: {}", story.flows.join(", "));
+    let start = story.way.first().map_or(0, |line| line.time);
+    for line in &story.way {
+        let after = line.time.saturating_sub(start);
+        println!("{after:>7} ms  {:<28} {}", line.instance, line.text);
+    }
+    for gap in &story.gaps {
+        println!("beside: {gap}");
+    }
+    println!("cause: {}", story.cause);
+}
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod entry;
 pub mod errors;
+pub mod explain;
 mod fetch;
 pub mod keys;
 pub mod lists;
--- a/marigoldway/src/logging.rs
+++ b/marigoldway/src/logging.rs
@@ -1,7 +1,11 @@
 //! Logs: one line of key=value pairs for each event, on standard error.
 
 use std::fmt::Arguments;
+use std::fs::File;
 use std::io;
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -10,24 +14,53 @@
 use log::LevelFilter;
 use log::Record;
 use log::SetLoggerError;
+use rustix::fs::OFlags;
 
 /// Prefix of the modules whose messages are key=value pairs already.
 const OWN_PREFIX: &str = "marigoldway";
 
+/// Lines that standard output didn't take.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
 /// Sends logs to standard error. Libraries are heard from `warn` on.
 pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
     dispatch(level).chain(io::stderr()).apply()
 }
 
-/// Sends logs to standard output, for processes whose platform collects them
-/// there. Libraries are heard from `warn` on.
-pub fn init_stdout(level: LevelFilter) -> Result<(), SetLoggerError> {
-    dispatch(level).chain(io::stdout()).apply()
+/// Sends logs to standard output, each line with the name of the instance, for
+/// processes whose platform collects them there. Libraries are heard from
+/// `warn` on. A reader that stops reading never holds the process up: what the
+/// pipe doesn't take is left out, and counted in [`left_out`].
+pub fn init_stdout(level: LevelFilter, instance: &str) -> io::Result<()> {
+    let pipe = rustix::io::dup(rustix::stdio::stdout())?;
+    let flags = rustix::fs::fcntl_getfl(&pipe)?;
+    rustix::fs::fcntl_setfl(&pipe, flags | OFlags::NONBLOCK)?;
+    let pipe = File::from(pipe);
+    let instance = instance.to_owned();
+    let sink = fern::Output::call(move |record| {
+        let line = line(&record.args().to_string(), record, Some(&instance)) + "\n";
+        // A line is shorter than a pipe writes at once, so it goes whole.
+        if (&pipe).write_all(line.as_bytes()).is_err() {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    levels(Dispatch::new(), level)
+        .chain(sink)
+        .apply()
+        .map_err(io::Error::other)
+}
+
+/// Lines that standard output didn't take.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
 }
 
 fn dispatch(level: LevelFilter) -> Dispatch {
-    Dispatch::new()
-        .format(format)
+    levels(Dispatch::new().format(format), level)
+}
+
+fn levels(dispatch: Dispatch, level: LevelFilter) -> Dispatch {
+    dispatch
         .level(level.min(LevelFilter::Warn))
         .level_for(OWN_PREFIX, level)
         .level_for("marigoldway_core", level)
@@ -37,17 +70,23 @@
 }
 
 fn format(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    out.finish(format_args!("{}", line(&message.to_string(), record, None)));
+}
+
+/// One line of a log.
+fn line(message: &str, record: &Record<'_>, instance: Option<&str>) -> String {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     let level = record.level().as_str().to_ascii_lowercase();
-    out.finish(format_args!(
-        "time={}.{:03} level={level} module={} {}",
+    let instance = instance.map_or(String::new(), |name| format!("instance={name} "));
+    format!(
+        "time={}.{:03} level={level} {instance}module={} {}",
         since.as_secs(),
         since.subsec_millis(),
         record.target(),
-        pairs(&message.to_string(), record.target()),
-    ));
+        pairs(message, record.target()),
+    )
 }
 
 /// The message on one line, as pairs. A library's message becomes one value.
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -20,6 +20,7 @@
 use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::agent::AgentOptions;
 use marigoldway_core::flow::agent::AgentStep;
+use marigoldway_core::flow::agent::gate::Entrance;
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
@@ -72,6 +73,9 @@
 /// that know nothing ask the others.
 const PEERS_PAUSE: Duration = Duration::from_secs(3);
 
+/// Time between two questions of a newcomer to its contacts.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time that requests inside the target may take once the process leaves.
 const LEAVE_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -165,6 +169,7 @@
     task::spawn_local(Registrar::new(agent.clone(), store).run());
     task::spawn_local(tick(agent.clone()));
     task::spawn_local(say_hello(agent.clone()));
+    task::spawn_local(ask_contacts(agent.clone()));
     Ok(())
 }
 
@@ -173,7 +178,7 @@
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut number = 0;
     loop {
-        interval.tick().await;
+        node::note_tick(&agent.node, interval.tick().await);
         let now = agent.node.clock.now();
         let mut steps = Vec::new();
         let probes = agent.flows.borrow_mut().tick(now, &mut steps);
@@ -203,6 +208,29 @@
     }
 }
 
+/// A newcomer that the store doesn't answer learns its peers from its contacts.
+async fn ask_contacts(agent: Rc<Agent>) {
+    let contacts = agent.node.contacts();
+    for contact in contacts.iter().cycle() {
+        time::sleep(CONTACT_INTERVAL).await;
+        if agent.listed.get() {
+            return;
+        }
+        let Some(body) = peers::ask(*contact, peers::AGENTS_PATH).await else {
+            continue;
+        };
+        let now = agent.node.clock.now();
+        let mut flows = agent.flows.borrow_mut();
+        let service = flows.service();
+        for record in peers::decode_agents(&body) {
+            if record.service == service {
+                flows.agents_mut().hear(now, record);
+            }
+        }
+        agent.listed.set(true);
+    }
+}
+
 /// The instance's clock, in Unix milliseconds.
 fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -258,6 +286,9 @@
 
     /// Tells up to `count` entries of the agent, by turns.
     fn tell_entries(&self, count: usize) {
+        if !self.is_introduced() {
+            return;
+        }
         let now = self.node.clock.now();
         let hello = flows::encode_hello(&self.flows.borrow().hello(now));
         let mut entries = self.entries.borrow_mut();
@@ -362,10 +393,15 @@
         self.node.leaving.get() && self.flows.borrow().target().current().is_none()
     }
 
-    /// Whether the target is known, and the agent known to its peers.
-    pub(crate) fn is_introduced(&self) -> bool {
-        let flows = self.flows.borrow();
-        self.listed.get() && flows.target().current().is_some() && flows.is_introduced()
+    /// Whether the agent's peers know it, so that entries may.
+    fn is_introduced(&self) -> bool {
+        self.listed.get() && self.flows.borrow().is_introduced()
+    }
+
+    /// Whether the target has spoken and the record may be listed.
+    pub(crate) fn may_list(&self) -> bool {
+        let known = self.flows.borrow().target().current().is_some();
+        known && self.is_introduced()
     }
 
     /// Takes a message of a process of the system.
@@ -461,7 +497,7 @@
     /// Does what was decided on `packet`.
     fn carry_out(&self, flow: Option<&FlowKey>, packet: &mut [u8], steps: &[AgentStep]) {
         for step in steps {
-            self.log_step(flow, step);
+            self.log_step(flow, packet, step);
             match step {
                 AgentStep::ToTarget => {
                     let target = self.settings.borrow().target;
@@ -513,13 +549,17 @@
                     let client = reset.flow.client;
                     self.node.send_client(&self.outbound, client, &reset_packet);
                 }
-                AgentStep::Hold | AgentStep::GiveUp(_) | AgentStep::Drop(_) => {}
+                AgentStep::Hold
+                | AgentStep::Request(_)
+                | AgentStep::Answered(..)
+                | AgentStep::GiveUp(_)
+                | AgentStep::Drop(_) => {}
             }
         }
     }
 
     /// Counts each decision, and logs those that start, move or end a flow.
-    fn log_step(&self, flow: Option<&FlowKey>, step: &AgentStep) {
+    fn log_step(&self, flow: Option<&FlowKey>, packet: &[u8], step: &AgentStep) {
         let (kind, detail) = match step {
             AgentStep::ToTarget => return self.node.count("packet-to-target"),
             AgentStep::ToClient => return self.node.count("packet-to-client"),
@@ -530,6 +570,7 @@
             AgentStep::Release(released) => {
                 let kind = "request-released";
                 self.node.count(kind);
+                self.node.times.waits.observe(released.waited.as_secs_f64());
                 let waited = format!("waited-ms={}", released.waited.as_millis());
                 return self.log_flow(kind, &released.flow, &waited);
             }
@@ -538,13 +579,26 @@
                 self.node.count(kind);
                 return self.log_flow(kind, flow, "reason=timeout");
             }
-            AgentStep::Hold => {
+            AgentStep::Hold => return self.node.count("packet-held"),
+            AgentStep::Request(entrance) => {
                 let load = self.flows.borrow().load(self.node.clock.now());
+                let request = packet::request_id(packet).unwrap_or("unread");
+                let (kind, running, waiting) = match entrance {
+                    Entrance::Open => ("request-let-in", load.running, load.waiting),
+                    Entrance::Held => ("request-held", load.running, load.waiting),
+                };
+                let slots = load.slots;
                 (
-                    "request-held",
-                    format!("running={} waiting={}", load.running, load.waiting),
+                    kind,
+                    format!("request={request} running={running} waiting={waiting} slots={slots}"),
                 )
             }
+            AgentStep::Answered(flow, took) => {
+                let kind = "request-answered";
+                self.node.count(kind);
+                self.node.times.answers.observe(took.as_secs_f64());
+                return self.log_flow(kind, flow, &format!("took-ms={}", took.as_millis()));
+            }
             AgentStep::ToAgents(agents, header) => {
                 let kind = match header.errand {
                     Errand::Open => "flow-passed-on",
@@ -570,7 +624,8 @@
             AgentStep::Reset(reset, reason) => {
                 let kind = "flow-reset";
                 self.node.count(kind);
-                return self.log_flow(kind, &reset.flow, reason.as_str());
+                let reason = format!("reason={}", reason.as_str());
+                return self.log_flow(kind, &reset.flow, &reason);
             }
             AgentStep::Drop(reason) => ("packet-dropped", format!("reason={}", reason.as_str())),
         };
--- a/marigoldway/src/packets/budget.rs
+++ b/marigoldway/src/packets/budget.rs
@@ -8,9 +8,9 @@
 
 use marigoldway_core::time::Timestamp;
 
-/// Lines of one kind a second: the lines of a few requests in each part of a
-/// second, at a hundredth of the processor time of a small instance.
-const LINES_MAX: u32 = 20;
+/// Lines of one kind a second: about as many as one agent's target answers, at
+/// a fiftieth of the processor time of a small instance.
+const LINES_MAX: u32 = 60;
 
 /// Time over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -157,7 +157,7 @@
     let mut interval = time::interval(node::TICK);
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        node::note_tick(&entry.node, interval.tick().await);
         let now = entry.node.clock.now();
         let current = entry.reached.get();
         let current = current.is_some_and(|at| now.since(at) < CURRENT_LIFE);
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -13,6 +13,7 @@
 mod registrar;
 mod server;
 mod store;
+mod times;
 
 use std::path::Path;
 
@@ -48,20 +49,21 @@
     settings: &FlowSettings,
     run: impl Future<Output = Result<()>>,
 ) -> Result<()> {
-    logging::init_stdout(settings.log_level).change_context(Error::Start("logs"))?;
-    let (name, data) = (&settings.name, settings.data);
+    let logs = logging::init_stdout(settings.log_level, &settings.name);
+    logs.change_context(Error::Start("logs"))?;
+    let data = settings.data;
     let version = env!("CARGO_PKG_VERSION");
-    log::info!("event=start role={role} instance={name} data={data} version={version}");
+    log::info!("event=start role={role} data={data} version={version}");
 
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.change_context(Error::Start("runtime"))?;
     let result = LocalSet::new().block_on(&runtime, run);
     runtime.shutdown_background();
     match &result {
-        Ok(()) => log::info!("event=stop role={role} instance={name}"),
+        Ok(()) => log::info!("event=stop role={role}"),
         Err(report) => {
             let error = crate::errors::describe(report);
-            log::error!("event=stop role={role} instance={name} error={error:?}");
+            log::error!("event=stop role={role} error={error:?}");
         }
     }
     result
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -21,6 +21,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task;
+use tokio::time;
 
 use marigoldway_core::flow::routes::Routes;
 use marigoldway_net::clock::Clock;
@@ -32,12 +33,14 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::logging;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::packets::budget::Budget;
 use crate::packets::peers;
 use crate::packets::server;
 use crate::packets::server::Answer;
+use crate::packets::times::Times;
 use crate::settings::FlowSettings;
 
 /// Time between two rounds of what is due.
@@ -79,6 +82,7 @@
     pub(crate) clock: Clock,
     pub(crate) budget: Budget,
     pub(crate) metrics: Metrics,
+    pub(crate) times: Times,
     /// The socket for other processes of the system.
     pub(crate) data: UdpSocket,
     /// Whether the process is to end.
@@ -96,6 +100,7 @@
             clock: Clock::start(),
             budget: Budget::default(),
             metrics: Metrics::new(None).change_context(Error::Start("metrics"))?,
+            times: Times::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
             document: RefCell::new(None),
@@ -124,7 +129,7 @@
     /// Says now and then what the process spends and holds.
     pub(crate) async fn report(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(REPORT_INTERVAL).await;
+            time::sleep(REPORT_INTERVAL).await;
             let version = self.version();
             let mut line = format!("event=calls version={version}");
             for kind in CallKind::ALL {
@@ -224,13 +229,24 @@
     let shared = node.clone();
     server::serve(addr, move |_, _, _| {
         let lines = shared.metrics.snapshot().into_iter();
-        let text: String = lines
+        let counters: String = lines
             .map(|(name, count)| format!("marigoldway_{} {count}\n", name.replace(['.', '-'], "_")))
             .collect();
+        let left_out = logging::left_out();
+        let text = format!(
+            "{counters}marigoldway_config_version {}\nmarigoldway_lines_left_out {left_out}\n{}",
+            shared.version(),
+            shared.times.text(),
+        );
         Answer::found(Some(Bytes::from(text)))
     })
 }
 
+/// Takes the lateness of a tick.
+pub(crate) fn note_tick(node: &Node, due: time::Instant) {
+    node.times.turns.observe(due.elapsed().as_secs_f64());
+}
+
 /// Binds a UDP socket.
 pub(crate) fn bind(addr: SocketAddrV4) -> Result<UdpSocket> {
     let failed = || Error::Bind(addr.into());
@@ -289,7 +305,7 @@
             _ = term.recv() => break,
             _ = int.recv() => break,
             _ = hup.recv() => "signal",
-            () = tokio::time::sleep(LOOK) => "look",
+            () = time::sleep(LOOK) => "look",
         };
         let now = std::fs::read(&file).unwrap_or_default();
         let changed = now != text;
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -81,7 +81,7 @@
     pub(crate) async fn run(mut self) {
         let mut backoff = Backoff::default();
         let started = time::Instant::now();
-        while !self.agent.is_introduced() && started.elapsed() < FIRST_WORD {
+        while !self.agent.may_list() && started.elapsed() < FIRST_WORD {
             time::sleep(FIRST_LOOK).await;
         }
         loop {
--- /dev/null
+++ b/marigoldway/src/packets/times.rs
@@ -0,0 +1,64 @@
+//! Histograms of times, for the metrics address.
+
+use error_stack::ResultExt;
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Upper bounds of the buckets in seconds: from a target's handshake to the
+/// longest timeout of a route.
+const BUCKETS: [f64; 11] = [
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2,
+];
+
+/// `Times` are the histograms of a process.
+pub(crate) struct Times {
+    registry: Registry,
+    /// Time that requests are held at the agent.
+    pub(crate) waits: Histogram,
+    /// Time from a request's way to the target to its answer.
+    pub(crate) answers: Histogram,
+    /// Time of the loop's turns: how late a packet may be taken.
+    pub(crate) turns: Histogram,
+}
+
+impl Times {
+    /// Makes empty histograms.
+    pub(crate) fn new() -> Result<Times> {
+        let registry = Registry::new();
+        Ok(Times {
+            waits: histogram(&registry, "request_wait_seconds", "time held at the agent")?,
+            answers: histogram(&registry, "target_answer_seconds", "time at the target")?,
+            turns: histogram(
+                &registry,
+                "tick_delay_seconds",
+                "lateness of the loop's ticks",
+            )?,
+            registry,
+        })
+    }
+
+    /// All histograms as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("event=metrics-unreadable error=\"{error}\"");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram> {
+    let failed = Error::Start("metrics");
+    let options = HistogramOpts::new(format!("marigoldway_{name}"), help);
+    let histogram = Histogram::with_opts(options.buckets(BUCKETS.to_vec()));
+    let histogram = histogram.change_context(failed.clone())?;
+    let registered = registry.register(Box::new(histogram.clone()));
+    registered.change_context(failed)?;
+    Ok(histogram)
+}
