--- a/marigoldway/src/logging.rs
+++ b/marigoldway/src/logging.rs
@@ -1,9 +1,7 @@
 //! Logs: one line of key=value pairs for each event, on standard error.
 
 use std::fmt::Arguments;
-use std::fs::File;
 use std::io;
-use std::io::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::SystemTime;
@@ -32,15 +30,15 @@
 /// `warn` on. A reader that stops reading never holds the process up: what the
 /// pipe doesn't take is left out, and counted in [`left_out`].
 pub fn init_stdout(level: LevelFilter, instance: &str) -> io::Result<()> {
-    let pipe = rustix::io::dup(rustix::stdio::stdout())?;
-    let flags = rustix::fs::fcntl_getfl(&pipe)?;
-    rustix::fs::fcntl_setfl(&pipe, flags | OFlags::NONBLOCK)?;
-    let pipe = File::from(pipe);
+    // Elsewhere than on a pipe a write may wait, as it would for any program.
+    if let Ok(flags) = rustix::fs::fcntl_getfl(rustix::stdio::stdout()) {
+        let _ = rustix::fs::fcntl_setfl(rustix::stdio::stdout(), flags | OFlags::NONBLOCK);
+    }
     let instance = instance.to_owned();
     let sink = fern::Output::call(move |record| {
         let line = line(&record.args().to_string(), record, Some(&instance)) + "\n";
-        // A line is shorter than a pipe writes at once, so it goes whole.
-        if (&pipe).write_all(line.as_bytes()).is_err() {
+        // A line is shorter than what a pipe takes at once, so it goes whole.
+        if rustix::io::write(rustix::stdio::stdout(), line.as_bytes()).is_err() {
             LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
     });
