--- a/marigoldway-core/src/flow/agent/local.rs
+++ b/marigoldway-core/src/flow/agent/local.rs
@@ -37,6 +37,8 @@
     pub acked: u32,
     /// Number after the last octet that the client sent, once it sent any.
     pub client_end: Option<u32>,
+    /// Number after the last octet that the target sent, once it sent any.
+    pub target_end: Option<u32>,
     /// Whether the flow was open before this process saw it.
     pub learned: bool,
     /// When the client began to wait for the flow to open.
@@ -59,6 +61,7 @@
             origin: 0,
             acked: 0,
             client_end: None,
+            target_end: None,
             learned: false,
             asked,
             client_done: false,
@@ -84,14 +87,7 @@
         if segment.len == 0 {
             return false;
         }
-        let end = segment.seq.wrapping_add(u32::from(segment.len));
-        let fresh = self
-            .client_end
-            .is_none_or(|seen| end.wrapping_sub(seen).cast_signed() > 0);
-        if fresh {
-            self.client_end = Some(end);
-        }
-        fresh
+        advance(&mut self.client_end, segment)
     }
 
     /// Takes note of the target's packet, and tells whether a request is
@@ -99,7 +95,8 @@
     pub fn on_target(&mut self, now: Timestamp, segment: &Segment) -> bool {
         self.target_done |= segment.flags.fin;
         self.close(now);
-        segment.len > 0 || segment.flags.fin
+        let fresh = segment.len > 0 && advance(&mut self.target_end, segment);
+        fresh || segment.flags.fin
     }
 
     fn close(&mut self, now: Timestamp) {
@@ -114,3 +111,13 @@
 pub fn fits(origin: u32, ack: u32) -> bool {
     ack.wrapping_sub(origin).wrapping_add(ORIGIN_SLACK) < FLOW_SPAN
 }
+
+/// Takes note of a packet's last octet, and tells whether it is a new one.
+fn advance(end: &mut Option<u32>, segment: &Segment) -> bool {
+    let last = segment.seq.wrapping_add(u32::from(segment.len));
+    let fresh = end.is_none_or(|seen| last.wrapping_sub(seen).cast_signed() > 0);
+    if fresh {
+        *end = Some(last);
+    }
+    fresh
+}
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -93,7 +93,9 @@
             next.errand = Errand::Owned;
             return steps.push(AgentStep::ToAgents(vec![owner], next));
         }
-        if header.hops == 0 {
+        // The other home may be dead, though the store lists it: whatever comes
+        // again is searched here.
+        if header.hops == 0 && self.searches.pass(now, flow) {
             next.errand = Errand::Locate;
             let mut homes = homes(&self.agents, self.service, &flow);
             if let Some(home) = homes.find(|home| *home != self.options.own) {
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -30,6 +30,8 @@
 pub(super) struct Searches {
     open: IndexMap<FlowKey, Search>,
     lacked: IndexMap<FlowKey, Timestamp>,
+    /// Flows that went on to their other home.
+    passed: IndexMap<FlowKey, Timestamp>,
     /// Flows that complete agents are to be asked about.
     questions: Vec<FlowKey>,
     /// Flows that others are to be told of.
@@ -73,6 +75,19 @@
         true
     }
 
+    /// Whether a packet of an unknown flow goes on to the other home: only if
+    /// none did lately.
+    pub(super) fn pass(&mut self, now: Timestamp, flow: FlowKey) -> bool {
+        let passed = self.passed.get(&flow);
+        if passed.is_some_and(|at| now.since(*at) < LACK_LIFE) {
+            return false;
+        }
+        if self.passed.len() < MEMORY_MAX {
+            self.passed.insert(flow, now);
+        }
+        true
+    }
+
     /// Takes an agent's word that its target lacks a flow. Gives the client's
     /// last acknowledgement once all have said so.
     pub(super) fn on_lack(&mut self, from: InstanceId, flow: &FlowKey) -> Option<u32> {
@@ -128,6 +143,7 @@
     /// Forgets what is over.
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.open.retain(|_, it| now.since(it.since) < LACK_LIFE);
+        self.passed.retain(|_, at| now.since(*at) < LACK_LIFE);
         self.lacked.retain(|_, at| now.since(*at) < LACK_LIFE);
     }
 }
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -266,16 +266,21 @@
         for entry in &mut self.entries {
             entry.tick(self.now);
         }
-        for index in 0..self.agents.len() {
-            let (id, node) = self.agents.get_index_mut(index).unwrap();
-            let id = *id;
-            let mut steps = Vec::new();
-            node.flows.tick(self.now, &mut steps);
-            self.carry_out(id, None, steps);
+        let ids: Vec<InstanceId> = self.agents.keys().copied().collect();
+        for id in ids {
+            self.tick_agent(id);
         }
         self.settle();
     }
 
+    /// One agent does what is due.
+    pub fn tick_agent(&mut self, id: InstanceId) {
+        let node = self.agents.get_mut(&id).unwrap();
+        let mut steps = Vec::new();
+        node.flows.tick(self.now, &mut steps);
+        self.carry_out(id, None, steps);
+    }
+
     pub fn records(&self) -> Vec<AgentRecord> {
         self.agents
             .values()
--- a/marigoldway-core/tests/flow/found.rs
+++ b/marigoldway-core/tests/flow/found.rs
@@ -178,3 +178,32 @@
         }
     }
 }
+
+#[test]
+fn locate_with_both_homes_that_know_dead() {
+    let targets: Vec<(u8, &str)> = (1..=8).map(|n| (n, "orders")).collect();
+    let mut fleet = Fleet::new(12, 2, &targets);
+    let opened = open_all(&mut fleet);
+    // A newcomer takes the place of one home; the other one is dead, and the
+    // store still lists it.
+    fleet.start_agent(9, "orders");
+    fleet.start_target(9, "orders");
+    fleet.introduce(9);
+    fleet.share_with_entries();
+    fleet.stop(3);
+    let living: Vec<(u16, u32)> = opened
+        .into_iter()
+        .filter(|(n, _)| fleet.holder(flow(1_000 + n, 443)).is_some())
+        .collect();
+    // A client sends a packet five times before it gives up.
+    for _ in 0..4 {
+        answered(&mut fleet, 1, &living);
+        fleet.now = fleet.now + Duration::from_millis(200);
+        for n in [1, 2, 4, 5, 6, 7, 8, 9] {
+            fleet.beat(n);
+        }
+        // Only the newcomer: no owner registers anew.
+        fleet.tick_agent(agent_id(9));
+    }
+    assert_eq!(answered(&mut fleet, 1, &living), living.len());
+}
--- a/marigoldway/src/explain/story.rs
+++ b/marigoldway/src/explain/story.rs
@@ -1,12 +1,13 @@
 //! The way of one flow through entries and agents, from their logs.
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::explain::line::Line;
 
-/// Milliseconds around a flow's lines in which other events of the same
-/// instances may matter.
-const MARGIN_MS: u64 = 2_000;
+/// Milliseconds around a request's first line in which other events of the same
+/// instances may matter: the longest timeout of most routes.
+const MARGIN_MS: u64 = 3_000;
 
 /// `Story` is what the logs tell of a request or a flow.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,7 +37,7 @@
     let of_flow = |line: &&Line| line.value("flow").is_some_and(|flow| flows.contains(flow));
     let mut way: Vec<Line> = lines.iter().filter(of_flow).cloned().collect();
     way.sort_by_key(|line| line.time);
-    let gaps = gaps(lines, &way);
+    let gaps = gaps(lines, &way, id);
     let cause = cause(&way, id);
     Some(Story {
         flows: flows.into_iter().map(str::to_owned).collect(),
@@ -47,20 +48,26 @@
 }
 
 /// What the instances on the way said of lines left out, of starts and of lost
-/// dependencies meanwhile, and agents of which no line is there.
-fn gaps(lines: &[Line], way: &[Line]) -> Vec<String> {
-    let (Some(first), Some(last)) = (way.first(), way.last()) else {
+/// dependencies while the request was on its way, and what has no line.
+fn gaps(lines: &[Line], way: &[Line], id: &str) -> Vec<String> {
+    let of_request = |line: &&Line| line.value("request") == Some(id);
+    let Some(first) = way.iter().find(of_request).or(way.first()) else {
         return Vec::new();
     };
-    let span = first.time.saturating_sub(MARGIN_MS)..=last.time + MARGIN_MS;
+    let span = first.time.saturating_sub(MARGIN_MS)..=first.time + MARGIN_MS;
     let instances: IndexSet<&str> = way.iter().map(|line| line.instance.as_str()).collect();
     let mut gaps = Vec::new();
+    let mut left_out: IndexMap<&str, u64> = IndexMap::new();
     for line in lines {
         if !span.contains(&line.time) || !instances.contains(line.instance.as_str()) {
             continue;
         }
         let told = match line.event.as_str() {
-            "lines-left-out" => "left lines out",
+            "lines-left-out" => {
+                let count = line.value("count").and_then(|count| count.parse().ok());
+                *left_out.entry(&line.instance).or_default() += count.unwrap_or(1);
+                continue;
+            }
             "start" => "started",
             "stop" | "leave" => "left",
             "store-lost" => "lost the store",
@@ -74,6 +81,9 @@
             clock(line.time)
         ));
     }
+    for (instance, count) in left_out {
+        gaps.push(format!("{instance} left {count} lines out"));
+    }
     if !way.iter().any(|line| line.event.starts_with("request-")) {
         gaps.push("no agent's line names a request of the flow".to_owned());
     }
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -316,7 +316,8 @@
                 if self.node.budget.allows(now, kind) {
                     let agent = to.first().map(|it| it.0);
                     let other = header.other.map(|it| it.0);
-                    let (service, copy) = (header.service, segment.ack);
+                    let service = header.service;
+                    let copy = if segment.opens() { segment.ack } else { 0 };
                     log::info!(
                         "event={kind} flow={flow} agent={agent:?} other={other:?} \
                          service={service} copy={copy} version={version}"
--- a/marigoldway/tests/explain.rs
+++ b/marigoldway/tests/explain.rs
@@ -80,7 +80,7 @@
 #[test]
 fn follow_says_what_may_be_missing() {
     let story = follow(&[LET_IN, CUT], "r1").unwrap();
-    assert!(story.gaps.iter().any(|gap| gap.contains("left lines out")));
+    assert!(story.gaps.iter().any(|gap| gap == "a1 left 7 lines out"));
     assert!(story.gaps.iter().any(|gap| gap.contains("no entry's line")));
     assert_eq!(follow(&[PLACED, HELD], "r1"), None);
 }
