--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -4,19 +4,22 @@
 mod local;
 mod locate;
 mod outbound;
+mod register;
 mod search;
+pub mod steps;
+mod words;
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::flow::agent::gate::Arrival;
 use crate::flow::agent::gate::Entrance;
 use crate::flow::agent::gate::Gate;
-use crate::flow::agent::gate::Released;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
 use crate::flow::agent::search::Searches;
+pub use crate::flow::agent::steps::AgentStep;
+pub use crate::flow::agent::steps::DropReason;
+pub use crate::flow::agent::steps::ResetReason;
 use crate::flow::agents::Agents;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
@@ -27,7 +30,6 @@
 use crate::flow::message::Load;
 use crate::flow::message::Receipt;
 use crate::flow::message::RefuseReason;
-use crate::flow::message::Registered;
 use crate::flow::message::Registration;
 use crate::flow::message::TargetState;
 use crate::flow::message::Verdict;
@@ -44,25 +46,10 @@
 /// Agents that a packet passes at most.
 const HOPS_MAX: u8 = 4;
 
-/// Flows named by one registration at most, so that it fits a datagram.
-pub const REGISTRATION_LEN: usize = 64;
-
 /// Time for which entries may still route by the version before: a part of the
 /// seconds within which a configuration has to be in force.
 const VERSION_GRACE: Duration = Duration::from_secs(1);
 
-/// Time between two rounds of questions and answers of searches.
-const CONVERSE_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Time from an agent's first greeting to the second, should the first be lost.
-const GREETING_REPEAT: Duration = Duration::from_millis(100);
-
-/// Time between later greetings: less than an agent without a listing is known.
-const GREETING_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Greetings of a new process: the store has told its peers long before.
-const GREETINGS_MAX: u32 = 12;
-
 /// Milliseconds by which a target may seem older than the process that started
 /// with it. A process that ends isn't back as soon.
 const FRESH_SLACK_MS: u64 = 100;
@@ -103,94 +90,6 @@
     pub born: u64,
 }
 
-/// `AgentStep` is one thing to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AgentStep {
-    /// A request begins with the packet at hand.
-    Request(Entrance),
-    /// The target answers the request of a flow, this long after it was let in.
-    Answered(FlowKey, Duration),
-    /// The packet at hand goes to the target.
-    ToTarget,
-    /// The packet at hand is held until the target has room.
-    Hold,
-    /// Packets of a held request go to the target.
-    Release(Released),
-    /// Nobody waits for a held request any more.
-    GiveUp(FlowKey),
-    /// The packet at hand goes to its client.
-    ToClient,
-    /// The packet at hand goes to other agents.
-    ToAgents(Vec<InstanceId>, Header),
-    /// An entry is told what became of a flow.
-    ToEntry(InstanceId, Receipt),
-    /// A home is told who holds flows.
-    ToHome(InstanceId, Registration),
-    /// Agents are asked which of these flows their targets hold.
-    Inquire(Vec<InstanceId>, Vec<FlowKey>),
-    /// An agent that searches flows is told that the target lacks these.
-    ToSearcher(InstanceId, Vec<FlowKey>),
-    /// Other agents are told of this one.
-    Greet(Vec<InstanceId>),
-    /// A client is told that its flow is broken off.
-    Reset(Reset, ResetReason),
-    /// The packet at hand is let fall.
-    Drop(DropReason),
-}
-
-/// `ResetReason` says how an agent knows that a flow is gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum ResetReason {
-    /// A target of a later incarnation speaks.
-    TargetRestarted,
-    /// The target gave back a packet of a flow that it had answered.
-    TargetForgot,
-    /// Every agent of the service says that its target lacks the flow.
-    NobodyHolds,
-}
-
-impl ResetReason {
-    /// The reason as it stands in logs and counters.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            ResetReason::TargetRestarted => "target-restarted",
-            ResetReason::TargetForgot => "target-forgot",
-            ResetReason::NobodyHolds => "nobody-holds",
-        }
-    }
-}
-
-/// `DropReason` says why an agent lets a packet fall.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum DropReason {
-    /// The entry was told why the packet isn't taken.
-    Refused(RefuseReason),
-    /// The packet has passed too many agents.
-    Hops,
-    /// Nobody is known to hold the flow.
-    Unknown,
-    /// The flow is closed.
-    Closed,
-    /// A copy of the packet is held already.
-    Held,
-    /// The flow is being searched.
-    Searched,
-}
-
-impl DropReason {
-    /// The reason as it stands in logs and counters.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            DropReason::Refused(reason) => reason.as_str(),
-            DropReason::Hops => "hops",
-            DropReason::Unknown => "unknown",
-            DropReason::Closed => "closed",
-            DropReason::Held => "held",
-            DropReason::Searched => "searched",
-        }
-    }
-}
-
 /// `AgentFlows` decides on packets of clients and of the target.
 #[derive(Debug)]
 pub struct AgentFlows {
@@ -399,101 +298,6 @@
         }
     }
 
-    /// Takes another agent's word that its target lacks flows that are searched
-    /// here.
-    pub fn on_lack(&mut self, from: InstanceId, flows: &[FlowKey], steps: &mut Vec<AgentStep>) {
-        for flow in flows {
-            let Some(seq) = self.searches.on_lack(from, flow) else {
-                continue;
-            };
-            if self.flows.peek(flow).is_none() {
-                let reset = Reset { flow: *flow, seq };
-                steps.push(AgentStep::Reset(reset, ResetReason::NobodyHolds));
-            }
-        }
-    }
-
-    /// Takes another agent's question which flows the target holds. Whoever
-    /// doesn't know says nothing.
-    pub fn on_inquiry(
-        &mut self,
-        now: Timestamp,
-        from: InstanceId,
-        flows: &[FlowKey],
-        steps: &mut Vec<AgentStep>,
-    ) {
-        let complete = self.is_complete(now);
-        let mut held = Vec::new();
-        for flow in flows {
-            if let Some(local) = self.flows.peek(flow) {
-                held.push(Registered {
-                    flow: *flow,
-                    origin: local.origin,
-                });
-            } else if complete || self.searches.lacks(now, flow) {
-                self.searches.answer(from, *flow);
-            }
-        }
-        if !held.is_empty() {
-            steps.push(AgentStep::ToHome(from, self.registration(held)));
-        }
-        self.converse(now, steps);
-    }
-
-    /// Whether the known agents of the service were told of this one. Only then
-    /// may it be listed: a flow that is searched among agents that don't know
-    /// of a newcomer would be taken for gone.
-    pub fn is_introduced(&self) -> bool {
-        self.greetings.0 > 0 || self.peers().next().is_none()
-    }
-
-    /// Tells the known agents of the service of this one, again and again while
-    /// the store may not have told them yet.
-    fn greet(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
-        let (count, last) = self.greetings;
-        let interval = match count {
-            0 => Duration::ZERO,
-            1 => GREETING_REPEAT,
-            _ => GREETING_INTERVAL,
-        };
-        if count >= GREETINGS_MAX || now.since(last) < interval {
-            return;
-        }
-        let peers: Vec<InstanceId> = self.peers().map(|record| record.id).collect();
-        if peers.is_empty() {
-            return;
-        }
-        self.greetings = (count + 1, now);
-        steps.push(AgentStep::Greet(peers));
-    }
-
-    /// Sends the questions and answers of searches that have gathered, not too
-    /// often.
-    fn converse(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
-        if now.since(self.asked) < CONVERSE_INTERVAL {
-            return;
-        }
-        self.asked = now;
-        let (questions, answers) = self.searches.take();
-        let complete = self.peers().filter(|record| record.complete);
-        let complete: Vec<InstanceId> = complete.map(|record| record.id).collect();
-        for part in questions.chunks(REGISTRATION_LEN) {
-            steps.push(AgentStep::Inquire(complete.clone(), part.to_vec()));
-        }
-        for (searcher, flows) in answers {
-            for part in flows.chunks(REGISTRATION_LEN) {
-                steps.push(AgentStep::ToSearcher(searcher, part.to_vec()));
-            }
-        }
-    }
-
-    /// The records of the other agents of the service.
-    fn peers(&self) -> impl Iterator<Item = &AgentRecord> {
-        let ids = self.agents.of(self.service).iter();
-        ids.filter(|id| **id != self.options.own)
-            .filter_map(|id| self.agents.record(*id))
-    }
-
     /// Takes a client's packet that came with a header.
     pub fn on_client(
         &mut self,
@@ -667,42 +471,6 @@
         self.searches.clear();
         self.recount();
     }
-
-    /// Registers every flow at its homes.
-    fn register_all(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
-        let mut homes: IndexMap<InstanceId, Vec<Registered>> = IndexMap::new();
-        for (key, flow) in self.flows.iter() {
-            if flow.phase == Phase::Visiting || flow.closed.is_some() {
-                continue;
-            }
-            let registered = Registered {
-                flow: *key,
-                origin: flow.origin,
-            };
-            for home in locate::homes(&self.agents, self.service, key) {
-                homes.entry(home).or_default().push(registered);
-            }
-        }
-        for (home, flows) in homes {
-            if home == self.options.own {
-                for registered in &flows {
-                    self.home(now, home, registered);
-                }
-                continue;
-            }
-            for part in flows.chunks(REGISTRATION_LEN) {
-                steps.push(AgentStep::ToHome(home, self.registration(part.to_vec())));
-            }
-        }
-    }
-
-    fn registration(&self, flows: Vec<Registered>) -> Registration {
-        Registration {
-            service: self.service,
-            owner: self.options.own,
-            flows,
-        }
-    }
 }
 
 /// When the client sent the first copy of an opening packet.
