--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -2,7 +2,7 @@
 //! decisions.
 //!
 //! Each process is one thread with a `tokio` runtime, since it is given a small
-//! part of one core. [`node`] holds what both roles share.
+//! part of one core. `node` holds what both roles share.
 
 pub mod agent;
 mod budget;
