Conclude less from a search: newcomers not at all, and not against a registration

Supposed, not shown by a log: agents that come together read the store's list before either is on it, so they don't know each other.

What was done: an agent that its own first list lacks concludes nothing for 10 s; an agent at which another one registered the flow no longer says that it lacks it. Both only take resets away.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -50,6 +50,9 @@
 /// seconds within which a configuration has to be in force.
 const VERSION_GRACE: Duration = Duration::from_secs(1);
 
+/// Time after which a newcomer has been told of those that came with it.
+const NEWCOMER_LIFE: Duration = Duration::from_secs(10);
+
 /// Milliseconds by which a target may seem older than the process that started
 /// with it. A process that ends isn't back as soon.
 const FRESH_SLACK_MS: u64 = 100;
@@ -115,6 +118,8 @@
     /// Rounds of greetings that went out, and when the last did.
     greetings: (u32, Timestamp),
     leaving: bool,
+    /// Whether the store's first list lacked this agent.
+    newcomer: bool,
     gate: Gate,
     searches: Searches,
     open: u32,
@@ -148,6 +153,7 @@
             asked: Timestamp::ZERO,
             greetings: (0, Timestamp::ZERO),
             leaving: false,
+            newcomer: false,
             gate: Gate::default(),
             searches: Searches::default(),
             open: 0,
@@ -169,6 +175,22 @@
         &self.agents
     }
 
+    /// Takes the store's whole list of the service's agents. An agent that its
+    /// first list lacks is a newcomer.
+    pub fn on_list(&mut self, now: Timestamp, records: &[AgentRecord]) {
+        if !self.agents.is_listed() {
+            self.newcomer = !records.iter().any(|it| it.id == self.options.own);
+        }
+        self.agents.replace(now, records);
+    }
+
+    /// Whether every agent that may hold a flow is known. Two newcomers don't
+    /// know each other before the store has told them.
+    fn knows_all(&self, now: Timestamp) -> bool {
+        let settled = !self.newcomer || now.since(self.options.started) >= NEWCOMER_LIFE;
+        settled && self.agents.is_listed()
+    }
+
     /// The known agents, to be changed by whoever reads the store.
     pub fn agents_mut(&mut self) -> &mut Agents {
         &mut self.agents
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -120,7 +120,7 @@
         let peers: Vec<(InstanceId, bool)> = self.peers().map(|it| (it.id, it.complete)).collect();
         let asked: Vec<InstanceId> = peers.iter().map(|(id, _)| *id).collect();
         // Among some of the agents alone nothing is known to be gone.
-        let sole = header.sole && self.agents.is_listed();
+        let sole = header.sole && self.knows_all(now);
         if asked.is_empty() {
             return steps.push(AgentStep::Drop(DropReason::Unknown));
         }
--- a/marigoldway-core/src/flow/agent/words.rs
+++ b/marigoldway-core/src/flow/agent/words.rs
@@ -58,6 +58,8 @@
                     flow: *flow,
                     origin: local.origin,
                 });
+            } else if self.has_other_owner(flow) {
+                // Another agent holds it, whether or not the asker knows it.
             } else if complete || self.searches.lacks(now, flow) {
                 self.searches.answer(from, *flow);
             }
@@ -95,6 +97,12 @@
         steps.push(AgentStep::Greet(peers));
     }
 
+    /// Whether another agent registered a flow here.
+    fn has_other_owner(&self, flow: &FlowKey) -> bool {
+        let owners = self.homed.peek(flow).into_iter().flatten();
+        owners.into_iter().any(|(id, _)| *id != self.options.own)
+    }
+
     /// Sends the questions and answers of searches that have gathered, not too
     /// often.
     pub(super) fn converse(&mut self, now: Timestamp, steps: &mut Vec<AgentStep>) {
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -292,11 +292,18 @@
     pub fn introduce(&mut self, n: u8) {
         let own = agent_id(n);
         let peers = self.records();
+        let peers: Vec<AgentRecord> = peers.into_iter().filter(|it| it.id != own).collect();
+        self.introduce_to(n, &peers);
+    }
+
+    /// Agent `n` learns of `peers` alone, and tells them of itself.
+    pub fn introduce_to(&mut self, n: u8, peers: &[AgentRecord]) {
+        let own = agent_id(n);
         let node = self.agents.get_mut(&own).unwrap();
         let service = node.flows.service();
         let peers = peers.iter().filter(|it| it.service == service);
         let peers: Vec<AgentRecord> = peers.copied().collect();
-        node.flows.agents_mut().replace(self.now, &peers);
+        node.flows.on_list(self.now, &peers);
         let mut steps = Vec::new();
         node.flows.tick(self.now, &mut steps);
         assert!(node.flows.is_introduced());
@@ -325,7 +332,7 @@
                 .filter(|record| record.service == own)
                 .copied()
                 .collect();
-            node.flows.agents_mut().replace(self.now, &peers);
+            node.flows.on_list(self.now, &peers);
         }
         // Whoever isn't listed is forgotten in time.
         for entry in &mut self.entries {
--- a/marigoldway-core/tests/flow/refused.rs
+++ b/marigoldway-core/tests/flow/refused.rs
@@ -178,3 +178,32 @@
     fleet.beat(1);
     assert_eq!(fleet.resets(key), 0);
 }
+
+#[test]
+fn flow_of_a_newcomer_is_not_reset_by_one_that_came_with_it() {
+    let three = [(1, "orders"), (2, "orders"), (3, "orders")];
+    let mut fleet = Fleet::new(12, 2, &three);
+    fleet.pass(Duration::from_secs(2));
+    let listed = fleet.records();
+    for n in [4, 5, 6, 7] {
+        fleet.start_agent(n, "orders");
+        fleet.start_target(n, "orders");
+    }
+    for n in [4, 5, 6, 7] {
+        fleet.introduce_to(n, &listed);
+    }
+    fleet.share_with_entries();
+    let keys: Vec<_> = (0..80).map(|n| flow(1_000 + n, 443)).collect();
+    let origins: Vec<Option<u32>> = keys.iter().map(|key| fleet.open(0, *key)).collect();
+    for _ in 0..4 {
+        for (key, origin) in keys.iter().zip(&origins) {
+            if let Some(origin) = origin {
+                fleet.send(1, data(*key, *origin, 100));
+            }
+        }
+        fleet.pass(Duration::from_millis(500));
+    }
+    for key in &keys {
+        assert_eq!(fleet.resets(*key), 0, "{key} of {:?}", fleet.holder(*key));
+    }
+}
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -366,7 +366,7 @@
                 if !records.iter().any(|record| record.id == own) {
                     self.unlist(revision);
                 }
-                flows.agents_mut().replace(now, &records);
+                flows.on_list(now, &records);
                 self.listed.set(true);
             }
             News::Put(stored) => {
