--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -18,8 +18,10 @@
 mod redirect;
 mod register;
 mod search;
+mod served_addrs;
 pub mod slot_queue;
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 pub use crate::flow::agent::actions::AgentAction;
@@ -29,7 +31,9 @@
 use crate::flow::agent::local::LocalFlow;
 pub use crate::flow::agent::local::Phase;
 use crate::flow::agent::openings::Openings;
+pub use crate::flow::agent::peer_messages::FLUSH_INTERVAL;
 use crate::flow::agent::search::Searches;
+use crate::flow::agent::served_addrs::ServedAddrs;
 use crate::flow::agent::slot_queue::SlotQueue;
 use crate::flow::agents::Agents;
 use crate::flow::key::NameKey;
@@ -41,6 +45,7 @@
 use crate::flow::message::Load;
 use crate::flow::message::RefuseReason;
 use crate::flow::message::TargetState;
+use crate::flow::routes::Routes;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
@@ -129,6 +134,7 @@
     health: Health,
     openings: Openings,
     searches: Searches,
+    served_addrs: ServedAddrs,
     /// Number of flows that are open or whose first request is still expected.
     open_flows: u32,
 }
@@ -166,6 +172,7 @@
             health: Health::default(),
             openings: Openings::default(),
             searches: Searches::default(),
+            served_addrs: ServedAddrs::default(),
             open_flows: 0,
         }
     }
@@ -219,6 +226,29 @@
         &mut self.agents
     }
 
+    /// Applies the store's list of the addresses for which the service may hold flows. Empty if the
+    /// store has none.
+    pub fn set_listed_addrs(&mut self, addrs: Vec<SocketAddrV4>) {
+        self.served_addrs.set_listed(addrs);
+    }
+
+    /// Applies a configuration, which tells which listed addresses still lead to the service.
+    pub fn on_routes(&mut self, now: Timestamp, routes: &Routes) {
+        self.served_addrs.on_routes(now, self.service, routes);
+    }
+
+    /// The list of addresses that the caller is to write to the store now, if any.
+    pub fn due_addrs(&self, now: Timestamp) -> Option<Vec<SocketAddrV4>> {
+        let lifetime = self.options.idle_timeout;
+        self.served_addrs.due(now, self.is_first(), lifetime)
+    }
+
+    /// Whether this agent is the first of its service in the order of IDs.
+    pub fn is_first(&self) -> bool {
+        let first = self.agents.of_service(self.service).first();
+        first == Some(&self.options.own)
+    }
+
     /// Highest version of the configuration seen so far.
     pub fn version(&self) -> u64 {
         self.version
--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -62,8 +62,6 @@
     TargetRestarted,
     /// The target returned a packet of a flow that it had answered.
     TargetForgot,
-    /// Every agent of the service reports that its target doesn't hold the flow.
-    NotHeld,
 }
 
 impl ResetReason {
@@ -72,7 +70,6 @@
         match self {
             ResetReason::TargetRestarted => "target-restarted",
             ResetReason::TargetForgot => "target-forgot",
-            ResetReason::NotHeld => "nobody-holds",
         }
     }
 }
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -75,10 +75,11 @@
         self.locate(now, header, segment, actions);
     }
 
-    /// Forwards a packet to the registered owner or to the other directory agent, or starts a
-    /// search among every other agent of the service. If the packet is itself part of a search,
-    /// replies that the target doesn't hold the flow. Drops a packet that has passed `MAX_HOPS`
-    /// agents.
+    /// Forwards a packet to the registered owner or to the other directory agent. If neither knows
+    /// the owner, starts a search among every other agent of the service, or reports to the entry
+    /// that the flow is unknown if the header doesn't ask for a search. If the packet is itself
+    /// part of a search, replies that the target doesn't hold the flow. Drops a packet that has
+    /// passed `MAX_HOPS` agents.
     pub(super) fn locate(
         &mut self,
         now: Timestamp,
@@ -114,6 +115,10 @@
                 return actions.push(AgentAction::ToAgents(vec![directory_agent], next));
             }
         }
+        if !header.search {
+            self.report(now, header.entry, flow, Verdict::Unknown, actions);
+            return actions.push(AgentAction::Drop(DropReason::Unknown));
+        }
         next.intent = Intent::Search;
         next.other = Some(self.options.own);
         self.search(now, &next, segment, actions);
@@ -132,13 +137,16 @@
         let peers: Vec<(InstanceId, bool)> = self.peers().map(|it| (it.id, it.complete)).collect();
         let peer_ids: Vec<InstanceId> = peers.iter().map(|(id, _)| *id).collect();
         // A search among only some of the agents can't prove that a flow is gone.
-        let conclusive = header.single_service && self.knows_every_agent(now);
+        let conclusive = self.knows_every_agent(now);
         if peer_ids.is_empty() {
+            if conclusive {
+                self.report(now, header.entry, flow, Verdict::NotHeld, actions);
+            }
             return actions.push(AgentAction::Drop(DropReason::Unknown));
         }
         if !self
             .searches
-            .begin(now, flow, segment.ack, conclusive, &peer_ids)
+            .begin(now, flow, header.entry, conclusive, &peer_ids)
         {
             return actions.push(AgentAction::Drop(DropReason::Searched));
         }
@@ -154,6 +162,34 @@
         actions.push(AgentAction::ToAgents(incomplete, *header));
     }
 
+    /// Handles an entry's request to search flows that the directory agents don't know. Has no
+    /// effect while the table of an agent is incomplete: only its target then knows whether it
+    /// holds a flow, so the search needs a packet of the client.
+    pub fn on_search(
+        &mut self,
+        now: Timestamp,
+        entry: InstanceId,
+        flows: &[FlowKey],
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let complete = self.is_complete(now) && self.peers().all(|it| it.complete);
+        if !complete {
+            return;
+        }
+        let conclusive = self.knows_every_agent(now);
+        let peers: Vec<InstanceId> = self.peers().map(|it| it.id).collect();
+        for flow in flows.iter().filter(|it| self.flows.peek(it).is_none()) {
+            if peers.is_empty() {
+                if conclusive {
+                    self.report(now, entry, *flow, Verdict::NotHeld, actions);
+                }
+            } else if self.searches.begin(now, *flow, entry, conclusive, &peers) {
+                self.searches.add_query(*flow);
+            }
+        }
+        self.flush_searches(now, actions);
+    }
+
     /// Stores in the directory that an agent holds a flow. If the flow has more than `MAX_OWNERS`
     /// owners, the one that registered longest ago is removed.
     pub(super) fn add_owner(&mut self, now: Timestamp, owner: InstanceId, held: &DirectoryEntry) {
@@ -203,7 +239,7 @@
         match header.intent {
             Intent::Owned => true,
             Intent::Search => young,
-            Intent::Locate => young && self.owner(&flow, segment.ack).is_none(),
+            Intent::Locate => young && header.search && self.owner(&flow, segment.ack).is_none(),
             Intent::Open => false,
         }
     }
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -112,6 +112,7 @@
     /// Registers one flow at its directory agents, the agents that store the owner of a flow.
     fn register(&mut self, now: Timestamp, flow: FlowKey, actions: &mut Vec<AgentAction>) {
         self.searches.on_found(&flow);
+        self.served_addrs.add(now, flow.server);
         let Some(local) = self.flows.peek(&flow) else {
             return;
         };
@@ -165,7 +166,7 @@
             version: self.version,
             entry: self.options.own,
             other: None,
-            single_service: false,
+            search: false,
             work: Work {
                 class: WorkClass::Unsafe,
                 priority: u8::MAX,
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -7,17 +7,16 @@
 
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::actions::AgentAction;
-use crate::flow::agent::actions::ResetReason;
 use crate::flow::agent::register::MAX_FLOWS_PER_MESSAGE;
 use crate::flow::key::FlowKey;
 use crate::flow::message::AgentRecord;
 use crate::flow::message::DirectoryEntry;
-use crate::flow::segment::Reset;
+use crate::flow::message::Verdict;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
 /// Minimum time between two rounds of queries and replies of searches.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
+pub const FLUSH_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time from an agent's first hello to the second, in case the first is lost.
 const HELLO_REPEAT: Duration = Duration::from_millis(100);
@@ -32,20 +31,20 @@
 
 impl AgentFlows {
     /// Handles another agent's message that its target doesn't hold flows that this agent searches.
-    /// Resets the flows that no agent holds.
+    /// Reports the flows that no agent holds to the entry that asked for them.
     pub fn on_not_held(
         &mut self,
+        now: Timestamp,
         from: InstanceId,
         flows: &[FlowKey],
         actions: &mut Vec<AgentAction>,
     ) {
         for flow in flows {
-            let Some(seq) = self.searches.on_not_held(from, flow) else {
+            let Some(entry) = self.searches.on_not_held(from, flow) else {
                 continue;
             };
             if self.flows.peek(flow).is_none() {
-                let reset = Reset { flow: *flow, seq };
-                actions.push(AgentAction::Reset(reset, ResetReason::NotHeld));
+                self.report(now, entry, *flow, Verdict::NotHeld, actions);
             }
         }
     }
@@ -112,9 +111,15 @@
         owners.into_iter().any(|(id, _)| *id != self.options.own)
     }
 
+    /// Whether queries or replies of searches are collected for the next round. The caller calls
+    /// [`AgentFlows::flush_searches`] after [`FLUSH_INTERVAL`].
+    pub fn has_queued_searches(&self) -> bool {
+        self.searches.has_queued()
+    }
+
     /// Sends the collected queries and replies of searches, unless the last round was less than
-    /// `FLUSH_INTERVAL` ago.
-    pub(super) fn flush_searches(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
+    /// [`FLUSH_INTERVAL`] ago.
+    pub fn flush_searches(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
         if now.since(self.last_flush) < FLUSH_INTERVAL {
             return;
         }
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -16,7 +16,6 @@
 use crate::flow::message::LoadLevel;
 use crate::flow::message::PlacementHint;
 use crate::flow::message::TargetState;
-use crate::flow::routes::WorkClass;
 use crate::flow::selection;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
@@ -28,7 +27,7 @@
 
 impl AgentFlows {
     /// Returns the agent to forward a new flow to, with the header to send. Returns `None` if this
-    /// agent accepts the flow: an upload, a load within the threshold, no other agent that fits, or
+    /// agent accepts the flow: a bulk flow, a load within the threshold, no other agent that fits, or
     /// this agent being the least loaded one.
     pub(super) fn redirect(
         &self,
@@ -37,8 +36,8 @@
         flow: &FlowKey,
     ) -> Option<(InstanceId, Header)> {
         let PlacementHint { threshold, best } = header.placement_hint;
-        // An upload loses more by the extra trip than by waiting.
-        if header.work.class == WorkClass::Upload {
+        // Bulk data loses more by crossing failure domains than by waiting.
+        if header.work.class.is_bulk() {
             return None;
         }
         let own = (
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -6,7 +6,7 @@
 //! query, for many flows at a time. Any other agent receives the client's packet itself, since
 //! only its target knows whether it holds the flow; a target returns packets of flows that it
 //! doesn't hold. Once every agent of the service has reported that it doesn't hold the flow, the
-//! flow is gone. Its client then receives a reset at once instead of waiting for its timeout.
+//! entry that asked for the flow learns that this service doesn't hold it.
 
 use std::time::Duration;
 
@@ -47,26 +47,28 @@
     since: Timestamp,
     /// Agents that haven't reported yet.
     pending: Vec<InstanceId>,
-    /// Acknowledgement number of the client's packet that started the search.
-    acked: u32,
-    /// Whether the flow is gone once no agent is pending: no target of another service may hold it,
-    /// and every agent of its service was known.
+    /// Entry that asked for the flow last.
+    entry: InstanceId,
+    /// Whether the service doesn't hold the flow once no agent is pending: every agent of the
+    /// service was known at the start.
     conclusive: bool,
 }
 
 impl Searches {
-    /// Starts a search among `peers`. Returns `false` if one for the flow was started within
-    /// `SEARCH_TIMEOUT`, or if `MAX_ENTRIES` searches are stored.
+    /// Starts a search among `peers` for `entry`. Returns `false` if one for the flow was started
+    /// within `SEARCH_TIMEOUT`, whose result then goes to `entry`, or if `MAX_ENTRIES` searches are
+    /// stored.
     pub(super) fn begin(
         &mut self,
         now: Timestamp,
         flow: FlowKey,
-        acked: u32,
+        entry: InstanceId,
         conclusive: bool,
         peers: &[InstanceId],
     ) -> bool {
-        let active = self.active.get(&flow);
-        if active.is_some_and(|it| now.since(it.since) < SEARCH_TIMEOUT) {
+        let active = self.active.get_mut(&flow);
+        if let Some(active) = active.filter(|it| now.since(it.since) < SEARCH_TIMEOUT) {
+            active.entry = entry;
             return false;
         }
         if self.active.len() >= MAX_ENTRIES {
@@ -75,7 +77,7 @@
         let search = Search {
             since: now,
             pending: peers.to_vec(),
-            acked,
+            entry,
             conclusive,
         };
         self.active.insert(flow, search);
@@ -97,15 +99,15 @@
     }
 
     /// Records that an agent doesn't hold a flow. Once all have reported this and the search is
-    /// conclusive, ends the search and returns the client's acknowledgement number at its start.
-    /// Returns `None` otherwise, and if there is no search for the flow.
-    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) -> Option<u32> {
+    /// conclusive, ends the search and returns the entry that asked for the flow. Returns `None`
+    /// otherwise, and if there is no search for the flow.
+    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) -> Option<InstanceId> {
         let search = self.active.get_mut(flow)?;
         search.pending.retain(|id| *id != from);
         if !search.pending.is_empty() || !search.conclusive {
             return None;
         }
-        self.active.swap_remove(flow).map(|search| search.acked)
+        self.active.swap_remove(flow).map(|search| search.entry)
     }
 
     /// Adds a flow to the next queries.
@@ -118,6 +120,11 @@
         self.replies.entry(searcher).or_default().push(flow);
     }
 
+    /// Whether queries or replies are collected.
+    pub(super) fn has_queued(&self) -> bool {
+        !self.queries.is_empty() || !self.replies.is_empty()
+    }
+
     /// Removes and returns the collected queries and replies.
     pub(super) fn take_queued(&mut self) -> (Vec<FlowKey>, IndexMap<InstanceId, Vec<FlowKey>>) {
         (
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -4,14 +4,25 @@
 //! agents. Each agent is a process beside one target. It reports to the entry
 //! whether its target holds a flow, and how loaded the target is.
 
+mod actions;
+mod locate;
+mod views;
+
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::flow::addr_services::AddrServices;
 use crate::flow::agents::Agents;
+pub use crate::flow::entry::actions::DropReason;
+pub use crate::flow::entry::actions::EntryAction;
+pub use crate::flow::entry::actions::Forwarding;
+pub use crate::flow::entry::actions::ResetReason;
+use crate::flow::entry::locate::Locating;
+use crate::flow::entry::views::AgentViews;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
@@ -36,15 +47,6 @@
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
-/// Time after which an agent's missing answer is overdue, so that other agents are
-/// preferred. An answer takes a round trip between failure domains and the
-/// processing in both processes.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Period after an agent's refusal in which other agents are preferred for new
-/// flows, even if the agent reports that its target is serving.
-const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
-
 /// `EntryOptions` holds the identity of an entry and the limits of its flow table.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryOptions {
@@ -54,67 +56,14 @@
     pub domain: NameKey,
     /// Maximum number of flows in the table.
     pub max_flows: usize,
-    /// Time without a packet after which a flow may be removed from the table. The
-    /// idle timeout of the routes applies if it is longer.
+    /// Time without a packet after which a flow may be removed from the table, which is
+    /// the maximum lifetime of a flow. The idle timeout of the routes applies if it is
+    /// longer.
     pub idle_timeout: Duration,
     /// Seed of the random draws among agents.
     pub seed: u64,
 }
 
-/// `DropReason` tells why an entry drops a packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum DropReason {
-    /// The entry has no configuration yet.
-    Unconfigured,
-    /// The configuration has no route to the address and may be out of date.
-    Unrouted,
-    /// The entry knows no agent of the service that the flow belongs to.
-    Unserved,
-}
-
-impl DropReason {
-    /// The reason as it stands in logs and counters.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            DropReason::Unconfigured => "unconfigured",
-            DropReason::Unrouted => "unrouted",
-            DropReason::Unserved => "unserved",
-        }
-    }
-}
-
-/// `ResetReason` tells why an entry resets a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum ResetReason {
-    /// The configuration in force has no route to the address.
-    Unrouted,
-}
-
-impl ResetReason {
-    /// The reason as it stands in logs and counters.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            ResetReason::Unrouted => "unrouted",
-        }
-    }
-}
-
-/// `EntryAction` tells the caller what to do with a client's packet.
-#[derive(Clone, Debug, PartialEq)]
-pub enum EntryAction {
-    /// Forward the packet to each of these agents, with the same header.
-    Forward {
-        /// Agents that receive the packet.
-        to: Vec<InstanceId>,
-        /// Header that precedes the packet.
-        header: Header,
-    },
-    /// Send the client a reset of the flow.
-    Reset(Reset, ResetReason),
-    /// Drop the packet.
-    Drop(DropReason),
-}
-
 /// `FlowState` is what an entry knows about a flow.
 #[derive(Clone, Debug)]
 enum FlowState {
@@ -122,24 +71,11 @@
     /// contains the agents that this entry selected for the flow, and those that
     /// refused it or no longer belong to a service of its route.
     Opening { tried: Vec<InstanceId> },
-    /// This agent reported that its target holds the flow.
-    Located(InstanceId),
-    /// The flow is open, and no agent is known to hold it. This number of packets
-    /// were to be forwarded to its directory agents.
-    Locating(u32),
-}
-
-/// `AgentView` is what an entry knows about an agent's load and availability.
-#[derive(Clone, Copy, Debug)]
-struct AgentView {
-    load: Load,
-    /// Number of new flows sent to the agent since it last reported `load`.
-    sent: u32,
-    /// When the first opening or directory packet was sent to the agent since it last
-    /// reported `load`.
-    awaiting_since: Option<Timestamp>,
-    /// When the agent last refused a packet, if that was recent.
-    refused_at: Option<Timestamp>,
+    /// This agent reported that its target holds the flow, while it belonged to this
+    /// service.
+    Located { agent: InstanceId, service: NameKey },
+    /// The flow is open, and no agent is known to hold it.
+    Locating(Locating),
 }
 
 /// `EntryFlows` decides how an entry handles packets from clients.
@@ -150,7 +86,8 @@
     /// Whether `routes` is known to be the configuration in force.
     current: bool,
     agents: Agents,
-    views: IndexMap<InstanceId, AgentView>,
+    views: AgentViews,
+    addr_services: AddrServices,
     flows: FlowTable<FlowState>,
     rng: StdRng,
 }
@@ -163,7 +100,8 @@
             routes: None,
             current: false,
             agents: Agents::default(),
-            views: IndexMap::new(),
+            views: AgentViews::default(),
+            addr_services: AddrServices::new(options.idle_timeout),
             flows: FlowTable::new(options.max_flows, options.idle_timeout),
             rng: StdRng::seed_from_u64(options.seed),
         }
@@ -191,9 +129,12 @@
 
     /// Applies a configuration and returns true. Returns false and keeps the
     /// configuration in use if the new version isn't higher.
-    pub fn set_routes(&mut self, routes: Arc<Routes>) -> bool {
-        if self.routes.is_some() && routes.version <= self.version() {
-            return false;
+    pub fn set_routes(&mut self, now: Timestamp, routes: Arc<Routes>) -> bool {
+        if let Some(known) = &self.routes {
+            if routes.version <= known.version {
+                return false;
+            }
+            self.addr_services.on_routes(now, known, &routes);
         }
         self.flows
             .set_idle_timeout(routes.idle.max(self.options.idle_timeout));
@@ -213,14 +154,14 @@
     pub fn replace_agents(&mut self, now: Timestamp, records: &[AgentRecord]) {
         self.agents.replace(now, records);
         for record in records {
-            self.update_record(record);
+            self.views.update_record(record);
         }
     }
 
     /// Applies an agent's record from the store.
     pub fn register_agent(&mut self, record: AgentRecord) {
         self.agents.register(record);
-        self.update_record(&record);
+        self.views.update_record(&record);
     }
 
     /// Marks an agent as unregistered: the store no longer has its record.
@@ -228,12 +169,18 @@
         self.agents.unregister(now, id);
     }
 
+    /// Applies the addresses for which a service's agents list that they may hold flows.
+    pub fn set_service_addrs(&mut self, service: NameKey, addrs: &[SocketAddrV4]) {
+        self.addr_services.set_listed(service, addrs);
+    }
+
     /// Removes expired agents and a bounded number of idle flows. Returns the
     /// unregistered agents to which the caller must send a probe.
     pub fn tick(&mut self, now: Timestamp) -> Vec<InstanceId> {
         for id in self.agents.expire(now) {
-            self.views.swap_remove(&id);
+            self.views.remove(id);
         }
+        self.addr_services.expire(now);
         self.flows.sweep(now);
         self.agents.due_probes(now)
     }
@@ -247,23 +194,40 @@
     /// Applies a record that an agent sent and another process relayed.
     pub fn on_relayed_record(&mut self, now: Timestamp, record: &AgentRecord) {
         self.agents.on_record(now, *record);
-        self.update_record(record);
+        self.views.update_record(record);
     }
 
     /// Processes an agent's report about a flow: updates the agent's load, and what
-    /// the entry knows about the flow.
-    pub fn on_flow_report(&mut self, now: Timestamp, from: InstanceId, report: &FlowReport) {
+    /// the entry knows about the flow. Returns an action if the report shows that the
+    /// flow is gone, or that it must be searched.
+    pub fn on_flow_report(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        report: &FlowReport,
+    ) -> Option<EntryAction> {
         self.agents.on_message(now, from);
         self.update_load(now, from, report.load);
         match report.verdict {
-            Verdict::Holds => {
-                self.flows
-                    .insert(now, report.flow, FlowState::Located(from));
-            }
+            Verdict::Holds => self.on_holds(now, from, report.flow),
             // The agent that accepts the flow sends its own report.
             Verdict::PassedOn => {}
+            Verdict::Unknown => return self.on_unknown(now, from, &report.flow),
+            Verdict::NotHeld => return self.on_not_held(now, from, &report.flow),
             Verdict::Refused(reason) => self.on_refusal(now, from, report, reason),
         }
+        None
+    }
+
+    /// Processes an agent's report that its target holds a flow. The flow stays unknown
+    /// if the agent is unknown.
+    fn on_holds(&mut self, now: Timestamp, agent: InstanceId, flow: FlowKey) {
+        let Some(record) = self.agents.record(agent) else {
+            return;
+        };
+        let service = record.service;
+        let state = FlowState::Located { agent, service };
+        self.flows.insert(now, flow, state);
     }
 
     /// Decides how to handle a client's packet.
@@ -273,17 +237,17 @@
         };
         let flow = segment.inbound_flow();
         let Some(route) = routes.by_addr.get(&flow.server) else {
-            return self.on_unrouted(flow, segment);
+            return self.on_unrouted(flow, segment, &routes);
         };
         if segment.opens() {
             self.open(now, flow, route)
         } else {
-            self.forward(now, flow, route)
+            self.forward(now, flow, route, segment.ack)
         }
     }
 
-    fn on_unrouted(&mut self, flow: FlowKey, segment: &Segment) -> EntryAction {
-        if !self.current {
+    fn on_unrouted(&mut self, flow: FlowKey, segment: &Segment, routes: &Routes) -> EntryAction {
+        if !self.current || routes.partial {
             return EntryAction::Drop(DropReason::Unrouted);
         }
         self.flows.remove(&flow);
@@ -295,106 +259,55 @@
     /// Forwards an opening packet: to the agent that is known to hold the flow, or to
     /// a newly selected agent that wasn't tried yet if possible.
     fn open(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryAction {
-        let service = route.service(&flow);
         let tried = match self.flows.touch(now, &flow) {
             // The agent answers each copy of the opening packet, or has queued the
             // first copy.
-            Some(FlowState::Located(agent)) => {
-                let agent = *agent;
-                if let Some(service) = self.routed_service(agent, route) {
-                    self.expect_answer(now, agent);
+            Some(FlowState::Located { agent, service }) => {
+                let (agent, service) = (*agent, *service);
+                // The present route applies to each copy of the opening packet.
+                if route.has_service(service) && self.is_of_service(agent, service) {
+                    self.views.expect_answer(now, agent);
                     let header = self.header(Intent::Open, service, route, None);
-                    return EntryAction::Forward {
-                        to: vec![agent],
-                        header,
-                    };
+                    return EntryAction::Forward(vec![Forwarding { agent, header }]);
                 }
                 vec![agent]
             }
             Some(FlowState::Opening { tried }) => tried.clone(),
             Some(FlowState::Locating(_)) | None => Vec::new(),
         };
+        let service = route.service(&flow);
         let Some((selected, threshold)) = self.select(now, service, route.work, &tried) else {
             return EntryAction::Drop(DropReason::Unserved);
         };
-        self.expect_answer(now, selected.agent);
-        if let Some(view) = self.views.get_mut(&selected.agent) {
-            view.sent += 1;
-        }
+        let agent = selected.agent;
+        self.views.expect_answer(now, agent);
+        self.views.on_open(agent);
         let mut tried = tried;
-        tried.push(selected.agent);
+        tried.push(agent);
         self.flows.insert(now, flow, FlowState::Opening { tried });
         let mut header = self.header(Intent::Open, service, route, selected.alternate);
         header.placement_hint.threshold = threshold;
-        EntryAction::Forward {
-            to: vec![selected.agent],
-            header,
-        }
+        EntryAction::Forward(vec![Forwarding { agent, header }])
     }
 
     /// Forwards a packet that doesn't open a flow: to the agent that is known to hold
-    /// the flow, or to one of the flow's directory agents.
-    fn forward(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryAction {
-        let queries = match self.flows.touch(now, &flow) {
-            Some(FlowState::Located(agent)) => {
-                let agent = *agent;
-                if let Some(service) = self.routed_service(agent, route) {
-                    return EntryAction::Forward {
-                        to: vec![agent],
-                        header: self.header(Intent::Owned, service, route, None),
-                    };
-                }
-                0
+    /// the flow, whatever the service of the present route is, or to directory agents.
+    fn forward(&mut self, now: Timestamp, flow: FlowKey, route: &Route, acked: u32) -> EntryAction {
+        if let Some(FlowState::Located { agent, service }) = self.flows.touch(now, &flow) {
+            let (agent, service) = (*agent, *service);
+            if self.is_of_service(agent, service) {
+                let header = self.header(Intent::Owned, service, route, None);
+                return EntryAction::Forward(vec![Forwarding { agent, header }]);
             }
-            Some(FlowState::Locating(queries)) => *queries,
-            Some(FlowState::Opening { .. }) | None => 0,
-        };
-        self.flows
-            .insert(now, flow, FlowState::Locating(queries + 1));
-        let service = route.service(&flow);
-        let Some(agent) = self.directory_agent(now, service, &flow, queries) else {
-            return EntryAction::Drop(DropReason::Unserved);
-        };
-        self.expect_answer(now, agent);
-        EntryAction::Forward {
-            to: vec![agent],
-            header: self.header(Intent::Locate, service, route, None),
         }
+        self.locate(now, flow, route, acked)
     }
 
-    /// The service of an agent, or `None` if the agent is unknown or the route
-    /// doesn't include its service. An agent's address may have been reassigned to
-    /// another service since the agent reported that it holds a flow.
-    fn routed_service(&self, agent: InstanceId, route: &Route) -> Option<NameKey> {
-        let service = self.agents.record(agent)?.service;
-        let mut shares = route.shares.iter();
-        shares
-            .any(|share| share.service == service)
-            .then_some(service)
-    }
-
-    /// The directory agent to which the next packet goes after `queries` earlier
-    /// ones, or `None` if the service has no known agent. The two directory agents
-    /// take turns, but one whose answer is overdue is skipped unless the other's
-    /// answer is overdue too.
-    fn directory_agent(
-        &self,
-        now: Timestamp,
-        service: NameKey,
-        flow: &FlowKey,
-        queries: u32,
-    ) -> Option<InstanceId> {
-        let agents = self.agents.directory_agents(service, flow)?;
-        let second = agents.second.unwrap_or(agents.first);
-        let (next, other) = if queries.is_multiple_of(2) {
-            (agents.first, second)
-        } else {
-            (second, agents.first)
-        };
-        if self.is_overdue(now, next) && !self.is_overdue(now, other) {
-            return Some(other);
-        }
-        Some(next)
+    /// Whether an agent is known and belongs to the service. An agent's address may be
+    /// reassigned to another service.
+    fn is_of_service(&self, agent: InstanceId, service: NameKey) -> bool {
+        let record = self.agents.record(agent);
+        record.is_some_and(|it| it.service == service)
     }
 
     /// Selects an agent for a new flow, and returns it with the maximum load at which
@@ -407,7 +320,8 @@
         work: Work,
         tried: &[InstanceId],
     ) -> Option<(Selection, LoadLevel)> {
-        let all = self.candidates(now, service);
+        let domain = self.options.domain;
+        let all = self.views.candidates(now, &self.agents, service, domain);
         let untried: Vec<Candidate> = all
             .iter()
             .filter(|it| !tried.contains(&it.id))
@@ -418,41 +332,6 @@
         Some((selected, selection::threshold(&all, work.class)))
     }
 
-    /// The known agents of a service with what the entry knows about each of them.
-    fn candidates(&self, now: Timestamp, service: NameKey) -> Vec<Candidate> {
-        let ids = self.agents.of_service(service).iter();
-        ids.filter_map(|id| {
-            let view = self.views.get(id)?;
-            let record = self.agents.record(*id)?;
-            let refused = view
-                .refused_at
-                .is_some_and(|at| now.since(at) < REFUSAL_PERIOD);
-            Some(Candidate {
-                id: *id,
-                load: view.load,
-                sent: view.sent,
-                same_domain: record.domain == self.options.domain,
-                suspect: refused || self.is_overdue(now, *id),
-            })
-        })
-        .collect()
-    }
-
-    /// Whether an answer of the agent has been awaited for more than
-    /// [`ANSWER_TIMEOUT`].
-    fn is_overdue(&self, now: Timestamp, id: InstanceId) -> bool {
-        let awaiting_since = self.views.get(&id).and_then(|view| view.awaiting_since);
-        awaiting_since.is_some_and(|since| now.since(since) > ANSWER_TIMEOUT)
-    }
-
-    /// Starts the time after which an answer of the agent is overdue, unless it is
-    /// running already. The agent's next report or hello ends it.
-    fn expect_answer(&mut self, now: Timestamp, id: InstanceId) {
-        if let Some(view) = self.views.get_mut(&id) {
-            view.awaiting_since.get_or_insert(now);
-        }
-    }
-
     fn header(
         &self,
         intent: Intent,
@@ -467,7 +346,7 @@
             version: self.version(),
             entry: self.options.own,
             other,
-            single_service: route.shares.len() == 1,
+            search: false,
             work: route.work,
             // An agent that is known to hold the flow accepts it
             // unconditionally. For a newly selected agent, `open` sets another
@@ -490,13 +369,13 @@
     ) {
         if reason == RefuseReason::Service {
             self.agents.remove(from);
-            self.views.swap_remove(&from);
-        } else if let Some(view) = self.views.get_mut(&from) {
-            view.refused_at = Some(now);
+            self.views.remove(from);
+        } else {
+            self.views.on_refusal(now, from);
         }
         match self.flows.touch(now, &report.flow) {
-            Some(state @ FlowState::Located(_)) => {
-                if matches!(state, FlowState::Located(agent) if *agent == from) {
+            Some(state @ FlowState::Located { .. }) => {
+                if matches!(state, FlowState::Located { agent, .. } if *agent == from) {
                     *state = FlowState::Opening { tried: vec![from] };
                 }
             }
@@ -505,37 +384,12 @@
         }
     }
 
-    /// Updates an agent's view from the agent's record. A new view assumes that the
-    /// agent has no load.
-    fn update_record(&mut self, record: &AgentRecord) {
-        let load = Load::idle(record.state, record.slots);
-        let view = self.views.entry(record.id).or_insert(AgentView::new(load));
-        view.load.state = record.state;
-        view.load.slots = record.slots;
-    }
-
     /// Applies a load that a known agent reported. After that, no answer of the agent is
     /// awaited. Has no effect if the agent is unknown.
     fn update_load(&mut self, now: Timestamp, id: InstanceId, load: Load) {
         if self.agents.record(id).is_none() {
             return;
         }
-        let view = self.views.entry(id).or_insert(AgentView::new(load));
-        let refused_at = view.refused_at.filter(|at| now.since(*at) < REFUSAL_PERIOD);
-        *view = AgentView {
-            refused_at,
-            ..AgentView::new(load)
-        };
-    }
-}
-
-impl AgentView {
-    fn new(load: Load) -> AgentView {
-        AgentView {
-            load,
-            sent: 0,
-            awaiting_since: None,
-            refused_at: None,
-        }
+        self.views.update_load(now, id, load);
     }
 }
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -45,9 +45,9 @@
     /// For a new flow, the alternate agent to which the receiver may forward it. In a
     /// search, the agent that collects the answers.
     pub other: Option<InstanceId>,
-    /// Whether the route has only this service, so that the flow can't belong to
-    /// another one.
-    pub single_service: bool,
+    /// Whether a directory agent that doesn't know the flow's holder searches all agents
+    /// of the service for it.
+    pub search: bool,
     /// Properties of the requests that the flow carries, from its route.
     pub work: Work,
     /// How agents decide which of them accepts a new flow.
@@ -167,6 +167,10 @@
     Holds,
     /// The agent forwarded the opening packet to a less loaded agent.
     PassedOn,
+    /// The directory agents of the service don't know the flow.
+    Unknown,
+    /// No target of the service holds the flow, as all agents of the service reported.
+    NotHeld,
     /// The agent refused the packet. The target hasn't received the packet, or has
     /// returned it.
     Refused(RefuseReason),
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -15,6 +15,8 @@
 //!   of unknown flows to one of the flow's two directory agents.
 //! - The directory agents ([`agents`]) of a flow are the two agents of its
 //!   service that rank first in a rendezvous hash of the flow's addresses.
+//! - An [`addr_services::AddrServices`] keeps which services an address had within the
+//!   lifetime of a flow. The directory agents of all of them are asked.
 //! - An [`agent::AgentFlows`] decides for an agent. It processes every packet to
 //!   and from its target, so it knows the flows that the target holds. It registers
 //!   each of them with the flow's directory agents.
@@ -22,6 +24,7 @@
 //! All flow tables hold soft state: they are bounded, and a lost record of a flow
 //! is rebuilt from the flow's packets by the processes that know the flow.
 
+pub mod addr_services;
 pub mod agent;
 pub mod agents;
 pub mod entry;
--- a/marigoldway-core/src/flow/routes.rs
+++ b/marigoldway-core/src/flow/routes.rs
@@ -9,7 +9,8 @@
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 
-/// `WorkClass` tells whether a request may be repeated, and whether it uploads.
+/// `WorkClass` tells whether a request may be repeated, and whether it or its answer is
+/// large.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum WorkClass {
     /// The request may be repeated.
@@ -18,12 +19,25 @@
     Unsafe,
     /// The request may run only once, and sends much data to the target.
     Upload,
+    /// The request may be repeated, and its answer is large.
+    Download,
+}
+
+impl WorkClass {
+    /// Whether a flow carries so much data that it should stay in the failure domain of
+    /// its client.
+    pub fn is_bulk(self) -> bool {
+        match self {
+            WorkClass::Safe | WorkClass::Unsafe => false,
+            WorkClass::Upload | WorkClass::Download => true,
+        }
+    }
 }
 
 /// `Work` describes the requests that the flows of a route carry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Work {
-    /// Whether a request may be repeated, and whether it uploads.
+    /// Whether a request may be repeated, and whether it or its answer is large.
     pub class: WorkClass,
     /// Priority among routes; 0 is the highest.
     pub priority: u8,
@@ -52,6 +66,11 @@
 }
 
 impl Route {
+    /// Whether the service shares the route's flows.
+    pub fn has_service(&self, service: NameKey) -> bool {
+        self.shares.iter().any(|share| share.service == service)
+    }
+
     /// The service that a new flow goes to. The choice depends only on the flow and
     /// the shares, so every entry with the same routes selects the same service. If
     /// all weights are zero, it is the first one.
@@ -79,4 +98,7 @@
     /// Idle timeout: time without a packet after which a flow may be removed from
     /// the tables of entries and agents.
     pub idle: Duration,
+    /// Whether the configuration has routes that couldn't be decoded, so that an address
+    /// without a route here may have one.
+    pub partial: bool,
 }
--- a/marigoldway-core/src/flow/selection.rs
+++ b/marigoldway-core/src/flow/selection.rs
@@ -4,8 +4,8 @@
 //! cost: its load, plus the cost of crossing failure domains. A load report is as
 //! old as the last message of its agent, and many entries hold the same reports. If
 //! each entry selected the agent with the lowest load, all of them would send their
-//! new flows to the same agent. Only uploads go to the agent of the lowest cost, if
-//! the entry's own failure domain has an agent.
+//! new flows to the same agent. Only uploads and downloads go to the agent of
+//! the lowest cost, if the entry's own failure domain has an agent.
 //!
 //! Loads are in running requests per slot, and a slot is capacity of a target for
 //! one running request. The load of a single flow is in running requests.
@@ -44,9 +44,9 @@
 /// failure domain, in running requests per slot.
 const REMOTE_LOAD: f64 = 0.05;
 
-/// Cost of sending an upload, whose data would cross domains, to an agent in another
-/// failure domain, in running requests per slot.
-const REMOTE_UPLOAD_LOAD: f64 = 2.0;
+/// Cost of sending an upload or a download, whose data would cross domains, to an agent in
+/// another failure domain, in running requests per slot.
+const REMOTE_BULK_LOAD: f64 = 2.0;
 
 /// `Candidate` is an agent that may receive a new flow.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,7 +72,7 @@
         if !self.same_domain {
             cost += match class {
                 WorkClass::Safe | WorkClass::Unsafe => REMOTE_LOAD,
-                WorkClass::Upload => REMOTE_UPLOAD_LOAD,
+                WorkClass::Upload | WorkClass::Download => REMOTE_BULK_LOAD,
             };
         }
         cost
@@ -108,7 +108,7 @@
 fn relative_load(load: &Load, sent: u32, class: WorkClass) -> f64 {
     let flow_load = match class {
         WorkClass::Safe => FLOW_LOAD,
-        WorkClass::Unsafe | WorkClass::Upload => SHORT_FLOW_LOAD,
+        WorkClass::Unsafe | WorkClass::Upload | WorkClass::Download => SHORT_FLOW_LOAD,
     };
     let requests = f64::from(load.running) + f64::from(load.waiting) + f64::from(load.opening);
     let flows = f64::from(load.flows) * flow_load;
@@ -122,13 +122,13 @@
 /// Selects an agent among the candidates of the best rank: serving ones first,
 /// then draining ones, then suspect ones, and those without a target last. Of two
 /// candidates drawn at random, the one of lower cost is selected, and the other is
-/// the alternate. An upload goes to the cheapest candidate if one of the best rank
+/// the alternate. A bulk flow goes to the cheapest candidate if one of the best rank
 /// is in the entry's failure domain. Otherwise, if only one candidate has the best
 /// rank, the alternate is one of the next best rank. Returns `None` if there are no candidates.
 pub fn choose(candidates: &[Candidate], class: WorkClass, rng: &mut impl Rng) -> Option<Selection> {
     let best = candidates.iter().map(rank).min()?;
     let mut eligible: Vec<&Candidate> = candidates.iter().filter(|it| rank(it) == best).collect();
-    if class == WorkClass::Upload && eligible.iter().any(|it| it.same_domain) {
+    if class.is_bulk() && eligible.iter().any(|it| it.same_domain) {
         return choose_cheapest(&eligible, class);
     }
     if eligible.len() == 1 {
@@ -151,7 +151,7 @@
 }
 
 /// Selects the candidate of the lowest cost, and the next one as the alternate,
-/// without a random draw: an upload loses more by crossing failure domains than by
+/// without a random draw: a bulk flow loses more by crossing failure domains than by
 /// waiting. Returns `None` if `eligible` is empty.
 fn choose_cheapest(eligible: &[&Candidate], class: WorkClass) -> Option<Selection> {
     let mut order: Vec<&Candidate> = eligible.to_vec();
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod load;
 mod locate;
+mod moved;
 mod properties;
 mod refused;
 mod slot_queue;
--- a/marigoldway-net/src/wire/agents.rs
+++ b/marigoldway-net/src/wire/agents.rs
@@ -18,6 +18,9 @@
 /// Prefix of the record keys and presence keys of all agents.
 pub const AGENTS_PREFIX: &str = "agents/";
 
+/// Name of the key of one service that lists addresses, after the prefix of the service.
+const ADDRS_NAME: &str = "addrs";
+
 /// Suffix that turns the key of an agent's record into the agent's presence key.
 const PRESENCE_SUFFIX: &str = "/mark";
 
@@ -65,6 +68,31 @@
     key_id(key.strip_suffix(PRESENCE_SUFFIX)?)
 }
 
+/// Returns the key of the addresses for which a service's targets may hold flows. It has no
+/// lease: a flow may live longer than all processes of the system.
+pub fn addrs_key(service: NameKey) -> String {
+    format!("{}{ADDRS_NAME}", service_prefix(service))
+}
+
+/// Returns the service whose addresses have the key `key`. Returns `None` for any other key.
+pub fn addrs_service(key: &str) -> Option<NameKey> {
+    let (service, name) = key.strip_prefix(AGENTS_PREFIX)?.split_once('/')?;
+    let service = u64::from_str_radix(service, 16).ok()?;
+    (name == ADDRS_NAME).then_some(NameKey(service))
+}
+
+/// Encodes addresses as a JSON list. Returns an empty value if the encoding fails.
+pub fn encode_addrs(addrs: &[SocketAddrV4]) -> Vec<u8> {
+    serde_json::to_vec(addrs).unwrap_or_default()
+}
+
+/// Decodes addresses from a JSON list. Returns [`Error::Malformed`] if `value` isn't one.
+pub fn decode_addrs(value: &[u8]) -> Result<Vec<SocketAddrV4>, Error> {
+    serde_json::from_slice(value).map_err(|err| Error::Malformed {
+        detail: err.to_string(),
+    })
+}
+
 /// Encodes a record as JSON. Returns an empty value if the encoding fails.
 pub fn encode(record: &AgentRecord) -> Vec<u8> {
     serde_json::to_vec(&StoredAgent::from(record)).unwrap_or_default()
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -61,6 +61,9 @@
 /// First octet of a query that asks which flows an agent's target holds.
 const QUERY: u8 = 0xe7;
 
+/// First octet of a request to search flows among all agents of a service.
+const SEARCH: u8 = 0xe8;
+
 /// `Message` is the content of one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message<'a> {
@@ -78,6 +81,8 @@
     NotHeld(Vec<FlowKey>),
     /// A query that asks the receiving agent which of these flows its target holds.
     Query(Vec<FlowKey>),
+    /// An entry's request to search these flows among all agents of the service.
+    Search(Vec<FlowKey>),
 }
 
 /// Length of the header before a client's packet in octets, including the message type.
@@ -133,6 +138,11 @@
     encode_flows(QUERY, keys)
 }
 
+/// Encodes a request to search flows.
+pub fn encode_search(keys: &[FlowKey]) -> Vec<u8> {
+    encode_flows(SEARCH, keys)
+}
+
 /// Decodes a datagram. Returns `None` if its type, its length or one of its values is invalid.
 /// Octets after the type of a probe are ignored.
 pub fn decode(datagram: &[u8]) -> Option<Message<'_>> {
@@ -154,6 +164,7 @@
         PROBE => Some(Message::Probe),
         NOT_HELD => decode_flows(body).map(Message::NotHeld),
         QUERY => decode_flows(body).map(Message::Query),
+        SEARCH => decode_flows(body).map(Message::Search),
         _ => None,
     }
 }
@@ -217,8 +228,8 @@
     intent: u8,
     hops: u8,
     class: u8,
-    /// 1 if the flow can belong to no other service.
-    single_service: u8,
+    /// 1 if directory agents search for the flow.
+    search: u8,
     priority: u8,
     service: U64,
     version: U64,
@@ -336,8 +347,9 @@
                 WorkClass::Safe => 0,
                 WorkClass::Unsafe => 1,
                 WorkClass::Upload => 2,
+                WorkClass::Download => 3,
             },
-            single_service: u8::from(header.single_service),
+            search: u8::from(header.search),
             priority: header.work.priority,
             service: header.service.0.into(),
             version: header.version.into(),
@@ -372,12 +384,13 @@
             version: wire.version.get(),
             entry: InstanceId(wire.entry.into()),
             other: (other.port() > 0).then_some(InstanceId(other)),
-            single_service: wire.single_service == 1,
+            search: wire.search == 1,
             work: Work {
                 class: match wire.class {
                     0 => WorkClass::Safe,
                     1 => WorkClass::Unsafe,
                     2 => WorkClass::Upload,
+                    3 => WorkClass::Download,
                     _ => return Err(InvalidValue),
                 },
                 priority: wire.priority,
@@ -445,6 +458,8 @@
                 Verdict::Refused(RefuseReason::Bounced) => 6,
                 Verdict::Refused(RefuseReason::Silent) => 7,
                 Verdict::PassedOn => 1,
+                Verdict::Unknown => 8,
+                Verdict::NotHeld => 9,
             },
             flow: WireFlow::from(&report.flow),
             load: WireLoad::from(&report.load),
@@ -468,6 +483,8 @@
                 6 => Verdict::Refused(RefuseReason::Bounced),
                 7 => Verdict::Refused(RefuseReason::Silent),
                 1 => Verdict::PassedOn,
+                8 => Verdict::Unknown,
+                9 => Verdict::NotHeld,
                 _ => return Err(InvalidValue),
             },
             load: Load::try_from(wire.load)?,
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -26,6 +26,7 @@
 use marigoldway_core::flow::agent::AgentAction;
 use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::agent::AgentOptions;
+use marigoldway_core::flow::agent::FLUSH_INTERVAL;
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
@@ -106,12 +107,16 @@
     unregistered_at: Cell<Option<u64>>,
     /// Whether a newer configuration is being fetched from an entry.
     fetching: Cell<bool>,
+    /// Whether collected queries and replies are to be sent soon.
+    flushing: Cell<bool>,
     /// Whether the list of agents was read, from the store or from a contact.
     agents_loaded: Cell<bool>,
     /// Whether the store has the own presence key.
     pub(crate) presence_written: Cell<bool>,
     /// Presence keys of agents that aren't registered.
     pub(crate) presence_keys: RefCell<PresenceKeys>,
+    /// Revision of the key with the service's addresses, or 0 if it doesn't exist.
+    addrs_revision: Cell<u64>,
 }
 
 /// Runs an agent until it has left. Reloads changed settings, of which the service and the
@@ -142,9 +147,11 @@
         record_dirty: Notify::new(),
         unregistered_at: Cell::new(None),
         fetching: Cell::new(false),
+        flushing: Cell::new(false),
         agents_loaded: Cell::new(false),
         presence_written: Cell::new(false),
         presence_keys: RefCell::new(PresenceKeys::new(settings.shared.lifetime)),
+        addrs_revision: Cell::new(0),
         settings: RefCell::new(settings),
         node,
     });
@@ -210,6 +217,9 @@
         for peer in probes {
             agent.node.send(peer.0, &flows::encode_probe());
         }
+        if agent.due_addrs().is_some() {
+            agent.record_dirty.notify_one();
+        }
         let record = agent.record();
         if number != record.number {
             number = record.number;
@@ -352,12 +362,20 @@
                     .set(presence.iter().any(|it| it.id == own));
                 self.add_presence_keys(&records, &presence);
                 flows.on_list(now, &records, &presence);
+                let listed = agent_records::decode_addrs(&self.node, &found);
+                let own = listed.into_iter().find(|it| it.service == flows.service());
+                self.addrs_revision
+                    .set(own.as_ref().map_or(0, |it| it.revision));
+                flows.set_listed_addrs(own.map(|it| it.addrs).unwrap_or_default());
                 self.agents_loaded.set(true);
             }
             StoreEvent::Put(stored) => {
                 if let Some(record) = agent_records::decode(&self.node, &stored) {
                     self.presence_keys.borrow_mut().remove(&stored.key);
                     flows.agents_mut().register(record);
+                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
+                    self.addrs_revision.set(listed.revision);
+                    flows.set_listed_addrs(listed.addrs);
                 }
             }
             StoreEvent::Deleted(key, revision) => match agents::key_id(&key) {
@@ -402,9 +420,23 @@
     /// Whether this agent is the first of its service in the order of IDs. The first agent deletes
     /// expired presence keys.
     pub(crate) fn is_first(&self) -> bool {
-        let flows = self.flows.borrow();
-        let first = flows.agents().of_service(flows.service()).first();
-        first == Some(&self.node.settings.data)
+        self.flows.borrow().is_first()
+    }
+
+    /// The list of the service's addresses to write to the store now, if any.
+    pub(crate) fn due_addrs(&self) -> Option<Vec<SocketAddrV4>> {
+        self.flows.borrow().due_addrs(self.node.clock.now())
+    }
+
+    /// Applies the list of the service's addresses at a revision of its key.
+    pub(crate) fn set_listed_addrs(&self, addrs: Vec<SocketAddrV4>, revision: u64) {
+        self.addrs_revision.set(revision);
+        self.flows.borrow_mut().set_listed_addrs(addrs);
+    }
+
+    /// Revision of the key with the service's addresses, or 0 if it isn't known to exist.
+    pub(crate) fn addrs_revision(&self) -> u64 {
+        self.addrs_revision.get()
     }
 
     /// Whether the target has sent a heartbeat and hasn't left, and the agent has announced itself
@@ -441,7 +473,7 @@
                 let from = InstanceId(from);
                 self.flows
                     .borrow_mut()
-                    .on_not_held(from, &not_held, &mut actions);
+                    .on_not_held(now, from, &not_held, &mut actions);
                 self.execute(None, &mut [], &actions);
             }
             Some(Message::Query(query)) => {
@@ -451,6 +483,16 @@
                 flows.on_query(now, from, &query, &mut actions);
                 drop(flows);
                 self.execute(None, &mut [], &actions);
+                self.schedule_flush();
+            }
+            Some(Message::Search(search)) => {
+                let mut actions = Vec::new();
+                let entry = InstanceId(from);
+                let mut flows = self.flows.borrow_mut();
+                flows.on_search(now, entry, &search, &mut actions);
+                drop(flows);
+                self.execute(None, &mut [], &actions);
+                self.schedule_flush();
             }
             Some(Message::FlowReport(_)) | None => self.node.count("message-unexpected"),
         }
@@ -467,6 +509,7 @@
         flows.on_client(now, header, &segment, packet, &mut actions);
         drop(flows);
         self.execute(Some(&segment.inbound_flow()), packet, &actions);
+        self.schedule_flush();
     }
 
     /// Handles a packet that the target sent or returned.
@@ -504,13 +547,34 @@
         let (agent, entry) = (self.clone(), header.entry.0);
         task::spawn_local(async move {
             time::sleep(FETCH_DELAY).await;
-            if let Some(raw) = peers::fetch(entry, peers::CONFIG_PATH).await {
-                agent.node.apply_config(raw, "peer");
+            if let Some(raw) = peers::fetch(entry, peers::CONFIG_PATH).await
+                && let Some(routes) = agent.node.apply_config(raw, "peer")
+            {
+                let now = agent.node.clock.now();
+                agent.flows.borrow_mut().on_routes(now, &routes);
             }
             agent.fetching.set(false);
         });
     }
 
+    /// Sends the queries and replies that the agent has collected, after the interval in which it
+    /// collects them.
+    fn schedule_flush(self: &Rc<Self>) {
+        if !self.flows.borrow().has_queued_searches() || self.flushing.replace(true) {
+            return;
+        }
+        let agent = self.clone();
+        task::spawn_local(async move {
+            time::sleep(FLUSH_INTERVAL).await;
+            agent.flushing.set(false);
+            let now = agent.node.clock.now();
+            let mut actions = Vec::new();
+            agent.flows.borrow_mut().flush_searches(now, &mut actions);
+            agent.execute(None, &mut [], &actions);
+            agent.schedule_flush();
+        });
+    }
+
     /// Logs or counts `actions` and carries them out. `flow` and `packet` are those of the current
     /// packet: `None` and empty if the actions don't follow from a packet.
     fn execute(&self, flow: Option<&FlowKey>, packet: &mut [u8], actions: &[AgentAction]) {
--- a/marigoldway/src/packets/agent/log_actions.rs
+++ b/marigoldway/src/packets/agent/log_actions.rs
@@ -91,6 +91,12 @@
                 Verdict::Holds => ("flow-held", format!("entry={entry}")),
                 // `AgentAction::ToAgents`, which sends the packet, logs the receiver.
                 Verdict::PassedOn => return self.node.count("flow-deferred"),
+                Verdict::Unknown => ("flow-unknown", format!("entry={entry}")),
+                Verdict::NotHeld => {
+                    let (event, detail) = ("flow-not-held", format!("entry={entry}"));
+                    self.node.count(event);
+                    return self.log_flow(event, &report.flow, &detail);
+                }
                 Verdict::Refused(reason) => {
                     let load = report.load;
                     let reason = reason.as_str();
--- a/marigoldway/src/packets/agent_records.rs
+++ b/marigoldway/src/packets/agent_records.rs
@@ -1,20 +1,34 @@
-//! Decoding of the agents' records and presence keys that the store lists.
+//! Decoding of the agents' records, presence keys and addresses that the store lists.
 //!
 //! A record's lease deletes it if its agent stops renewing the lease. A presence key has no
-//! lease: it shows that the agent may be alive though its record is gone.
+//! lease: it shows that the agent may be alive though its record is gone. The key with the
+//! addresses of a service has none either.
 
+use std::net::SocketAddrV4;
+
+use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::wire::agents;
 
 use crate::packets::node::Node;
 
-/// Decodes a record. Returns `None` for a presence key. Returns `None` as well if the value isn't
+/// `ServiceAddrs` holds the addresses for which the targets of a service may hold flows.
+pub(crate) struct ServiceAddrs {
+    /// The service.
+    pub(crate) service: NameKey,
+    /// Addresses and ports that clients connect to.
+    pub(crate) addrs: Vec<SocketAddrV4>,
+    /// Revision of the key in the store.
+    pub(crate) revision: u64,
+}
+
+/// Decodes a record. Returns `None` for another key of a service. Returns `None` as well if the value isn't
 /// a record or belongs to another key, then counts that and logs a warning: another program wrote
 /// it.
 pub(crate) fn decode(node: &Node, stored: &KeyValue) -> Option<AgentRecord> {
     let key = &stored.key;
-    if agents::presence_id(key).is_some() {
+    if agents::presence_id(key).is_some() || agents::addrs_service(key).is_some() {
         return None;
     }
     let error = match agents::decode(&stored.value) {
@@ -22,14 +36,40 @@
         Ok(_) => "the key belongs to another agent".to_owned(),
         Err(error) => error.to_string(),
     };
-    node.count("record-unreadable");
-    log::warn!(
-        "event=record-unreadable key={key:?} revision={} error={error:?}",
-        stored.revision
-    );
+    log_unreadable(node, stored, &error);
     None
 }
 
+/// Decodes the addresses of a service. Returns `None` for another key, and also if the value
+/// isn't a list of addresses, then counts that and logs a warning.
+pub(crate) fn decode_service(node: &Node, stored: &KeyValue) -> Option<ServiceAddrs> {
+    let service = agents::addrs_service(&stored.key)?;
+    match agents::decode_addrs(&stored.value) {
+        Ok(addrs) => Some(ServiceAddrs {
+            service,
+            addrs,
+            revision: stored.revision,
+        }),
+        Err(error) => {
+            log_unreadable(node, stored, &error.to_string());
+            None
+        }
+    }
+}
+
+/// Decodes the addresses of all services of a list, without unreadable ones.
+pub(crate) fn decode_addrs(node: &Node, list: &[KeyValue]) -> Vec<ServiceAddrs> {
+    list.iter()
+        .filter_map(|stored| decode_service(node, stored))
+        .collect()
+}
+
+fn log_unreadable(node: &Node, stored: &KeyValue, error: &str) {
+    node.count("record-unreadable");
+    let (key, revision) = (&stored.key, stored.revision);
+    log::warn!("event=record-unreadable key={key:?} revision={revision} error={error:?}");
+}
+
 /// Decodes the records of a list, without the values that [`decode`] rejects.
 pub(crate) fn decode_all(node: &Node, list: &[KeyValue]) -> Vec<AgentRecord> {
     list.iter()
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -3,6 +3,8 @@
 //! Agents announce themselves to entries by hellos: messages with the agent's record, its
 //! load and the version of its configuration. A probe asks an agent for a hello.
 
+mod log_actions;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -18,10 +20,9 @@
 use marigoldway_core::flow::entry::EntryAction;
 use marigoldway_core::flow::entry::EntryFlows;
 use marigoldway_core::flow::entry::EntryOptions;
+use marigoldway_core::flow::entry::Forwarding;
 use marigoldway_core::flow::key::NameKey;
-use marigoldway_core::flow::message::Intent;
-use marigoldway_core::flow::message::Verdict;
-use marigoldway_core::flow::segment::Segment;
+use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
@@ -221,7 +222,8 @@
     if let Some(raw) = peers::fetch(peer, peers::CONFIG_PATH).await {
         let routes = entry.node.apply_config(raw, "peer");
         if let Some(routes) = routes {
-            entry.flows.borrow_mut().set_routes(routes);
+            let now = entry.node.clock.now();
+            entry.flows.borrow_mut().set_routes(now, routes);
         }
     }
 }
@@ -266,7 +268,8 @@
             return;
         };
         if let Some(routes) = self.node.apply_config(stored.value.into(), "store") {
-            self.flows.borrow_mut().set_routes(routes);
+            let now = self.node.clock.now();
+            self.flows.borrow_mut().set_routes(now, routes);
         }
     }
 
@@ -276,6 +279,9 @@
         match event {
             StoreEvent::Snapshot(found, _) => {
                 let records = agent_records::decode_all(&self.node, &found);
+                for listed in agent_records::decode_addrs(&self.node, &found) {
+                    flows.set_service_addrs(listed.service, &listed.addrs);
+                }
                 self.agents_loaded
                     .set(self.agents_loaded.get() || !records.is_empty());
                 flows.replace_agents(now, &records);
@@ -290,6 +296,8 @@
                     );
                     self.agents_loaded.set(true);
                     flows.register_agent(record);
+                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
+                    flows.set_service_addrs(listed.service, &listed.addrs);
                 }
             }
             StoreEvent::Deleted(key, _) => {
@@ -310,64 +318,45 @@
             return self.node.count("packet-unreadable");
         };
         let action = self.flows.borrow_mut().on_packet(now, &segment);
-        self.log_action(now, &segment, &action);
+        // An opening packet acknowledges nothing: its `ack` counts earlier copies.
+        let copy = if segment.opens() { segment.ack } else { 0 };
+        self.log_action(now, &segment.inbound_flow(), copy, &action);
+        self.execute(datagram, action);
+    }
+
+    /// Carries out an action. `datagram` is the current packet, empty for a report.
+    fn execute(&self, datagram: &[u8], action: EntryAction) {
         match action {
-            EntryAction::Forward { to, header } => {
+            EntryAction::Forward(forwardings) => {
                 let mut buffer = self.buffer.borrow_mut();
-                flows::write_packet(&header, datagram, &mut buffer);
-                for agent in to {
+                for Forwarding { agent, header } in forwardings {
+                    flows::write_packet(&header, datagram, &mut buffer);
                     self.node.send(agent.0, &buffer);
                 }
             }
+            EntryAction::Search(agents, flow) => {
+                for agent in agents {
+                    self.node.send(agent.0, &flows::encode_search(&[flow]));
+                }
+            }
             EntryAction::Reset(reset, _) => {
-                let reset_packet = packet::encode_reset(&reset);
+                let packet = packet::encode_reset(&reset);
                 let client = reset.flow.client;
-                self.node.send_client(&self.clients, client, &reset_packet);
+                self.node.send_client(&self.clients, client, &packet);
             }
             EntryAction::Drop(_) => {}
         }
     }
 
-    /// Counts each action, and logs those that select an agent for a flow or end a flow.
-    fn log_action(&self, now: Timestamp, segment: &Segment, action: &EntryAction) {
-        let flow = segment.inbound_flow();
-        let version = self.node.version();
-        match action {
-            EntryAction::Forward { to, header } => {
-                let event = match header.intent {
-                    Intent::Open => "flow-placed",
-                    Intent::Locate => "flow-sought",
-                    Intent::Owned | Intent::Search => return self.node.count("packet-passed"),
-                };
-                self.node.count(event);
-                if self.node.log_limiter.allows(now, event) {
-                    let agent = to.first().map(|it| it.0);
-                    let other = header.other.map(|it| it.0);
-                    let service = header.service;
-                    let copy = if segment.opens() { segment.ack } else { 0 };
-                    let threshold = header.placement_hint.threshold.0;
-                    log::info!(
-                        "event={event} flow={flow} agent={agent:?} other={other:?} \
-                         service={service} copy={copy} bar={threshold} version={version}"
-                    );
-                }
-            }
-            EntryAction::Reset(_, reason) => {
-                self.node.count("flow-reset");
-                if self.node.log_limiter.allows(now, "flow-reset") {
-                    let reason = reason.as_str();
-                    log::info!("event=flow-reset flow={flow} reason={reason} version={version}");
-                }
-            }
-            EntryAction::Drop(reason) => {
-                self.node.count("packet-dropped");
-                if self.node.log_limiter.allows(now, "packet-dropped") {
-                    let reason = reason.as_str();
-                    log::info!(
-                        "event=packet-dropped flow={flow} reason={reason} version={version}"
-                    );
-                }
-            }
+    /// Handles an agent's report about a flow.
+    fn on_flow_report(&self, now: Timestamp, from: InstanceId, report: &FlowReport) {
+        let mut flows = self.flows.borrow_mut();
+        let action = flows.on_flow_report(now, from, report);
+        drop(flows);
+        self.log_report(now, from, report);
+        if let Some(action) = action {
+            self.log_action(now, &report.flow, 0, &action);
+            self.execute(&[], action);
         }
     }
 
@@ -377,14 +366,7 @@
         match flows::decode(datagram) {
             Some(Message::FlowReport(report)) => {
                 let from = InstanceId(from);
-                self.flows.borrow_mut().on_flow_report(now, from, &report);
-                if let Verdict::Refused(reason) = report.verdict {
-                    self.node.count("flow-refused");
-                    if self.node.log_limiter.allows(now, "flow-refused") {
-                        let (flow, reason) = (report.flow, reason.as_str());
-                        log::info!("event=flow-refused flow={flow} agent={from} reason={reason}");
-                    }
-                }
+                self.on_flow_report(now, from, &report);
                 self.on_version(report.version, from.0);
             }
             Some(Message::Hello(hello)) => {
@@ -397,7 +379,8 @@
                 | Message::DirectoryUpdate(_)
                 | Message::Probe
                 | Message::NotHeld(_)
-                | Message::Query(_),
+                | Message::Query(_)
+                | Message::Search(_),
             )
             | None => {
                 self.node.count("message-unexpected");
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -29,6 +29,7 @@
 use marigoldway_net::platform::calls::CallCounts;
 use marigoldway_net::platform::calls::CallKind;
 use marigoldway_platform::config;
+use marigoldway_platform::config::Fault;
 use marigoldway_platform::store::KvStore;
 use marigoldway_platform::store::StoreOptions;
 
@@ -156,13 +157,14 @@
         document.as_ref().map_or(0, |it| it.routes.version)
     }
 
-    /// Puts a configuration in force if all of it is valid, and it is the first one or newer than
-    /// the current one. Returns its routes, or `None` if it wasn't put in force. Counts and logs
-    /// an invalid one. `source` is its origin in log lines.
+    /// Puts a configuration in force if it is the first one or newer than the current one. Returns
+    /// its routes, or `None` if it wasn't put in force. Counts and logs an invalid one, and routes
+    /// or fields of a valid one that can't be decoded. `source` is its origin in log lines.
     pub(crate) fn apply_config(&self, raw: Bytes, source: &str) -> Option<Arc<Routes>> {
+        let previous = self.document().map(|it| it.routes);
         let current = self.version();
-        let routes = match config::parse(&raw) {
-            Ok(routes) => routes,
+        let parsed = match config::parse(&raw, previous.as_deref()) {
+            Ok(parsed) => parsed,
             Err(error) => {
                 self.count("config-unreadable");
                 log::warn!(
@@ -171,11 +173,13 @@
                 return None;
             }
         };
+        let routes = parsed.routes;
         if self.document.borrow().is_some() && routes.version <= current {
             return None;
         }
         let (version, count) = (routes.version, routes.by_addr.len());
         log::info!("event=config version={version} held={current} routes={count} source={source}");
+        self.log_faults(version, &parsed.faults);
         let routes = Arc::new(routes);
         let document = ConfigDocument {
             raw,
@@ -185,6 +189,18 @@
         Some(routes)
     }
 
+    /// Counts the parts of a configuration that couldn't be decoded, and logs the first ones.
+    fn log_faults(&self, version: u64, faults: &[Fault]) {
+        for fault in faults {
+            let event = fault.kind.as_str();
+            self.count(event);
+            if self.log_limiter.allows(self.clock.now(), event) {
+                let (route, kind) = (&fault.route, &fault.kind);
+                log::warn!("event={event} version={version} route={route:?} error=\"{kind}\"");
+            }
+        }
+    }
+
     /// Adds one to the event counter `name`.
     pub(crate) fn count(&self, name: &'static str) {
         self.metrics.count(Counter::Event(name));
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -9,6 +9,7 @@
 
 use tokio::time;
 
+use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::flow::message::TargetState;
 use marigoldway_net::platform::LeaseId;
@@ -137,6 +138,7 @@
             self.renewed_at = time::Instant::now();
         }
         self.sweep_presence().await?;
+        self.write_addrs(record.service).await?;
         let unregistered = self.agent.take_unregistered();
         if let (Some(at), KeyState::Record(_, revision)) = (unregistered, &self.key_state)
             && at > *revision
@@ -155,6 +157,35 @@
         self.write_record(lease, record).await
     }
 
+    /// Writes the list of the service's addresses if it is to be changed. If another agent has
+    /// changed it meanwhile, reads it.
+    async fn write_addrs(&self, service: NameKey) -> Result<()> {
+        let Some(addrs) = self.agent.due_addrs() else {
+            return Ok(());
+        };
+        let key = agents::addrs_key(service);
+        let swap = Swap {
+            compares: vec![(key.clone(), self.agent.addrs_revision())],
+            puts: vec![(key.clone(), agents::encode_addrs(&addrs))],
+            ..Swap::default()
+        };
+        if let SwapOutcome::Applied(revision) = self.store.compare_and_swap(&swap).await? {
+            log::info!(
+                "event=addrs-written count={} revision={revision}",
+                addrs.len()
+            );
+            self.agent.set_listed_addrs(addrs, revision);
+            return Ok(());
+        }
+        let read = self.store.get(Range::Key(&key)).await?;
+        let stored = read.found.first();
+        let addrs = stored.and_then(|it| agents::decode_addrs(&it.value).ok());
+        let revision = stored.map_or(0, |it| it.revision);
+        self.agent
+            .set_listed_addrs(addrs.unwrap_or_default(), revision);
+        Ok(())
+    }
+
     /// Writes the presence key, without a lease. The caller writes the record afterwards.
     async fn write_presence(&mut self, record: &AgentRecord) -> Result<()> {
         let key = agents::presence_key(&agents::agent_key(record));
