End searches beside instances of released targets

Cause: after a loss of power the instances of released targets start again, announce themselves as directory agents without a target, and end for good soon after. An agent also claimed flows that its target was only tried for, which drew their packets to it.

Change: an agent of which the store has no trace at its start (neither record nor presence) holds no flow that it hasn't seen: its table is complete. Without a target it is neither announced nor registered. So that this is true, entries are told of an agent only once its presence key stands in the store, and peers pass new flows on only to registered agents. Flows that are only tried are not claimed.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -130,6 +130,9 @@
     leaving: bool,
     /// Whether the store's first list lacked this agent.
     joining: bool,
+    /// Whether the store had no trace of this agent when the process started. No entry had then
+    /// been told of the agent, so its target holds no flow that the process hasn't seen.
+    unannounced: bool,
     slot_queue: SlotQueue,
     health: Health,
     openings: Openings,
@@ -168,6 +171,7 @@
             hellos: (0, Timestamp::ZERO),
             leaving: false,
             joining: false,
+            unannounced: false,
             slot_queue: SlotQueue::default(),
             health: Health::default(),
             openings: Openings::default(),
@@ -195,10 +199,14 @@
     /// Applies the store's whole list of the service's agents, and the presence records: records
     /// without a lease of agents that may be alive though they aren't registered. Their lease may
     /// have lapsed while the store was unreachable, before this process started. If the first list
-    /// lacks this agent, it is a joining agent.
+    /// lacks this agent, it is a joining agent. Entries must not be told of an agent before the
+    /// store has its presence record.
     pub fn on_list(&mut self, now: Timestamp, records: &[AgentRecord], presence: &[AgentRecord]) {
         if !self.agents.is_loaded() {
-            self.joining = !records.iter().any(|it| it.id == self.options.own);
+            let lacks_own = |list: &[AgentRecord]| list.iter().all(|it| it.id != self.options.own);
+            self.joining = lacks_own(records);
+            self.unannounced = self.joining && lacks_own(presence);
+            self.update_number(now);
         }
         self.agents.replace(now, records);
         for record in presence.iter().filter(|it| it.id != self.options.own) {
@@ -243,6 +251,12 @@
         self.served_addrs.due(now, self.is_first(), lifetime)
     }
 
+    /// Whether the agent has no target and the store had no trace of it at the start. Its instance
+    /// may be released, so no other process is told of it: searches would wait for its replies.
+    pub fn is_idle(&self) -> bool {
+        self.unannounced && self.target.current().is_none()
+    }
+
     /// Whether this agent is the first of its service in the order of IDs.
     pub fn is_first(&self) -> bool {
         let first = self.agents.of_service(self.service).first();
@@ -351,16 +365,23 @@
             service: self.service,
             complete: self.is_complete(now),
         };
-        if self.published != Some(published) {
-            self.published = Some(published);
-            self.number += 1;
+        if self.published == Some(published) {
+            return;
+        }
+        if published.complete {
+            // The target doesn't hold the flows that it was only tried for.
+            self.flows.retain(|_, flow| flow.phase != Phase::Visiting);
         }
+        self.published = Some(published);
+        self.number += 1;
     }
 
     /// Whether the table contains every flow that the target holds: the process started with the
-    /// target, or has run for at least the idle timeout.
+    /// target or before the agent's first announcement, or has run for at least the idle timeout.
     fn is_complete(&self, now: Timestamp) -> bool {
-        self.same_start || now.since(self.options.started) >= self.options.idle_timeout
+        self.same_start
+            || self.unannounced
+            || now.since(self.options.started) >= self.options.idle_timeout
     }
 
     fn state(&self, now: Timestamp) -> TargetState {
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -7,6 +7,7 @@
 
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::actions::AgentAction;
+use crate::flow::agent::local::Phase;
 use crate::flow::agent::register::MAX_FLOWS_PER_MESSAGE;
 use crate::flow::key::FlowKey;
 use crate::flow::message::AgentRecord;
@@ -62,10 +63,13 @@
         let mut held = Vec::new();
         for flow in flows {
             if let Some(local) = self.flows.peek(flow) {
-                held.push(DirectoryEntry {
-                    flow: *flow,
-                    origin: local.origin,
-                });
+                // The target may not hold a flow that it is only tried for.
+                if local.phase != Phase::Visiting {
+                    held.push(DirectoryEntry {
+                        flow: *flow,
+                        origin: local.origin,
+                    });
+                }
             } else if self.has_other_owner(flow) {
                 // Another agent holds it, whether or not the searching agent knows.
             } else if complete || self.searches.is_not_held(now, flow) {
@@ -94,7 +98,7 @@
             1 => HELLO_REPEAT,
             _ => HELLO_INTERVAL,
         };
-        if count >= MAX_HELLOS || now.since(last) < interval {
+        if count >= MAX_HELLOS || now.since(last) < interval || self.is_idle() {
             return;
         }
         let peers: Vec<InstanceId> = self.peers().map(|record| record.id).collect();
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -63,7 +63,7 @@
     }
 
     /// Selects a serving agent other than this one and the least loaded one so far: the entry's
-    /// alternate, else one by the flow's hash. Returns `None` if there is none.
+    /// alternate, else a registered one by the flow's hash. Returns `None` if there is none.
     fn pick_peer(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
         let best = header.placement_hint.best.map(|it| it.0);
         let serves = |id: InstanceId| {
@@ -78,6 +78,9 @@
         let start = flow.hash() >> (8 * u32::from(header.hops));
         let start = start as usize % ids.len().max(1);
         let mut rotation = ids.iter().cycle().skip(start).take(ids.len());
-        rotation.find(|id| fits(id)).copied()
+        // A joining agent takes no flow before the store has its presence record.
+        rotation
+            .find(|id| fits(id) && self.agents.is_registered(**id))
+            .copied()
     }
 }
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -103,6 +103,12 @@
         self.known.get(&id).map(|known| &known.record)
     }
 
+    /// Whether the store has a record of the agent, as far as is known.
+    pub fn is_registered(&self, id: InstanceId) -> bool {
+        let known = self.known.get(&id);
+        known.is_some_and(|it| it.unregistered.is_none())
+    }
+
     /// The records of all known agents.
     pub fn records(&self) -> impl Iterator<Item = &AgentRecord> {
         self.known.values().map(|known| &known.record)
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -322,9 +322,10 @@
     }
 
     /// Sends a hello to up to `count` of the known entries and the contacts, in
-    /// rotation. Sends none until the agent has announced itself to its peers.
+    /// rotation. Sends none until the agent has announced itself to its peers and the store has
+    /// its presence key, since a later process of this agent must learn that it may hold flows.
     fn send_hello_to_entries(&self, count: usize) {
-        if !self.is_announced() {
+        if !self.is_announced() || !self.presence_written.get() {
             return;
         }
         let now = self.node.clock.now();
@@ -446,6 +447,12 @@
         has_target && self.is_announced()
     }
 
+    /// Whether the agent has no target and the store had no trace of it at the start. It isn't
+    /// registered then.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.flows.borrow().is_idle()
+    }
+
     /// Handles a message from another process of the system.
     fn on_message(self: &Rc<Self>, datagram: &mut [u8], from: SocketAddrV4) {
         let now = self.node.clock.now();
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -34,7 +34,8 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(3_300);
 
 /// Maximum time that a new process waits for the first heartbeat of its target and for
-/// its announcement to its peers. It then registers without them.
+/// its announcement to its peers. It then registers without them if an earlier process of
+/// the agent was registered, since the target may hold flows.
 const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval between two checks for the target's first heartbeat and for the announcement.
@@ -87,7 +88,9 @@
     pub(crate) async fn run(mut self) {
         let mut backoff = Backoff::default();
         let started = time::Instant::now();
-        while !self.agent.can_register() && started.elapsed() < FIRST_HEARTBEAT_TIMEOUT {
+        while !self.agent.can_register()
+            && (self.agent.is_idle() || started.elapsed() < FIRST_HEARTBEAT_TIMEOUT)
+        {
             time::sleep(FIRST_HEARTBEAT_POLL).await;
         }
         loop {
--- a/marigoldway/src/packets/store.rs
+++ b/marigoldway/src/packets/store.rs
@@ -3,14 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time;
 
 use marigoldway_net::platform::Change;
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
+use marigoldway_net::platform::ReadResult;
 use marigoldway_net::platform::backoff::Backoff;
 use marigoldway_net::platform::errors::Error;
+use marigoldway_net::platform::errors::Result;
 use marigoldway_platform::store::KvStore;
 
 use crate::packets::node::MAX_RETRY_WAIT;
@@ -29,11 +32,18 @@
     Unreachable,
 }
 
-/// Timeout of each attempt at the first read. The process can't do its work before an
-/// attempt succeeds, and the store may answer again at any moment.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after the start of an attempt at the first read until another one begins beside it. The
+/// process can't do its work before an attempt succeeds. The store may be slow, so the earlier
+/// attempts go on, and it may never answer calls that it took while it was down.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(350);
 
-/// Wait between two attempts at the first read.
+/// Maximum number of attempts at the first read at a time.
+const MAX_FIRST_READS: usize = 3;
+
+/// Timeout of each attempt at the first read.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Wait after a failed attempt at the first read.
 const FIRST_RETRY_WAIT: Duration = Duration::from_millis(60);
 
 /// Reads the keys of a prefix, then watches them, and passes each change to `on_event`. Reads all
@@ -45,17 +55,10 @@
 ) {
     let mut backoff = Backoff::default();
     let mut outage = Outage::new(prefix.clone());
-    let mut loaded = false;
+    let mut read = first_read(&store, &prefix, &mut outage, &mut on_event).await;
     loop {
-        let limit = if loaded {
-            Duration::MAX
-        } else {
-            FIRST_READ_TIMEOUT
-        };
-        let read = time::timeout(limit, store.get(Range::Prefix(&prefix)));
-        match read.await.unwrap_or(Err(Error::Timeout { limit })) {
+        match read {
             Ok(read) => {
-                loaded = true;
                 outage.on_reachable();
                 backoff.reset();
                 on_event(StoreEvent::Snapshot(read.found, read.revision));
@@ -67,8 +70,37 @@
                 on_event(StoreEvent::Unreachable);
             }
         }
-        let wait = backoff.next_wait(&mut rand::rng()).min(MAX_RETRY_WAIT);
-        time::sleep(if loaded { wait } else { FIRST_RETRY_WAIT }).await;
+        time::sleep(backoff.next_wait(&mut rand::rng()).min(MAX_RETRY_WAIT)).await;
+        read = store.get(Range::Prefix(&prefix)).await;
+    }
+}
+
+/// Reads the keys of a prefix for the first time, by several attempts that overlap.
+async fn first_read(
+    store: &Rc<KvStore>,
+    prefix: &str,
+    outage: &mut Outage,
+    on_event: &mut impl FnMut(StoreEvent),
+) -> Result<ReadResult> {
+    let mut attempts = JoinSet::new();
+    loop {
+        if attempts.len() < MAX_FIRST_READS {
+            let (store, prefix) = (store.clone(), prefix.to_owned());
+            attempts.spawn_local(async move {
+                let read = store.get(Range::Prefix(&prefix));
+                let limit = FIRST_READ_TIMEOUT;
+                let read = time::timeout(limit, read).await;
+                read.unwrap_or(Err(Error::Timeout { limit }))
+            });
+        }
+        let error = match time::timeout(FIRST_READ_DELAY, attempts.join_next()).await {
+            Ok(Some(Ok(Ok(read)))) => return Ok(read),
+            Ok(Some(Ok(Err(error)))) => error,
+            Ok(None | Some(Err(_))) | Err(_) => continue,
+        };
+        outage.on_unreachable(&error);
+        on_event(StoreEvent::Unreachable);
+        time::sleep(FIRST_RETRY_WAIT).await;
     }
 }
 
