--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -356,6 +356,23 @@
         self.update_number(now);
     }
 
+    /// Whether the target has requests that aren't finished: admitted or queued ones, flows that
+    /// were accepted and whose request hasn't arrived, and uploads and downloads in transit.
+    pub fn has_work(&self, now: Timestamp) -> bool {
+        if self.target.current().is_none() {
+            return false;
+        }
+        let load = self.load(now);
+        let in_transit = |flow: &LocalFlow| {
+            let is_open = matches!(flow.phase, Phase::Answered | Phase::Open);
+            is_open && flow.closed.is_none() && flow.header.work.class.is_bulk()
+        };
+        load.running > 0
+            || load.waiting > 0
+            || load.opening > 0
+            || self.flows.iter().any(|(_, flow)| in_transit(flow))
+    }
+
     /// Raises the record's number if the part of the record that depends on the target has
     /// changed.
     fn update_number(&mut self, now: Timestamp) {
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -99,7 +99,7 @@
         }
         let flow = segment.inbound_flow();
         let mut next = Header {
-            hops: header.hops + 1,
+            hops: header.hops.saturating_add(1),
             ..*header
         };
         if let Some(owner) = self.owner(&flow, segment.ack) {
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -95,7 +95,7 @@
         };
         self.report(now, header.entry, flow, Verdict::Refused(reason), actions);
         let header = Header {
-            hops: header.hops + 1,
+            hops: header.hops.saturating_add(1),
             other: None,
             ..*header
         };
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -49,7 +49,7 @@
         }
         let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
         let mut onward = Header {
-            hops: header.hops + 1,
+            hops: header.hops.saturating_add(1),
             other: None,
             ..*header
         };
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -103,6 +103,17 @@
     })
 }
 
+/// Routes of `version` in which port 443 belongs to the services in `weights`.
+pub fn split_routes(version: u64, weights: &[(&str, u32)]) -> Arc<Routes> {
+    let mut split = (*routes(version, &[(443, "orders"), (444, "papers")])).clone();
+    let shares = weights.iter().map(|(name, weight)| Share {
+        service: service(name),
+        weight: *weight,
+    });
+    split.by_addr[&server(443)].shares = shares.collect();
+    Arc::new(split)
+}
+
 /// How a target handles packets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
--- a/marigoldway-core/tests/flow/load.rs
+++ b/marigoldway-core/tests/flow/load.rs
@@ -104,3 +104,24 @@
     fleet.tick();
     assert_eq!(running(&fleet), 0);
 }
+
+#[test]
+fn has_work_until_the_accepted_requests_are_answered() {
+    let mut fleet = Fleet::new(31, 1, &[(1, "orders")]);
+    let has_work = |fleet: &Fleet| fleet.agents[&agent_id(1)].flows.has_work(fleet.now);
+    assert!(!has_work(&fleet));
+    // The flow is accepted, and its request hasn't arrived.
+    let key = flow(1_000, 443);
+    let origin = fleet.open(0, key).unwrap();
+    assert!(has_work(&fleet));
+    assert!(fleet.talk(0, key, origin));
+    assert!(!has_work(&fleet));
+    // Requests that the target leaves unanswered, more than it has slots.
+    fleet.set_mode(1, Mode::Mute);
+    for n in 0..8 {
+        let key = flow(2_000 + n, 443);
+        let origin = fleet.open(0, key).unwrap();
+        fleet.talk(0, key, origin);
+    }
+    assert!(has_work(&fleet));
+}
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -84,7 +84,7 @@
 /// that its settings name for this.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum time that a leaving process waits for the end of requests at the target.
+/// Maximum time that a leaving process waits for the end of accepted requests.
 const LEAVE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// `Agent` is the state of an agent process.
@@ -303,8 +303,8 @@
         *self.settings.borrow_mut() = settings;
     }
 
-    /// Refuses new flows, tells the known entries so, and waits until the requests at the target
-    /// have finished, for up to [`LEAVE_LIMIT`].
+    /// Refuses new flows, tells the known entries so, and waits until the accepted requests have
+    /// finished, for up to [`LEAVE_LIMIT`].
     async fn leave(&self) {
         self.node.leaving.set(true);
         self.flows.borrow_mut().leave(self.node.clock.now());
@@ -314,8 +314,8 @@
         loop {
             time::sleep(node::TICK).await;
             let now = self.node.clock.now();
-            let running = self.flows.borrow().load(now).running;
-            if running == 0 || now.since(start) > LEAVE_LIMIT {
+            let has_work = self.flows.borrow().has_work(now);
+            if !has_work || now.since(start) > LEAVE_LIMIT {
                 return;
             }
         }
