Remove an agent's record as soon as its target has left

Cause: a released target announces its end, and its agent kept its record until the process was stopped two seconds later. If everything lost power in between, the record stood for the rest of its lease, and the new process, stopped before it had registered, didn't remove it.

Change: the record and the presence key are removed when the target announces its end. A leaving process waits for that within its limit, and a failed removal is tried again. The agent registers again if another target starts.

Ruled out: removal by a process that never heard its target, which may live.

--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -113,6 +113,8 @@
     agents_loaded: Cell<bool>,
     /// Whether the store has the own presence key.
     pub(crate) presence_written: Cell<bool>,
+    /// Whether the store no longer has the record, since the target has left.
+    pub(crate) record_removed: Cell<bool>,
     /// Presence keys of agents that aren't registered.
     pub(crate) presence_keys: RefCell<PresenceKeys>,
     /// Revision of the key with the service's addresses, or 0 if it doesn't exist.
@@ -150,6 +152,7 @@
         flushing: Cell::new(false),
         agents_loaded: Cell::new(false),
         presence_written: Cell::new(false),
+        record_removed: Cell::new(false),
         presence_keys: RefCell::new(PresenceKeys::new(settings.shared.lifetime)),
         addrs_revision: Cell::new(0),
         settings: RefCell::new(settings),
@@ -304,7 +307,8 @@
     }
 
     /// Refuses new flows, tells the known entries so, and waits until the accepted requests have
-    /// finished, for up to [`LEAVE_LIMIT`].
+    /// finished and the record of an agent without a target is removed, for up to
+    /// [`LEAVE_LIMIT`].
     async fn leave(&self) {
         self.node.leaving.set(true);
         self.flows.borrow_mut().leave(self.node.clock.now());
@@ -314,7 +318,8 @@
         loop {
             time::sleep(node::TICK).await;
             let now = self.node.clock.now();
-            let has_work = self.flows.borrow().has_work(now);
+            let is_listed = self.target_has_left() && !self.record_removed.get();
+            let has_work = self.flows.borrow().has_work(now) || is_listed;
             if !has_work || now.since(start) > LEAVE_LIMIT {
                 return;
             }
@@ -407,10 +412,10 @@
         self.record_dirty.notify_one();
     }
 
-    /// Whether the process is leaving and has no target: the target has left before it, or never
-    /// sent a heartbeat.
-    pub(crate) fn has_left(&self) -> bool {
-        self.node.leaving.get() && self.flows.borrow().target().current().is_none()
+    /// Whether the target has announced its end, and no other one has started.
+    pub(crate) fn target_has_left(&self) -> bool {
+        let flows = self.flows.borrow();
+        flows.target().current().is_none() && flows.target().incarnations() > 0
     }
 
     /// Whether the agent has announced itself to its peers, so that entries may know it.
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -88,9 +88,8 @@
     pub(crate) async fn run(mut self) {
         let mut backoff = Backoff::default();
         let started = time::Instant::now();
-        while !self.agent.can_register()
-            && (self.agent.is_idle() || started.elapsed() < FIRST_HEARTBEAT_TIMEOUT)
-        {
+        let may_wait = || self.agent.is_idle() || started.elapsed() < FIRST_HEARTBEAT_TIMEOUT;
+        while !self.agent.can_register() && may_wait() {
             time::sleep(FIRST_HEARTBEAT_POLL).await;
         }
         loop {
@@ -124,9 +123,10 @@
     /// Does the work that is due: obtains or renews the lease, deletes an expired presence key, and
     /// writes or deletes the record.
     async fn advance(&mut self) -> Result<()> {
-        if self.agent.has_left() {
+        if self.agent.target_has_left() {
             return self.remove_record().await;
         }
+        self.agent.record_removed.set(false);
         let record = self.agent.record();
         let lease = match self.lease {
             Some(lease) => lease,
@@ -240,12 +240,22 @@
         Ok(())
     }
 
-    /// Deletes the record and the presence key, since the process is leaving and has no target.
-    /// Does nothing if the revision of the record isn't known.
+    /// Deletes the record and the presence key, since the target has left and holds no flow. A
+    /// search would otherwise wait for this agent until its lease ends, if it ends without a word.
+    /// The registrar registers the agent again if another target starts.
     async fn remove_record(&mut self) -> Result<()> {
-        let KeyState::Record(_, revision) = self.key_state else {
-            return Ok(());
+        // The lease ends by itself.
+        self.renewed_at = time::Instant::now();
+        self.lease = None;
+        let revision = match self.key_state {
+            KeyState::Record(_, revision) => revision,
+            KeyState::Unknown if !self.key.is_empty() => self.read_revision().await?,
+            KeyState::Unknown | KeyState::Revision(_) => 0,
         };
+        if revision == 0 {
+            self.agent.record_removed.set(true);
+            return Ok(());
+        }
         self.key_state = KeyState::Unknown;
         let swap = Swap {
             compares: vec![(self.key.clone(), revision)],
@@ -254,6 +264,11 @@
         };
         let outcome = self.store.compare_and_swap(&swap).await?;
         log::info!("event=record-removed key={} outcome={outcome:?}", self.key);
+        if let SwapOutcome::Applied(_) = outcome {
+            self.key_state = KeyState::Revision(0);
+            self.agent.presence_written.set(false);
+            self.agent.record_removed.set(true);
+        }
         Ok(())
     }
 
