Remove the record of an agent that leaves without a target

Change: an agent that registered without a target, after more than the interval of heartbeats, removes its record when it leaves, as before. One that is stopped earlier leaves its record alone: its target may live. Neither waits in a loop.

--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -318,7 +318,8 @@
         loop {
             time::sleep(node::TICK).await;
             let now = self.node.clock.now();
-            let is_listed = self.target_has_left() && !self.record_removed.get();
+            let without_target = self.target_has_left() || self.leaves_without_target();
+            let is_listed = without_target && !self.record_removed.get();
             let has_work = self.flows.borrow().has_work(now) || is_listed;
             if !has_work || now.since(start) > LEAVE_LIMIT {
                 return;
@@ -418,6 +419,11 @@
         flows.target().current().is_none() && flows.target().incarnations() > 0
     }
 
+    /// Whether the process is leaving and has never heard of a target.
+    pub(crate) fn leaves_without_target(&self) -> bool {
+        self.node.leaving.get() && self.flows.borrow().target().incarnations() == 0
+    }
+
     /// Whether the agent has announced itself to its peers, so that entries may know it.
     fn is_announced(&self) -> bool {
         self.agents_loaded.get() && self.flows.borrow().is_announced()
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -89,7 +89,8 @@
         let mut backoff = Backoff::default();
         let started = time::Instant::now();
         let may_wait = || self.agent.is_idle() || started.elapsed() < FIRST_HEARTBEAT_TIMEOUT;
-        while !self.agent.can_register() && may_wait() {
+        let is_leaving = || self.agent.node.leaving.get();
+        while !self.agent.can_register() && !is_leaving() && may_wait() {
             time::sleep(FIRST_HEARTBEAT_POLL).await;
         }
         loop {
@@ -123,9 +124,17 @@
     /// Does the work that is due: obtains or renews the lease, deletes an expired presence key, and
     /// writes or deletes the record.
     async fn advance(&mut self) -> Result<()> {
-        if self.agent.target_has_left() {
+        // An agent that has registered without a target waited for longer than the interval of
+        // heartbeats: an earlier target is gone. Before that, a target may live.
+        let registered = matches!(self.key_state, KeyState::Record(..));
+        if self.agent.target_has_left() || (registered && self.agent.leaves_without_target()) {
             return self.remove_record().await;
         }
+        if self.agent.leaves_without_target() {
+            self.renewed_at = time::Instant::now();
+            self.agent.record_removed.set(true);
+            return Ok(());
+        }
         self.agent.record_removed.set(false);
         let record = self.agent.record();
         let lease = match self.lease {
