Split the packet agent by what it handles

Change: moved without other changes into listing, messages and execute, and the part of the core that deals with the store's lists into a listing module of its own.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -9,6 +9,7 @@
 pub mod actions;
 mod admit;
 mod health;
+mod listing;
 mod local;
 mod locate;
 mod open;
@@ -21,7 +22,6 @@
 mod served_addrs;
 pub mod slot_queue;
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 pub use crate::flow::agent::actions::AgentAction;
@@ -45,7 +45,6 @@
 use crate::flow::message::Load;
 use crate::flow::message::RefuseReason;
 use crate::flow::message::TargetState;
-use crate::flow::routes::Routes;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
@@ -196,73 +195,11 @@
         &self.agents
     }
 
-    /// Applies the store's whole list of the service's agents, and the presence records: records
-    /// without a lease of agents that may be alive though they aren't registered. Their lease may
-    /// have lapsed while the store was unreachable, before this process started. If the first list
-    /// lacks this agent, it is a joining agent. Entries must not be told of an agent before the
-    /// store has its presence record.
-    pub fn on_list(&mut self, now: Timestamp, records: &[AgentRecord], presence: &[AgentRecord]) {
-        if !self.agents.is_loaded() {
-            let lacks_own = |list: &[AgentRecord]| list.iter().all(|it| it.id != self.options.own);
-            self.joining = lacks_own(records);
-            self.unannounced = self.joining && lacks_own(presence);
-            self.update_number(now);
-        }
-        self.agents.replace(now, records);
-        for record in presence.iter().filter(|it| it.id != self.options.own) {
-            // The store doesn't tell whether the table of the present process is complete.
-            let complete = false;
-            self.agents.add_unregistered(
-                now,
-                AgentRecord {
-                    complete,
-                    ..*record
-                },
-            );
-        }
-    }
-
-    /// Whether every agent that may hold a flow is known. A joining agent doesn't know other
-    /// joining agents until the store has told it of them.
-    fn knows_every_agent(&self, now: Timestamp) -> bool {
-        let settled = !self.joining || now.since(self.options.started) >= JOIN_PERIOD;
-        settled && self.agents.is_loaded()
-    }
-
     /// The known agents, for updates by the caller that reads the store.
     pub fn agents_mut(&mut self) -> &mut Agents {
         &mut self.agents
     }
 
-    /// Applies the store's list of the addresses for which the service may hold flows. Empty if the
-    /// store has none.
-    pub fn set_listed_addrs(&mut self, addrs: Vec<SocketAddrV4>) {
-        self.served_addrs.set_listed(addrs);
-    }
-
-    /// Applies a configuration, which tells which listed addresses still lead to the service.
-    pub fn on_routes(&mut self, now: Timestamp, routes: &Routes) {
-        self.served_addrs.on_routes(now, self.service, routes);
-    }
-
-    /// The list of addresses that the caller is to write to the store now, if any.
-    pub fn due_addrs(&self, now: Timestamp) -> Option<Vec<SocketAddrV4>> {
-        let lifetime = self.options.idle_timeout;
-        self.served_addrs.due(now, self.is_first(), lifetime)
-    }
-
-    /// Whether the agent has no target and the store had no trace of it at the start. Its instance
-    /// may be released, so no other process is told of it: searches would wait for its replies.
-    pub fn is_idle(&self) -> bool {
-        self.unannounced && self.target.current().is_none()
-    }
-
-    /// Whether this agent is the first of its service in the order of IDs.
-    pub fn is_first(&self) -> bool {
-        let first = self.agents.of_service(self.service).first();
-        first == Some(&self.options.own)
-    }
-
     /// Highest version of the configuration seen so far.
     pub fn version(&self) -> u64 {
         self.version
@@ -373,34 +310,6 @@
             || self.flows.iter().any(|(_, flow)| in_transit(flow))
     }
 
-    /// Raises the record's number if the part of the record that depends on the target has
-    /// changed.
-    fn update_number(&mut self, now: Timestamp) {
-        let published = PublishedState {
-            state: self.state(now),
-            slots: self.slots(),
-            service: self.service,
-            complete: self.is_complete(now),
-        };
-        if self.published == Some(published) {
-            return;
-        }
-        if published.complete {
-            // The target doesn't hold the flows that it was only tried for.
-            self.flows.retain(|_, flow| flow.phase != Phase::Visiting);
-        }
-        self.published = Some(published);
-        self.number += 1;
-    }
-
-    /// Whether the table contains every flow that the target holds: the process started with the
-    /// target or before the agent's first announcement, or has run for at least the idle timeout.
-    fn is_complete(&self, now: Timestamp) -> bool {
-        self.same_start
-            || self.unannounced
-            || now.since(self.options.started) >= self.options.idle_timeout
-    }
-
     fn state(&self, now: Timestamp) -> TargetState {
         match self.target.state(now) {
             TargetState::Serving if self.leaving => TargetState::Draining,
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -5,7 +5,10 @@
 //! to entries and to each other. A flow has two directory agents, or one in a service of a
 //! single agent. They are selected by a hash of the flow and keep which agent holds it.
 
+mod execute;
+mod listing;
 mod log_actions;
+mod messages;
 mod target;
 
 use std::cell::Cell;
@@ -23,24 +26,17 @@
 use tokio::task;
 use tokio::time;
 
-use marigoldway_core::flow::agent::AgentAction;
 use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::agent::AgentOptions;
-use marigoldway_core::flow::agent::FLUSH_INTERVAL;
-use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
-use marigoldway_core::flow::message::Header;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
-use marigoldway_net::wire::flows::Message;
 use marigoldway_platform::api::ApiRequest;
-use marigoldway_platform::packet;
 
 use crate::errors::Result;
-use crate::packets::agent_records;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::node::Signals;
@@ -50,7 +46,6 @@
 use crate::packets::server;
 use crate::packets::server::Answer;
 use crate::packets::store;
-use crate::packets::store::StoreEvent;
 use crate::settings::FlowAgentSettings;
 
 /// Maximum number of flows in each of the agent's two tables, per megabyte of memory.
@@ -352,312 +347,4 @@
         self.next_entry
             .set((next_entry + count) % known.len().max(1));
     }
-
-    /// Applies a change of the service's keys in the store: records and presence keys.
-    fn on_agents(&self, event: StoreEvent) {
-        let now = self.node.clock.now();
-        let own = self.node.settings.data;
-        let mut flows = self.flows.borrow_mut();
-        match event {
-            StoreEvent::Snapshot(found, revision) => {
-                let records = agent_records::decode_all(&self.node, &found);
-                if !records.iter().any(|record| record.id == own) {
-                    self.on_own_unregistered(revision);
-                }
-                let presence = agent_records::decode_presence(&found);
-                self.presence_written
-                    .set(presence.iter().any(|it| it.id == own));
-                self.add_presence_keys(&records, &presence);
-                flows.on_list(now, &records, &presence);
-                let listed = agent_records::decode_addrs(&self.node, &found);
-                let own = listed.into_iter().find(|it| it.service == flows.service());
-                self.addrs_revision
-                    .set(own.as_ref().map_or(0, |it| it.revision));
-                flows.set_listed_addrs(own.map(|it| it.addrs).unwrap_or_default());
-                self.agents_loaded.set(true);
-            }
-            StoreEvent::Put(stored) => {
-                if let Some(record) = agent_records::decode(&self.node, &stored) {
-                    self.presence_keys.borrow_mut().remove(&stored.key);
-                    flows.agents_mut().register(record);
-                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
-                    self.addrs_revision.set(listed.revision);
-                    flows.set_listed_addrs(listed.addrs);
-                }
-            }
-            StoreEvent::Deleted(key, revision) => match agents::key_id(&key) {
-                Some(id) if id == own => self.on_own_unregistered(revision),
-                Some(id) => {
-                    self.presence_keys.borrow_mut().add(&key);
-                    flows.agents_mut().unregister(now, id);
-                }
-                None if agents::presence_id(&key) == Some(own) => self.presence_written.set(false),
-                None => {}
-            },
-            StoreEvent::UpToDate | StoreEvent::Unreachable => {}
-        }
-    }
-
-    /// Adds the presence keys of agents that have no record.
-    fn add_presence_keys(&self, records: &[AgentRecord], presence: &[AgentRecord]) {
-        let is_registered = |id| records.iter().any(|record| record.id == id);
-        for record in presence.iter().filter(|it| !is_registered(it.id)) {
-            self.presence_keys
-                .borrow_mut()
-                .add(&agents::agent_key(record));
-        }
-    }
-
-    fn on_own_unregistered(&self, revision: u64) {
-        self.unregistered_at.set(Some(revision));
-        self.record_dirty.notify_one();
-    }
-
-    /// Whether the target has announced its end, and no other one has started.
-    pub(crate) fn target_has_left(&self) -> bool {
-        let flows = self.flows.borrow();
-        flows.target().current().is_none() && flows.target().incarnations() > 0
-    }
-
-    /// Whether the process is leaving and has never heard of a target.
-    pub(crate) fn leaves_without_target(&self) -> bool {
-        self.node.leaving.get() && self.flows.borrow().target().incarnations() == 0
-    }
-
-    /// Whether the agent has announced itself to its peers, so that entries may know it.
-    fn is_announced(&self) -> bool {
-        self.agents_loaded.get() && self.flows.borrow().is_announced()
-    }
-
-    /// Whether this agent is the first of its service in the order of IDs. The first agent deletes
-    /// expired presence keys.
-    pub(crate) fn is_first(&self) -> bool {
-        self.flows.borrow().is_first()
-    }
-
-    /// The list of the service's addresses to write to the store now, if any.
-    pub(crate) fn due_addrs(&self) -> Option<Vec<SocketAddrV4>> {
-        self.flows.borrow().due_addrs(self.node.clock.now())
-    }
-
-    /// Applies the list of the service's addresses at a revision of its key.
-    pub(crate) fn set_listed_addrs(&self, addrs: Vec<SocketAddrV4>, revision: u64) {
-        self.addrs_revision.set(revision);
-        self.flows.borrow_mut().set_listed_addrs(addrs);
-    }
-
-    /// Revision of the key with the service's addresses, or 0 if it isn't known to exist.
-    pub(crate) fn addrs_revision(&self) -> u64 {
-        self.addrs_revision.get()
-    }
-
-    /// Whether the target has sent a heartbeat and hasn't left, and the agent has announced itself
-    /// to its peers. The registrar waits for both, but not without limit.
-    pub(crate) fn can_register(&self) -> bool {
-        let has_target = self.flows.borrow().target().current().is_some();
-        has_target && self.is_announced()
-    }
-
-    /// Whether the agent has no target and the store had no trace of it at the start. It isn't
-    /// registered then.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.flows.borrow().is_idle()
-    }
-
-    /// Handles a message from another process of the system.
-    fn on_message(self: &Rc<Self>, datagram: &mut [u8], from: SocketAddrV4) {
-        let now = self.node.clock.now();
-        match flows::decode(datagram) {
-            Some(Message::Packet(header, _)) => {
-                let packet = &mut datagram[flows::HEADER_LEN..];
-                self.on_client(now, &header, packet);
-            }
-            Some(Message::DirectoryUpdate(update)) => {
-                let mut flows = self.flows.borrow_mut();
-                flows.on_directory_update(now, &update);
-            }
-            Some(Message::Hello(hello)) => {
-                self.flows
-                    .borrow_mut()
-                    .agents_mut()
-                    .on_record(now, hello.record);
-            }
-            Some(Message::Probe) => {
-                let hello = self.flows.borrow().hello(now);
-                self.node.send(from, &flows::encode_hello(&hello));
-            }
-            Some(Message::NotHeld(not_held)) => {
-                let mut actions = Vec::new();
-                let from = InstanceId(from);
-                self.flows
-                    .borrow_mut()
-                    .on_not_held(now, from, &not_held, &mut actions);
-                self.execute(None, &mut [], &actions);
-            }
-            Some(Message::Query(query)) => {
-                let mut actions = Vec::new();
-                let from = InstanceId(from);
-                let mut flows = self.flows.borrow_mut();
-                flows.on_query(now, from, &query, &mut actions);
-                drop(flows);
-                self.execute(None, &mut [], &actions);
-                self.schedule_flush();
-            }
-            Some(Message::Search(search)) => {
-                let mut actions = Vec::new();
-                let entry = InstanceId(from);
-                let mut flows = self.flows.borrow_mut();
-                flows.on_search(now, entry, &search, &mut actions);
-                drop(flows);
-                self.execute(None, &mut [], &actions);
-                self.schedule_flush();
-            }
-            Some(Message::FlowReport(_)) | None => self.node.count("message-unexpected"),
-        }
-    }
-
-    /// Handles a client's packet that an entry or another agent forwarded.
-    fn on_client(self: &Rc<Self>, now: Timestamp, header: &Header, packet: &mut [u8]) {
-        let Some(segment) = packet::decode(packet) else {
-            return self.node.count("packet-unreadable");
-        };
-        self.on_entry_packet(now, header);
-        let mut actions = Vec::new();
-        let mut flows = self.flows.borrow_mut();
-        flows.on_client(now, header, &segment, packet, &mut actions);
-        drop(flows);
-        self.execute(Some(&segment.inbound_flow()), packet, &actions);
-        self.schedule_flush();
-    }
-
-    /// Handles a packet that the target sent or returned.
-    fn on_target_packet(&self, packet: &mut [u8]) {
-        let Some(segment) = packet::decode(packet) else {
-            return self.node.count("packet-unreadable");
-        };
-        if segment.flags.bounced {
-            packet::clear_bounced(packet);
-        }
-        let now = self.node.clock.now();
-        let mut actions = Vec::new();
-        let mut flows = self.flows.borrow_mut();
-        flows.on_target(now, &segment, &mut actions);
-        drop(flows);
-        let flow = if segment.flags.bounced {
-            segment.inbound_flow()
-        } else {
-            segment.outbound_flow()
-        };
-        self.execute(Some(&flow), packet, &actions);
-    }
-
-    /// Keeps the entry of a packet for hellos, and fetches the entry's configuration if it is newer
-    /// than the own one.
-    fn on_entry_packet(self: &Rc<Self>, now: Timestamp, header: &Header) {
-        let mut entries = self.entries.borrow_mut();
-        if entries.len() < MAX_ENTRIES || entries.contains_key(&header.entry) {
-            entries.insert(header.entry, now);
-        }
-        drop(entries);
-        if header.version <= self.node.version() || self.fetching.replace(true) {
-            return;
-        }
-        let (agent, entry) = (self.clone(), header.entry.0);
-        task::spawn_local(async move {
-            time::sleep(FETCH_DELAY).await;
-            if let Some(raw) = peers::fetch(entry, peers::CONFIG_PATH).await
-                && let Some(routes) = agent.node.apply_config(raw, "peer")
-            {
-                let now = agent.node.clock.now();
-                agent.flows.borrow_mut().on_routes(now, &routes);
-            }
-            agent.fetching.set(false);
-        });
-    }
-
-    /// Sends the queries and replies that the agent has collected, after the interval in which it
-    /// collects them.
-    fn schedule_flush(self: &Rc<Self>) {
-        if !self.flows.borrow().has_queued_searches() || self.flushing.replace(true) {
-            return;
-        }
-        let agent = self.clone();
-        task::spawn_local(async move {
-            time::sleep(FLUSH_INTERVAL).await;
-            agent.flushing.set(false);
-            let now = agent.node.clock.now();
-            let mut actions = Vec::new();
-            agent.flows.borrow_mut().flush_searches(now, &mut actions);
-            agent.execute(None, &mut [], &actions);
-            agent.schedule_flush();
-        });
-    }
-
-    /// Logs or counts `actions` and carries them out. `flow` and `packet` are those of the current
-    /// packet: `None` and empty if the actions don't follow from a packet.
-    fn execute(&self, flow: Option<&FlowKey>, packet: &mut [u8], actions: &[AgentAction]) {
-        for action in actions {
-            self.log_action(flow, packet, action);
-            match action {
-                AgentAction::ToTarget => {
-                    let target = self.settings.borrow().target;
-                    self.node.send_on(&self.outbound, target, packet);
-                }
-                AgentAction::Release(release) => {
-                    let target = self.settings.borrow().target;
-                    for queued in &release.packets {
-                        self.node.send_on(&self.outbound, target, queued);
-                    }
-                }
-                AgentAction::ToClient => {
-                    if let Some(flow) = flow {
-                        self.node.send_client(&self.outbound, flow.client, packet);
-                    }
-                }
-                AgentAction::ToAgents(agents, header) => {
-                    let mut buffer = self.buffer.borrow_mut();
-                    flows::write_packet(header, packet, &mut buffer);
-                    for agent in agents {
-                        self.node.send(agent.0, &buffer);
-                    }
-                }
-                AgentAction::ToEntry(entry, report) => {
-                    self.node.send(entry.0, &flows::encode_flow_report(report));
-                }
-                AgentAction::SendHello(agents) => {
-                    let now = self.node.clock.now();
-                    let hello = flows::encode_hello(&self.flows.borrow().hello(now));
-                    for agent in agents {
-                        self.node.send(agent.0, &hello);
-                    }
-                }
-                AgentAction::Query(agents, query) => {
-                    let datagram = flows::encode_query(query);
-                    for agent in agents {
-                        self.node.send(agent.0, &datagram);
-                    }
-                }
-                AgentAction::ToSearcher(searcher, not_held) => {
-                    self.node
-                        .send(searcher.0, &flows::encode_not_held(not_held));
-                }
-                AgentAction::ToDirectory(directory_agent, update) => {
-                    let datagram = flows::encode_directory_update(update);
-                    self.node.send(directory_agent.0, &datagram);
-                }
-                AgentAction::Reset(reset, _) => {
-                    let reset_packet = packet::encode_reset(reset);
-                    let client = reset.flow.client;
-                    self.node.send_client(&self.outbound, client, &reset_packet);
-                }
-                AgentAction::Queue
-                | AgentAction::Request(_)
-                | AgentAction::Answered(..)
-                | AgentAction::Unanswered(_)
-                | AgentAction::TargetReset(..)
-                | AgentAction::TimedOut(_)
-                | AgentAction::Drop(_) => {}
-            }
-        }
-    }
 }
--- /dev/null
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -0,0 +1,123 @@
+//! What the store lists of the agent's service, and what the agent has to be listed with.
+
+use std::net::SocketAddrV4;
+
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_net::wire::agents;
+
+use crate::packets::agent::Agent;
+use crate::packets::agent_records;
+use crate::packets::store::StoreEvent;
+
+impl Agent {
+    /// Applies a change of the service's keys in the store: records and presence keys.
+    pub(super) fn on_agents(&self, event: StoreEvent) {
+        let now = self.node.clock.now();
+        let own = self.node.settings.data;
+        let mut flows = self.flows.borrow_mut();
+        match event {
+            StoreEvent::Snapshot(found, revision) => {
+                let records = agent_records::decode_all(&self.node, &found);
+                if !records.iter().any(|record| record.id == own) {
+                    self.on_own_unregistered(revision);
+                }
+                let presence = agent_records::decode_presence(&found);
+                self.presence_written
+                    .set(presence.iter().any(|it| it.id == own));
+                self.add_presence_keys(&records, &presence);
+                flows.on_list(now, &records, &presence);
+                let listed = agent_records::decode_addrs(&self.node, &found);
+                let own = listed.into_iter().find(|it| it.service == flows.service());
+                self.addrs_revision
+                    .set(own.as_ref().map_or(0, |it| it.revision));
+                flows.set_listed_addrs(own.map(|it| it.addrs).unwrap_or_default());
+                self.agents_loaded.set(true);
+            }
+            StoreEvent::Put(stored) => {
+                if let Some(record) = agent_records::decode(&self.node, &stored) {
+                    self.presence_keys.borrow_mut().remove(&stored.key);
+                    flows.agents_mut().register(record);
+                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
+                    self.addrs_revision.set(listed.revision);
+                    flows.set_listed_addrs(listed.addrs);
+                }
+            }
+            StoreEvent::Deleted(key, revision) => match agents::key_id(&key) {
+                Some(id) if id == own => self.on_own_unregistered(revision),
+                Some(id) => {
+                    self.presence_keys.borrow_mut().add(&key);
+                    flows.agents_mut().unregister(now, id);
+                }
+                None if agents::presence_id(&key) == Some(own) => self.presence_written.set(false),
+                None => {}
+            },
+            StoreEvent::UpToDate | StoreEvent::Unreachable => {}
+        }
+    }
+
+    /// Adds the presence keys of agents that have no record.
+    pub(super) fn add_presence_keys(&self, records: &[AgentRecord], presence: &[AgentRecord]) {
+        let is_registered = |id| records.iter().any(|record| record.id == id);
+        for record in presence.iter().filter(|it| !is_registered(it.id)) {
+            self.presence_keys
+                .borrow_mut()
+                .add(&agents::agent_key(record));
+        }
+    }
+
+    pub(super) fn on_own_unregistered(&self, revision: u64) {
+        self.unregistered_at.set(Some(revision));
+        self.record_dirty.notify_one();
+    }
+
+    /// Whether the target has announced its end, and no other one has started.
+    pub(crate) fn target_has_left(&self) -> bool {
+        let flows = self.flows.borrow();
+        flows.target().current().is_none() && flows.target().incarnations() > 0
+    }
+
+    /// Whether the process is leaving and has never heard of a target.
+    pub(crate) fn leaves_without_target(&self) -> bool {
+        self.node.leaving.get() && self.flows.borrow().target().incarnations() == 0
+    }
+
+    /// Whether the agent has announced itself to its peers, so that entries may know it.
+    pub(super) fn is_announced(&self) -> bool {
+        self.agents_loaded.get() && self.flows.borrow().is_announced()
+    }
+
+    /// Whether this agent is the first of its service in the order of IDs. The first agent deletes
+    /// expired presence keys.
+    pub(crate) fn is_first(&self) -> bool {
+        self.flows.borrow().is_first()
+    }
+
+    /// The list of the service's addresses to write to the store now, if any.
+    pub(crate) fn due_addrs(&self) -> Option<Vec<SocketAddrV4>> {
+        self.flows.borrow().due_addrs(self.node.clock.now())
+    }
+
+    /// Applies the list of the service's addresses at a revision of its key.
+    pub(crate) fn set_listed_addrs(&self, addrs: Vec<SocketAddrV4>, revision: u64) {
+        self.addrs_revision.set(revision);
+        self.flows.borrow_mut().set_listed_addrs(addrs);
+    }
+
+    /// Revision of the key with the service's addresses, or 0 if it isn't known to exist.
+    pub(crate) fn addrs_revision(&self) -> u64 {
+        self.addrs_revision.get()
+    }
+
+    /// Whether the target has sent a heartbeat and hasn't left, and the agent has announced itself
+    /// to its peers. The registrar waits for both, but not without limit.
+    pub(crate) fn can_register(&self) -> bool {
+        let has_target = self.flows.borrow().target().current().is_some();
+        has_target && self.is_announced()
+    }
+
+    /// Whether the agent has no target and the store had no trace of it at the start. It isn't
+    /// registered then.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.flows.borrow().is_idle()
+    }
+}
