--- a/marigoldway-core/src/flow/agent/slot_queue.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue.rs
@@ -7,13 +7,10 @@
 //!
 //! The slot queue therefore admits as many requests as the target has slots and a few more, and
 //! holds the first packets of the others. Requests that can still be answered within their
-//! objective go first, by the priority of their route. Among equals, the first request of a flow
-//! goes behind those on flows that were in use before: a client retries on a new flow, so its
-//! objective may have passed already. Then the newest goes first, since it is the most likely to
-//! be answered in time. Requests that are already late use the remaining room, by priority and
-//! then newest first, since the clients of the oldest ones time out soonest.
+//! objective go first, by the priority of their route and then by the time left. Requests that
+//! are already late use the remaining room, by priority and then newest first, since the clients
+//! of the oldest ones time out soonest.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -108,8 +105,6 @@
     /// When the client of the request times out.
     end: Timestamp,
     priority: u8,
-    /// Whether it is the first request of its flow.
-    first: bool,
     packets: Vec<Vec<u8>>,
 }
 
@@ -201,7 +196,6 @@
             objective_end: arrival.waiting_since + arrival.work.objective,
             end: arrival.waiting_since + arrival.work.timeout,
             priority: arrival.work.priority,
-            first: arrival.first,
             packets: vec![arrival.packet.to_vec()],
         };
         self.octets += arrival.packet.len();
@@ -316,8 +310,8 @@
     }
 
     /// Selects the next request, or returns `None` if none is queued. Requests that can be answered
-    /// in time come first: by priority, on flows in use before others, then newest first. The others
-    /// follow by priority and then newest first.
+    /// in time come first, by priority and then by time left. The others follow by priority and
+    /// then newest first.
     fn next_flow(&self, now: Timestamp) -> Option<FlowKey> {
         let mean = self.mean.unwrap_or(DEFAULT_REQUEST_TIME);
         let needed = now + mean.mul_f64(self.options.reserve_factor) + NETWORK_TIME;
@@ -325,13 +319,13 @@
             .waiting
             .iter()
             .filter(|(_, it)| it.objective_end >= needed);
-        let next = in_time.min_by_key(|(_, it)| (it.priority, it.first, Reverse(it.objective_end)));
+        let first = in_time.min_by_key(|(_, it)| (it.priority, it.objective_end));
         let newest = || {
             self.waiting
                 .iter()
-                .min_by_key(|(_, it)| (it.priority, Reverse(it.since)))
+                .min_by_key(|(_, it)| (it.priority, std::cmp::Reverse(it.since)))
         };
-        next.or_else(newest).map(|(flow, _)| *flow)
+        first.or_else(newest).map(|(flow, _)| *flow)
     }
 
     fn remove_waiting(&mut self, flow: &FlowKey) -> Option<QueuedRequest> {
