Skip odd entries of other writers one by one

Cause: the store's list and watch answers were decoded whole, and so was the configuration. One entry that is nested too deeply, with a number out of range or a value of another type made the whole answer invalid: the process read the list again and again and followed nothing. A page without a readable key would have been asked for for ever. A heartbeat with a start time near the end of its range overflowed (a panic in builds with overflow checks).

An item without a readable key is skipped and counted (unreadable-items in event=calls); other unreadable values are counted and logged once a key and revision. Records at port 0 or under another agent's key are rejected.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -267,7 +267,7 @@
         let received = (heartbeat.started_at, heartbeat.number);
         let outcome = self.target.on_heartbeat(now, heartbeat);
         if outcome == HeartbeatOutcome::Started {
-            self.same_start = received.0 + START_SLACK_MS >= self.options.started_at
+            self.same_start = received.0.saturating_add(START_SLACK_MS) >= self.options.started_at
                 && received.1 <= START_HEARTBEATS;
             // Flows seen before the first heartbeat belong to this target.
             if self.target.incarnations() > 1 {
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -11,6 +11,7 @@
 use marigoldway_core::flow::message::Intent;
 use marigoldway_core::flow::message::LoadLevel;
 use marigoldway_core::flow::message::PlacementHint;
+use marigoldway_core::flow::target::Heartbeat;
 
 use crate::fleet::Fleet;
 use crate::fleet::agent_id;
@@ -113,6 +114,27 @@
     )
 }
 
+/// Numbers that are often at the limit of their type.
+fn arb_number() -> impl Strategy<Value = u64> {
+    prop_oneof![any::<u64>(), Just(u64::MAX), Just(0)]
+}
+
+fn arb_heartbeat() -> impl Strategy<Value = Heartbeat> {
+    let slots = prop_oneof![any::<u16>(), Just(u16::MAX)];
+    let rest = (any::<bool>(), slots, any::<u32>());
+    (arb_number(), arb_number(), rest).prop_map(
+        |(started_at, number, (draining, slots, slow_start))| Heartbeat {
+            id: "t1".to_owned(),
+            started_at,
+            number,
+            service: service("orders"),
+            draining,
+            slots: slots.max(1),
+            slow_start: Duration::from_millis(u64::from(slow_start)),
+        },
+    )
+}
+
 /// Name of the service of agent `n`; `orders` if the agent isn't running.
 fn service_name(fleet: &Fleet, n: u8) -> &'static str {
     let known = fleet.agents.get(&agent_id(n));
@@ -260,4 +282,17 @@
             flows.tick(fleet.now, &mut actions);
         }
     }
+
+    /// Another program may write any number into a heartbeat.
+    #[test]
+    fn any_heartbeat_is_handled(heartbeats in prop::collection::vec(arb_heartbeat(), 1..20)) {
+        let mut fleet = Fleet::new(1, 1, &[(1, "orders"), (2, "orders")]);
+        for heartbeat in heartbeats {
+            let flows = &mut fleet.agents[&agent_id(1)].flows;
+            flows.on_heartbeat(fleet.now, heartbeat, &mut Vec::new());
+            fleet.send(0, syn(flow(1, 443), 0));
+            fleet.now = fleet.now + Duration::from_millis(700);
+            fleet.tick();
+        }
+    }
 }
--- a/marigoldway-net/src/platform/calls.rs
+++ b/marigoldway-net/src/platform/calls.rs
@@ -1,4 +1,4 @@
-//! Counters of the calls made to the platform.
+//! Counters of the calls made to the platform, and of what couldn't be read in its responses.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -44,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct CallCounts {
     counts: [AtomicU64; CallKind::ALL.len()],
+    unreadable: AtomicU64,
 }
 
 impl CallCounts {
@@ -57,6 +58,16 @@
         self.counts[kind as usize].load(Ordering::Relaxed)
     }
 
+    /// Counts items of a response that were skipped, since they have no readable key.
+    pub fn record_unreadable(&self, count: usize) {
+        self.unreadable.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    /// Number of items that were skipped.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable.load(Ordering::Relaxed)
+    }
+
     /// Number of calls of all kinds.
     pub fn total(&self) -> u64 {
         CallKind::ALL.into_iter().map(|kind| self.get(kind)).sum()
--- a/marigoldway-net/src/wire/agents.rs
+++ b/marigoldway-net/src/wire/agents.rs
@@ -103,7 +103,7 @@
     let stored: StoredAgent = serde_json::from_slice(value).map_err(|err| Error::Malformed {
         detail: err.to_string(),
     })?;
-    Ok(AgentRecord::from(&stored))
+    AgentRecord::try_from(&stored)
 }
 
 impl From<&AgentRecord> for StoredAgent {
@@ -121,9 +121,17 @@
     }
 }
 
-impl From<&StoredAgent> for AgentRecord {
-    fn from(stored: &StoredAgent) -> AgentRecord {
-        AgentRecord {
+impl TryFrom<&StoredAgent> for AgentRecord {
+    type Error = Error;
+
+    /// Fails if the address can't be sent to, since the port is 0.
+    fn try_from(stored: &StoredAgent) -> Result<AgentRecord, Error> {
+        if stored.id.port() == 0 {
+            return Err(Error::Malformed {
+                detail: format!("address {}: no port", stored.id),
+            });
+        }
+        Ok(AgentRecord {
             id: InstanceId(stored.id),
             incarnation: stored.incarnation,
             number: stored.number,
@@ -132,6 +140,6 @@
             state: stored.state,
             slots: stored.slots,
             complete: stored.complete,
-        }
+        })
     }
 }
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -211,3 +211,32 @@
         prop_assert!(agents::decode(&datagram).is_err());
     }
 }
+
+/// Another program may leave any record among those of agents.
+#[test]
+fn stored_record_with_odd_field_is_rejected() {
+    let record = r#"{"id":"10.1.0.7:7000","incarnation":3,"number":1,"service":7,"domain":9,
+"state":"serving","slots":2,"complete":true}"#;
+    assert!(agents::decode(record.as_bytes()).is_ok());
+    let nested = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    for (from, to) in [
+        ("10.1.0.7:7000", "10.1.0.7:0"),
+        ("10.1.0.7:7000", "10.1.0.7:70000"),
+        ("10.1.0.7:7000", "10.1.0.700:7000"),
+        ("10.1.0.7:7000", "[::1]:7000"),
+        ("\"slots\":2", "\"slots\":65536"),
+        ("\"slots\":2", "\"slots\":1e999"),
+        ("\"number\":1", "\"number\":18446744073709551616"),
+        ("\"incarnation\":3", "\"incarnation\":-3"),
+        ("\"state\":\"serving\"", "\"state\":\"resting\""),
+        ("\"complete\":true", nested.as_str()),
+    ] {
+        let odd = record.replacen(from, to, 1);
+        assert_ne!(odd, record);
+        assert!(agents::decode(odd.as_bytes()).is_err(), "{to:.40}");
+        assert!(agents::decode_addrs(odd.as_bytes()).is_err(), "{to:.40}");
+    }
+    // An unknown field is ignored, whatever it holds.
+    let newer = record.replacen('{', &format!("{{\"later\":{nested},"), 1);
+    assert!(agents::decode(newer.as_bytes()).is_ok());
+}
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -21,7 +21,7 @@
                 if !records.iter().any(|record| record.id == own) {
                     self.on_own_unregistered(revision);
                 }
-                let presence = agent_records::decode_presence(&found);
+                let presence = agent_records::decode_presence(&self.node, &found);
                 self.presence_written
                     .set(presence.iter().any(|it| it.id == own));
                 self.add_presence_keys(&records, &presence);
--- a/marigoldway/src/packets/agent/target.rs
+++ b/marigoldway/src/packets/agent/target.rs
@@ -33,7 +33,10 @@
             Ok(parsed) => parsed,
             Err(error) => {
                 self.node.count("heartbeat-unreadable");
-                log::warn!("event=heartbeat-unreadable target={id:?} error=\"{error}\"");
+                let now = self.node.clock.now();
+                if self.node.log_limiter.allows(now, "heartbeat-unreadable") {
+                    log::warn!("event=heartbeat-unreadable target={id:?} error=\"{error}\"");
+                }
                 return Answer::empty(StatusCode::BAD_REQUEST);
             }
         };
--- a/marigoldway/src/packets/agent_records.rs
+++ b/marigoldway/src/packets/agent_records.rs
@@ -6,6 +6,8 @@
 
 use std::net::SocketAddrV4;
 
+use indexmap::IndexMap;
+
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_net::platform::KeyValue;
@@ -13,6 +15,12 @@
 
 use crate::packets::node::Node;
 
+/// Maximum number of unreadable keys that are remembered.
+const MAX_UNREADABLE: usize = 64;
+
+/// Maximum number of characters of an error in a log line. The error may quote the value.
+const MAX_ERROR_LEN: usize = 200;
+
 /// `ServiceAddrs` holds the addresses for which the targets of a service may hold flows.
 pub(crate) struct ServiceAddrs {
     /// The service.
@@ -32,7 +40,7 @@
         return None;
     }
     let error = match agents::decode(&stored.value) {
-        Ok(record) if agents::key_id(key) == Some(record.id) => return Some(record),
+        Ok(record) if agents::agent_key(&record) == *key => return Some(record),
         Ok(_) => "the key belongs to another agent".to_owned(),
         Err(error) => error.to_string(),
     };
@@ -64,12 +72,40 @@
         .collect()
 }
 
+/// Counts a value that can't be read, and logs it once for each revision of its key.
 fn log_unreadable(node: &Node, stored: &KeyValue, error: &str) {
     node.count("record-unreadable");
+    if !node.unreadable.borrow_mut().is_new(stored) {
+        return;
+    }
     let (key, revision) = (&stored.key, stored.revision);
+    let error: String = error.chars().take(MAX_ERROR_LEN).collect();
     log::warn!("event=record-unreadable key={key:?} revision={revision} error={error:?}");
 }
 
+/// `UnreadableKeys` tells which unreadable values were logged before. Lists are read again and
+/// again, and other programs may leave values among the records.
+#[derive(Debug, Default)]
+pub(crate) struct UnreadableKeys {
+    /// Revision at which each key was last logged.
+    logged: IndexMap<String, u64>,
+}
+
+impl UnreadableKeys {
+    /// Whether the value wasn't logged before at its revision. Forgets the key that was added
+    /// first if [`MAX_UNREADABLE`] are known.
+    fn is_new(&mut self, stored: &KeyValue) -> bool {
+        if self.logged.get(&stored.key) == Some(&stored.revision) {
+            return false;
+        }
+        if self.logged.len() >= MAX_UNREADABLE && !self.logged.contains_key(&stored.key) {
+            self.logged.shift_remove_index(0);
+        }
+        self.logged.insert(stored.key.clone(), stored.revision);
+        true
+    }
+}
+
 /// Decodes the records of a list, without the values that [`decode`] rejects.
 pub(crate) fn decode_all(node: &Node, list: &[KeyValue]) -> Vec<AgentRecord> {
     list.iter()
@@ -79,13 +115,21 @@
 
 /// Decodes the presence keys of a list, without unreadable ones. Their agents may be alive without
 /// being registered.
-pub(crate) fn decode_presence(list: &[KeyValue]) -> Vec<AgentRecord> {
-    list.iter().filter_map(decode_presence_key).collect()
+pub(crate) fn decode_presence(node: &Node, list: &[KeyValue]) -> Vec<AgentRecord> {
+    list.iter()
+        .filter_map(|stored| decode_presence_key(node, stored))
+        .collect()
 }
 
-fn decode_presence_key(stored: &KeyValue) -> Option<AgentRecord> {
-    let id = agents::presence_id(&stored.key)?;
-    // Unlike an unreadable record, an unreadable presence key isn't counted or logged.
-    let record = agents::decode(&stored.value).ok()?;
-    (record.id == id).then_some(record)
+fn decode_presence_key(node: &Node, stored: &KeyValue) -> Option<AgentRecord> {
+    agents::presence_id(&stored.key)?;
+    let error = match agents::decode(&stored.value) {
+        Ok(record) if agents::presence_key(&agents::agent_key(&record)) == stored.key => {
+            return Some(record);
+        }
+        Ok(_) => "the key belongs to another agent".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    log_unreadable(node, stored, &error);
+    None
 }
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -38,6 +38,7 @@
 use crate::logging;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
+use crate::packets::agent_records::UnreadableKeys;
 use crate::packets::histograms::Histograms;
 use crate::packets::log_limit::LogLimiter;
 use crate::packets::peers;
@@ -91,6 +92,8 @@
     pub(crate) data: UdpSocket,
     /// Whether the process is leaving.
     pub(crate) leaving: Cell<bool>,
+    /// Values of the store that couldn't be read and were logged.
+    pub(crate) unreadable: RefCell<UnreadableKeys>,
     /// The configuration in force, or `None` before the first one.
     document: RefCell<Option<ConfigDocument>>,
     /// Call counts of each client of the store.
@@ -109,6 +112,7 @@
             histograms: Histograms::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
+            unreadable: RefCell::default(),
             document: RefCell::new(None),
             calls: RefCell::default(),
         })
@@ -142,6 +146,10 @@
             for kind in CallKind::ALL {
                 line.push_str(&format!(" {}={}", kind.as_str(), self.calls(kind)));
             }
+            let calls = self.calls.borrow();
+            let unreadable: u64 = calls.iter().map(|it| it.unreadable()).sum();
+            drop(calls);
+            line.push_str(&format!(" unreadable-items={unreadable}"));
             log::info!("{line}");
         }
     }
