--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -16,6 +16,7 @@
 mod openings;
 mod outbound;
 mod peer_messages;
+mod record;
 mod redirect;
 mod register;
 mod search;
@@ -32,19 +33,16 @@
 pub use crate::flow::agent::local::Phase;
 use crate::flow::agent::openings::Openings;
 pub use crate::flow::agent::peer_messages::FLUSH_INTERVAL;
+use crate::flow::agent::record::PublishedState;
 use crate::flow::agent::search::Searches;
 use crate::flow::agent::served_addrs::ServedAddrs;
 use crate::flow::agent::slot_queue::SlotQueue;
 use crate::flow::agents::Agents;
 use crate::flow::key::NameKey;
-use crate::flow::message::AgentRecord;
 use crate::flow::message::DirectoryUpdate;
 use crate::flow::message::Header;
-use crate::flow::message::Hello;
 use crate::flow::message::Intent;
-use crate::flow::message::Load;
 use crate::flow::message::RefuseReason;
-use crate::flow::message::TargetState;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
@@ -132,6 +130,13 @@
     /// Whether the store had no trace of this agent when the process started. No entry had then
     /// been told of the agent, so its target holds no flow that the process hasn't seen.
     unannounced: bool,
+    /// Whether no target was running when the process started.
+    found_no_target: bool,
+    /// Until when the record says that the target may hold strays: flows that other processes
+    /// don't look for here.
+    stray_until: Option<Timestamp>,
+    /// Revision of `agents` at which the flows were last checked for strays.
+    checked_revision: u64,
     slot_queue: SlotQueue,
     health: Health,
     openings: Openings,
@@ -141,15 +146,6 @@
     open_flows: u32,
 }
 
-/// `PublishedState` is the part of an agent's record that depends on its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct PublishedState {
-    state: TargetState,
-    slots: u16,
-    service: NameKey,
-    complete: bool,
-}
-
 impl AgentFlows {
     /// Creates an agent that knows no other agent and no flow.
     pub fn new(options: AgentOptions) -> AgentFlows {
@@ -171,6 +167,9 @@
             leaving: false,
             joining: false,
             unannounced: false,
+            found_no_target: false,
+            stray_until: None,
+            checked_revision: 0,
             slot_queue: SlotQueue::default(),
             health: Health::default(),
             openings: Openings::default(),
@@ -223,39 +222,6 @@
         self.service = service;
     }
 
-    /// The agent's current announcement: its record, load and configuration version.
-    pub fn hello(&self, now: Timestamp) -> Hello {
-        let load = self.load(now);
-        Hello {
-            record: AgentRecord {
-                id: self.options.own,
-                incarnation: self.options.incarnation,
-                number: self.number,
-                service: self.service,
-                domain: self.options.domain,
-                state: load.state,
-                slots: load.slots,
-                complete: self.is_complete(now),
-            },
-            load,
-            version: self.version,
-        }
-    }
-
-    /// Current load and state of the target.
-    pub fn load(&self, now: Timestamp) -> Load {
-        Load {
-            state: self.state(now),
-            slots: self.slots(),
-            running: saturate(self.slot_queue.running()),
-            waiting: saturate(self.slot_queue.waiting()),
-            opening: saturate(self.openings.len()),
-            flows: self.open_flows,
-            failing: self.health.failing(now),
-            slow_start: self.target.slow_start(now),
-        }
-    }
-
     /// Applies a heartbeat of the target. If it is the first one of a new incarnation, resets the
     /// open flows of the earlier incarnation and removes its requests.
     pub fn on_heartbeat(
@@ -310,13 +276,6 @@
             || self.flows.iter().any(|(_, flow)| in_transit(flow))
     }
 
-    fn state(&self, now: Timestamp) -> TargetState {
-        match self.target.state(now) {
-            TargetState::Serving if self.leaving => TargetState::Draining,
-            state => state,
-        }
-    }
-
     /// Adds flows that their owner registers to the directory. Ignores an update for another
     /// service.
     pub fn on_directory_update(&mut self, now: Timestamp, update: &DirectoryUpdate) {
@@ -355,6 +314,7 @@
     /// expired state. Returns the unregistered agents to probe, to find out whether they are alive.
     pub fn tick(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) -> Vec<InstanceId> {
         self.agents.expire(now);
+        self.note_strays(now);
         self.update_number(now);
         self.flows
             .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFETIME));
@@ -384,11 +344,6 @@
         self.open_flows = u32::try_from(open.count()).unwrap_or(u32::MAX);
     }
 
-    /// Number of requests that the target runs at a time, or 1 before its first heartbeat.
-    fn slots(&self) -> u16 {
-        self.target.current().map_or(1, |it| it.slots)
-    }
-
     /// Resets every open flow of an earlier incarnation of the target, and removes all flows and
     /// requests.
     fn reset_flows(&mut self, actions: &mut Vec<AgentAction>) {
@@ -408,7 +363,3 @@
         self.recount();
     }
 }
-
-fn saturate(count: usize) -> u16 {
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -43,8 +43,8 @@
     /// Tell another agent which flows this one holds. The other agent is a directory agent, which
     /// stores the holders of flows, or one that queried these flows.
     ToDirectory(InstanceId, DirectoryUpdate),
-    /// Ask agents which of these flows their targets hold.
-    Query(Vec<InstanceId>, Vec<FlowKey>),
+    /// Ask another agent which of these flows its target holds, on behalf of an entry.
+    Query(InstanceId, InstanceId, Vec<FlowKey>),
     /// Tell a searching agent that the target doesn't hold these flows.
     ToSearcher(InstanceId, Vec<FlowKey>),
     /// Announce this agent to other agents.
--- a/marigoldway-core/src/flow/agent/listing.rs
+++ b/marigoldway-core/src/flow/agent/listing.rs
@@ -5,8 +5,6 @@
 
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::JOIN_PERIOD;
-use crate::flow::agent::PublishedState;
-use crate::flow::agent::local::Phase;
 use crate::flow::message::AgentRecord;
 use crate::flow::routes::Routes;
 use crate::time::Timestamp;
@@ -22,6 +20,11 @@
             let lacks_own = |list: &[AgentRecord]| list.iter().all(|it| it.id != self.options.own);
             self.joining = lacks_own(records);
             self.unannounced = self.joining && lacks_own(presence);
+            let own = records.iter().chain(presence);
+            let strays = own
+                .filter(|it| it.id == self.options.own)
+                .any(|it| it.strays);
+            self.inherit_strays(now, strays);
             self.update_number(now);
         }
         self.agents.replace(now, records);
@@ -73,32 +76,4 @@
         let first = self.agents.of_service(self.service).first();
         first == Some(&self.options.own)
     }
-
-    /// Raises the record's number if the part of the record that depends on the target has
-    /// changed.
-    pub(super) fn update_number(&mut self, now: Timestamp) {
-        let published = PublishedState {
-            state: self.state(now),
-            slots: self.slots(),
-            service: self.service,
-            complete: self.is_complete(now),
-        };
-        if self.published == Some(published) {
-            return;
-        }
-        if published.complete {
-            // The target doesn't hold the flows that it was only tried for.
-            self.flows.retain(|_, flow| flow.phase != Phase::Visiting);
-        }
-        self.published = Some(published);
-        self.number += 1;
-    }
-
-    /// Whether the table contains every flow that the target holds: the process started with the
-    /// target or before the agent's first announcement, or has run for at least the idle timeout.
-    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
-        self.same_start
-            || self.unannounced
-            || now.since(self.options.started) >= self.options.idle_timeout
-    }
 }
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -2,7 +2,7 @@
 //!
 //! Directory agents store the owner of a flow. They are up to two agents of the service, selected
 //! by the flow's hash, and owners register flows with them. If no directory agent knows the
-//! owner, all agents of the service are searched.
+//! owner, the few agents that may hold the flow are searched.
 
 use crate::flow::agent::AgentAction;
 use crate::flow::agent::AgentFlows;
@@ -19,6 +19,7 @@
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
 use crate::flow::message::Verdict;
+use crate::flow::routes::WorkClass;
 use crate::flow::segment::Segment;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
@@ -76,7 +77,7 @@
     }
 
     /// Forwards a packet to the registered owner or to the other directory agent. If neither knows
-    /// the owner, starts a search among every other agent of the service, or reports to the entry
+    /// the owner, starts a search among the agents that may hold the flow, or reports to the entry
     /// that the flow is unknown if the header doesn't ask for a search. If the packet is itself
     /// part of a search, replies that the target doesn't hold the flow. Drops a packet that has
     /// passed `MAX_HOPS` agents.
@@ -88,10 +89,7 @@
         actions: &mut Vec<AgentAction>,
     ) {
         if header.intent == Intent::Search {
-            if let Some(searcher) = header.other {
-                self.searches.add_reply(searcher, segment.inbound_flow());
-                self.flush_searches(now, actions);
-            }
+            self.reply_not_held(now, header, segment.inbound_flow(), actions);
             return actions.push(AgentAction::Drop(DropReason::Unknown));
         }
         if header.hops >= MAX_HOPS {
@@ -124,7 +122,22 @@
         self.search(now, &next, segment, actions);
     }
 
-    /// Searches for a flow at every other known agent of the service: sends a query to agents whose
+    /// Replies to the searching agent that the target doesn't hold a flow, if `header` came with a
+    /// packet of a search.
+    pub(super) fn reply_not_held(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if let (Intent::Search, Some(searcher)) = (header.intent, header.other) {
+            self.searches.add_reply(searcher, flow);
+            self.flush_searches(now, actions);
+        }
+    }
+
+    /// Searches for a flow at the other agents that may hold it: sends a query to agents whose
     /// table contains every flow of their target, and the packet itself to the others.
     fn search(
         &mut self,
@@ -134,28 +147,15 @@
         actions: &mut Vec<AgentAction>,
     ) {
         let flow = segment.inbound_flow();
-        let peers: Vec<(InstanceId, bool)> = self.peers().map(|it| (it.id, it.complete)).collect();
-        let peer_ids: Vec<InstanceId> = peers.iter().map(|(id, _)| *id).collect();
-        // A search among only some of the agents can't prove that a flow is gone.
-        let conclusive = self.knows_every_agent(now);
-        if peer_ids.is_empty() {
-            if conclusive {
-                self.report(now, header.entry, flow, Verdict::NotHeld, actions);
-            }
-            return actions.push(AgentAction::Drop(DropReason::Unknown));
-        }
-        if !self
-            .searches
-            .begin(now, flow, header.entry, conclusive, &peer_ids)
-        {
+        let holders = self.other_holders(now, &flow, header.work.class);
+        if !self.begin_search(now, flow, header.entry, &holders, actions) {
             return actions.push(AgentAction::Drop(DropReason::Searched));
         }
-        if peers.iter().any(|(_, complete)| *complete) {
-            self.searches.add_query(flow);
-            self.flush_searches(now, actions);
-        }
-        let incomplete = peers.iter().filter(|(_, complete)| !complete);
-        let incomplete: Vec<InstanceId> = incomplete.map(|(id, _)| *id).collect();
+        let incomplete = holders
+            .into_iter()
+            .filter(|id| !self.has_complete_table(*id));
+        let incomplete: Vec<InstanceId> = incomplete.collect();
+        self.flush_searches(now, actions);
         if incomplete.is_empty() {
             return actions.push(AgentAction::Drop(DropReason::Searched));
         }
@@ -163,33 +163,70 @@
     }
 
     /// Handles an entry's request to search flows that the directory agents don't know. Has no
-    /// effect while the table of an agent is incomplete: only its target then knows whether it
-    /// holds a flow, so the search needs a packet of the client.
+    /// effect on a flow that an agent with an incomplete table may hold: only its target then knows
+    /// whether it holds the flow, so the search needs a packet of the client.
     pub fn on_search(
         &mut self,
         now: Timestamp,
         entry: InstanceId,
+        class: WorkClass,
         flows: &[FlowKey],
         actions: &mut Vec<AgentAction>,
     ) {
-        let complete = self.is_complete(now) && self.peers().all(|it| it.complete);
-        if !complete {
+        if !self.is_complete(now) {
             return;
         }
-        let conclusive = self.knows_every_agent(now);
-        let peers: Vec<InstanceId> = self.peers().map(|it| it.id).collect();
-        for flow in flows.iter().filter(|it| self.flows.peek(it).is_none()) {
-            if peers.is_empty() {
-                if conclusive {
-                    self.report(now, entry, *flow, Verdict::NotHeld, actions);
-                }
-            } else if self.searches.begin(now, *flow, entry, conclusive, &peers) {
-                self.searches.add_query(*flow);
+        for flow in flows {
+            if self.flows.peek(flow).is_some() {
+                continue;
+            }
+            let holders = self.other_holders(now, flow, class);
+            if holders.iter().all(|id| self.has_complete_table(*id)) {
+                self.begin_search(now, *flow, entry, &holders, actions);
             }
         }
         self.flush_searches(now, actions);
     }
 
+    /// The other agents that may hold a flow.
+    fn other_holders(&self, now: Timestamp, flow: &FlowKey, class: WorkClass) -> Vec<InstanceId> {
+        let holders = self.may_hold(now, flow, class);
+        holders.filter(|id| *id != self.options.own).collect()
+    }
+
+    fn has_complete_table(&self, id: InstanceId) -> bool {
+        self.agents.record(id).is_some_and(|it| it.complete)
+    }
+
+    /// Starts a search among `holders`, and adds queries for those with a complete table. If there
+    /// are none, the service doesn't hold the flow. Returns `false` if no search was started.
+    fn begin_search(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        entry: InstanceId,
+        holders: &[InstanceId],
+        actions: &mut Vec<AgentAction>,
+    ) -> bool {
+        // A search among only some of the agents can't prove that a flow is gone.
+        let conclusive = self.knows_every_agent(now);
+        if holders.is_empty() {
+            if conclusive {
+                self.report(now, entry, flow, Verdict::NotHeld, actions);
+            }
+            return false;
+        }
+        if !self.searches.begin(now, flow, entry, conclusive, holders) {
+            return false;
+        }
+        for id in holders {
+            if self.has_complete_table(*id) {
+                self.searches.add_query(*id, entry, flow);
+            }
+        }
+        true
+    }
+
     /// Stores in the directory that an agent holds a flow. If the flow has more than `MAX_OWNERS`
     /// owners, the one that registered longest ago is removed.
     pub(super) fn add_owner(&mut self, now: Timestamp, owner: InstanceId, held: &DirectoryEntry) {
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -32,8 +32,8 @@
 
 impl AgentFlows {
     /// Handles an opening packet: sends it to the target, forwards it to another agent, or refuses
-    /// it. If the target is silent and the header names an alternate agent, the packet is
-    /// forwarded, and from time to time also goes to the target as a trial.
+    /// it. If the target is silent and there is another agent, the packet is forwarded, and from time
+    /// to time also goes to the target as a trial.
     pub(super) fn open(
         &mut self,
         now: Timestamp,
@@ -56,8 +56,10 @@
         if let Some(reason) = reason {
             return self.forward_or_refuse(now, header, flow, reason, actions);
         }
-        if self.health.is_silent(now) && header.other.is_some() {
-            self.forward_or_refuse(now, header, flow, RefuseReason::Silent, actions);
+        if self.health.is_silent(now)
+            && let Some(header) = self.to_other_agent(header, &flow)
+        {
+            self.forward_or_refuse(now, &header, flow, RefuseReason::Silent, actions);
             if !self.health.take_trial(now) {
                 return;
             }
@@ -75,6 +77,7 @@
             self.flows.insert(now, flow, local);
             self.openings.begin(now, flow);
             self.open_flows += 1;
+            self.note_stray(now, &flow, header.work.class);
         }
         self.health.on_open(now);
         actions.push(AgentAction::ToTarget);
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -71,7 +71,8 @@
     /// goes to the client only if the target has answered the flow, or if the flow is unknown here
     /// and not recorded as not held by the target.
     fn on_target_reset(&mut self, now: Timestamp, flow: FlowKey, actions: &mut Vec<AgentAction>) {
-        let phase = self.flows.remove(&flow).map(|it| it.phase);
+        let local = self.flows.remove(&flow);
+        let phase = local.as_ref().map(|it| it.phase);
         actions.push(AgentAction::TargetReset(flow, phase));
         let held_elsewhere = match phase {
             Some(Phase::Opening | Phase::Visiting) => true,
@@ -82,6 +83,9 @@
         };
         if held_elsewhere {
             self.searches.record_not_held(now, flow);
+            if let Some(local) = local {
+                self.reply_not_held(now, &local.header, flow, actions);
+            }
             actions.push(AgentAction::Drop(DropReason::Unknown));
         } else {
             actions.push(AgentAction::ToClient);
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -50,12 +50,13 @@
         }
     }
 
-    /// Handles another agent's query for flows that the target may hold. Flows on which this
-    /// agent has no knowledge get no reply.
+    /// Handles another agent's query, on behalf of `entry`, for flows that the target may hold.
+    /// Tells both which flows it holds. Flows on which this agent has no knowledge get no reply.
     pub fn on_query(
         &mut self,
         now: Timestamp,
         from: InstanceId,
+        entry: InstanceId,
         flows: &[FlowKey],
         actions: &mut Vec<AgentAction>,
     ) {
@@ -69,6 +70,7 @@
                         flow: *flow,
                         origin: local.origin,
                     });
+                    self.report(now, entry, *flow, Verdict::Holds, actions);
                 }
             } else if self.has_other_owner(flow) {
                 // Another agent holds it, whether or not the searching agent knows.
@@ -128,13 +130,12 @@
             return;
         }
         self.last_flush = now;
-        let (queries, replies) = self.searches.take_queued();
-        let complete = self.peers().filter(|record| record.complete);
-        let complete: Vec<InstanceId> = complete.map(|record| record.id).collect();
-        for part in queries.chunks(MAX_FLOWS_PER_MESSAGE) {
-            actions.push(AgentAction::Query(complete.clone(), part.to_vec()));
+        for ((agent, entry), flows) in self.searches.take_queries() {
+            for part in flows.chunks(MAX_FLOWS_PER_MESSAGE) {
+                actions.push(AgentAction::Query(agent, entry, part.to_vec()));
+            }
         }
-        for (searcher, flows) in replies {
+        for (searcher, flows) in self.searches.take_replies() {
             for part in flows.chunks(MAX_FLOWS_PER_MESSAGE) {
                 actions.push(AgentAction::ToSearcher(searcher, part.to_vec()));
             }
--- /dev/null
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -0,0 +1,207 @@
+//! Decides what the agent's own record says, and which flows of its target other processes can
+//! find by computing who may hold them.
+
+use std::time::Duration;
+
+use crate::flow::agent::AgentFlows;
+use crate::flow::agent::local::LocalFlow;
+use crate::flow::agent::local::Phase;
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::message::AgentRecord;
+use crate::flow::message::Hello;
+use crate::flow::message::Load;
+use crate::flow::message::TargetState;
+use crate::flow::routes::WorkClass;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+/// Number of flow lifetimes after the start of a target from which on its exact age no longer
+/// matters for which agents may hold a flow. More than one, since clocks differ.
+const AGED_LIFETIMES: u32 = 2;
+
+/// `PublishedState` is the part of an agent's record that depends on its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct PublishedState {
+    state: TargetState,
+    slots: u16,
+    service: NameKey,
+    complete: bool,
+    started_at: Option<u64>,
+    strays: bool,
+}
+
+impl AgentFlows {
+    /// The agent's current announcement: its record, load and configuration version.
+    pub fn hello(&self, now: Timestamp) -> Hello {
+        let load = self.load(now);
+        Hello {
+            record: AgentRecord {
+                id: self.options.own,
+                incarnation: self.options.incarnation,
+                number: self.number,
+                service: self.service,
+                domain: self.options.domain,
+                state: load.state,
+                slots: load.slots,
+                complete: self.is_complete(now),
+                started_at: self.target.current().map(|it| it.started_at),
+                strays: self.has_strays(now),
+            },
+            load,
+            version: self.version,
+        }
+    }
+
+    /// Current load and state of the target.
+    pub fn load(&self, now: Timestamp) -> Load {
+        Load {
+            state: self.state(now),
+            slots: self.slots(),
+            running: saturate(self.slot_queue.running()),
+            waiting: saturate(self.slot_queue.waiting()),
+            opening: saturate(self.openings.len()),
+            flows: self.open_flows,
+            failing: self.health.failing(now),
+            slow_start: self.target.slow_start(now),
+        }
+    }
+
+    /// State of the target, which accepts no new flows if the process is about to end.
+    pub(super) fn state(&self, now: Timestamp) -> TargetState {
+        match self.target.state(now) {
+            TargetState::Serving if self.leaving => TargetState::Draining,
+            state => state,
+        }
+    }
+
+    /// Number of requests that the target runs at a time, or 1 before its first heartbeat.
+    pub(super) fn slots(&self) -> u16 {
+        self.target.current().map_or(1, |it| it.slots)
+    }
+
+    /// Raises the record's number if the part of the record that depends on the target has
+    /// changed.
+    pub(super) fn update_number(&mut self, now: Timestamp) {
+        let record = self.hello(now).record;
+        let published = PublishedState {
+            state: record.state,
+            slots: record.slots,
+            service: record.service,
+            complete: record.complete,
+            started_at: record.started_at,
+            strays: record.strays,
+        };
+        if self.published == Some(published) {
+            return;
+        }
+        if published.complete {
+            // The target doesn't hold the flows that it was only tried for.
+            self.flows.retain(|_, flow| flow.phase != Phase::Visiting);
+        }
+        self.published = Some(published);
+        self.number += 1;
+        // The list of agents tells which flows other processes look for here.
+        if self.agents.record(self.options.own).is_some() {
+            let record = self.hello(now).record;
+            self.agents.on_record(now, record);
+        }
+    }
+
+    /// Whether the table contains every flow that the target holds: the process started with the
+    /// target, before the agent's first announcement or without a target, or has run for at least
+    /// the idle timeout.
+    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
+        self.same_start
+            || self.unannounced
+            || self.found_no_target
+            || now.since(self.options.started) >= self.options.idle_timeout
+    }
+
+    /// Applies the finding that no target was running when this process started: nothing listened
+    /// at its address. No flow of earlier processes of this agent lives. Has no effect once a
+    /// target has sent a heartbeat.
+    pub fn on_no_target(&mut self, now: Timestamp) {
+        if self.target.incarnations() == 0 {
+            self.found_no_target = true;
+            self.stray_until = None;
+            self.update_number(now);
+        }
+    }
+
+    /// Whether no target has run beside this process so far, nor a target of an earlier process
+    /// that still lives.
+    pub fn is_without_target(&self) -> bool {
+        self.found_no_target && self.target.incarnations() == 0
+    }
+
+    /// The agents that may hold a flow of the service, as far as they are known.
+    pub(super) fn may_hold(
+        &self,
+        now: Timestamp,
+        flow: &FlowKey,
+        class: WorkClass,
+    ) -> impl Iterator<Item = InstanceId> {
+        let aged = self.options.idle_timeout * AGED_LIFETIMES;
+        let running = now.since(self.options.started);
+        let unix_ms = self.options.started_at.saturating_add(millis(running));
+        let horizon = unix_ms.saturating_sub(millis(aged));
+        let agents = self
+            .agents
+            .may_hold(self.service, flow.hash(), class, horizon);
+        agents.into_iter()
+    }
+
+    /// Whether the target may hold flows that other processes don't look for here.
+    fn has_strays(&self, now: Timestamp) -> bool {
+        self.stray_until.is_some_and(|until| now < until)
+    }
+
+    /// Announces from now on that the target may hold strays if it holds a flow that other
+    /// processes don't look for here. They aren't told of an agent that isn't listed.
+    pub(super) fn note_stray(&mut self, now: Timestamp, flow: &FlowKey, class: WorkClass) {
+        let own = self.options.own;
+        if self.agents.record(own).is_none() || self.may_hold(now, flow, class).any(|id| id == own)
+        {
+            return;
+        }
+        self.stray_until = Some(now + self.options.idle_timeout);
+        self.update_number(now);
+    }
+
+    /// Checks for strays among all flows of the target, after a change of the known agents.
+    pub(super) fn note_strays(&mut self, now: Timestamp) {
+        if self.checked_revision == self.agents.revision() {
+            return;
+        }
+        self.checked_revision = self.agents.revision();
+        let is_open = |flow: &LocalFlow| flow.phase != Phase::Visiting && flow.closed.is_none();
+        let open = self.flows.iter().filter(|(_, flow)| is_open(flow));
+        let open: Vec<(FlowKey, WorkClass)> = open
+            .map(|(key, flow)| (*key, flow.header.work.class))
+            .collect();
+        for (key, class) in open {
+            if self.has_strays(now) {
+                return;
+            }
+            self.note_stray(now, &key, class);
+        }
+    }
+
+    /// Takes over from the record that an earlier process of this agent left that the target may
+    /// hold strays.
+    pub(super) fn inherit_strays(&mut self, now: Timestamp, strays: bool) {
+        if strays && !self.found_no_target {
+            self.stray_until = Some(now + self.options.idle_timeout);
+        }
+    }
+}
+
+fn saturate(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
+
+/// Whole milliseconds of a time span.
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -62,8 +62,23 @@
         (best.0 != self.options.own).then_some((best.0, onward))
     }
 
+    /// The header that names another agent for a flow that this agent shouldn't accept: the entry's
+    /// alternate, any other that fits, or, once the flow was forwarded often enough, the least
+    /// loaded agent so far, which then accepts it. Returns `None` if there is none.
+    pub(super) fn to_other_agent(&self, header: &Header, flow: &FlowKey) -> Option<Header> {
+        let mut onward = *header;
+        if header.hops >= MAX_REDIRECTS {
+            onward.placement_hint.threshold = LoadLevel::MAX;
+            onward.other = header.placement_hint.best.map(|it| it.0);
+        } else if header.other.is_none() {
+            onward.other = self.pick_peer(header, flow);
+        }
+        let is_other = onward.other.is_some_and(|id| id != self.options.own);
+        is_other.then_some(onward)
+    }
+
     /// Selects a serving agent other than this one and the least loaded one so far: the entry's
-    /// alternate, else a registered one by the flow's hash. Returns `None` if there is none.
+    /// alternate, else a registered one of the flow's candidates. Returns `None` if there is none.
     fn pick_peer(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
         let best = header.placement_hint.best.map(|it| it.0);
         let serves = |id: InstanceId| {
@@ -74,7 +89,10 @@
         if let Some(other) = header.other.filter(fits) {
             return Some(other);
         }
-        let ids = self.agents.of_service(self.service);
+        let class = header.work.class;
+        let ids = self
+            .agents
+            .candidates(self.service, flow.hash(), class, self.options.domain);
         let start = flow.hash() >> (8 * u32::from(header.hops));
         let start = start as usize % ids.len().max(1);
         let mut rotation = ids.iter().cycle().skip(start).take(ids.len());
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -1,7 +1,7 @@
-//! Searches all agents of a service for a flow that no directory agent knows.
+//! Searches the agents that may hold a flow that no directory agent knows.
 //!
 //! Directory agents are the agents that store which agent's target holds a flow. Searches happen
-//! after several agents have died together. Each agent either holds the flow or
+//! after several agents have died together. Each agent that may hold the flow either does or
 //! reports that it doesn't. An agent whose table contains every flow of its target receives a
 //! query, for many flows at a time. Any other agent receives the client's packet itself, since
 //! only its target knows whether it holds the flow; a target returns packets of flows that it
@@ -36,8 +36,9 @@
     not_held: IndexMap<FlowKey, Timestamp>,
     /// Flows of which a packet was forwarded to the other directory agent, with its time.
     forwarded: IndexMap<FlowKey, Timestamp>,
-    /// Flows to be sent in queries to agents with complete tables.
-    queries: Vec<FlowKey>,
+    /// Flows to be sent in queries to agents with complete tables, by agent and by the entry that
+    /// asked for the flow.
+    queries: IndexMap<(InstanceId, InstanceId), Vec<FlowKey>>,
     /// Flows not held here, by the agent that searches them.
     replies: IndexMap<InstanceId, Vec<FlowKey>>,
 }
@@ -49,8 +50,8 @@
     pending: Vec<InstanceId>,
     /// Entry that asked for the flow last.
     entry: InstanceId,
-    /// Whether the service doesn't hold the flow once no agent is pending: every agent of the
-    /// service was known at the start.
+    /// Whether the service doesn't hold the flow once no agent is pending: every agent that may
+    /// hold it was known at the start.
     conclusive: bool,
 }
 
@@ -110,9 +111,9 @@
         self.active.swap_remove(flow).map(|search| search.entry)
     }
 
-    /// Adds a flow to the next queries.
-    pub(super) fn add_query(&mut self, flow: FlowKey) {
-        self.queries.push(flow);
+    /// Adds a flow to the next query to `agent` on behalf of `entry`.
+    pub(super) fn add_query(&mut self, agent: InstanceId, entry: InstanceId, flow: FlowKey) {
+        self.queries.entry((agent, entry)).or_default().push(flow);
     }
 
     /// Adds a flow to the next reply to `searcher`, as not held here.
@@ -125,12 +126,14 @@
         !self.queries.is_empty() || !self.replies.is_empty()
     }
 
-    /// Removes and returns the collected queries and replies.
-    pub(super) fn take_queued(&mut self) -> (Vec<FlowKey>, IndexMap<InstanceId, Vec<FlowKey>>) {
-        (
-            std::mem::take(&mut self.queries),
-            std::mem::take(&mut self.replies),
-        )
+    /// Removes and returns the collected queries, by agent and by entry.
+    pub(super) fn take_queries(&mut self) -> IndexMap<(InstanceId, InstanceId), Vec<FlowKey>> {
+        std::mem::take(&mut self.queries)
+    }
+
+    /// Removes and returns the collected replies, by the agent that searches the flows.
+    pub(super) fn take_replies(&mut self) -> IndexMap<InstanceId, Vec<FlowKey>> {
+        std::mem::take(&mut self.replies)
     }
 
     /// Records that the own target doesn't hold a flow. Has no effect while `MAX_ENTRIES` flows are
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -10,14 +10,14 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
+use crate::flow::service_agents::ServiceAgents;
 use crate::ids::InstanceId;
 use crate::placement::Candidates;
-use crate::placement::Member;
-use crate::placement::PlacementTable;
 use crate::time::Timestamp;
 
 /// Time without a message after which an unregistered agent is removed. An agent
@@ -27,14 +27,15 @@
 /// Interval between two probes of an unregistered agent.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// `Agents` holds the records of the known agents. For each service, it also holds
-/// the table that yields the directory agents of a flow: the two agents with which
-/// the flow's holder registers the flow.
+/// `Agents` holds the records of the known agents, by service in the order of each flow.
+/// The first two agents in that order are the flow's directory agents, with which its
+/// holder registers it.
 #[derive(Debug, Default)]
 pub struct Agents {
     known: IndexMap<InstanceId, KnownAgent>,
     services: IndexMap<NameKey, ServiceAgents>,
     epoch: u64,
+    revision: u64,
     /// Whether the complete list of the store has been applied.
     loaded: bool,
 }
@@ -65,15 +66,6 @@
     }
 }
 
-/// The known agents of one service, of which there is at least one.
-#[derive(Debug, Default)]
-struct ServiceAgents {
-    /// IDs in ascending order.
-    ids: Vec<InstanceId>,
-    /// Ranks the agents by a rendezvous hash with equal weights.
-    directory: PlacementTable,
-}
-
 impl Agents {
     /// A number that increases when an agent is added or removed, changes its
     /// service or restarts. Callers compare it with an earlier value to tell whether
@@ -82,6 +74,12 @@
         self.epoch
     }
 
+    /// A number that increases with each change of the agents that may receive or hold a
+    /// flow.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Whether the complete list of the store has been applied, so that every agent
     /// is known except joining ones, which the list lacked.
     pub fn is_loaded(&self) -> bool {
@@ -122,23 +120,29 @@
             .map_or(&[], |agents| &agents.ids)
     }
 
-    /// The two agents of the service that rank first for the flow, or `None` if the
-    /// service has no known agent. If the service has a single known agent, there is
-    /// no second directory agent.
+    /// The two agents of the service that come first in the flow's order, or `None` if the
+    /// service has no known agent. If the service has a single known agent, there is no
+    /// second directory agent.
     pub fn directory_agents(&self, service: NameKey, flow: &FlowKey) -> Option<Candidates> {
-        self.services.get(&service)?.directory.choose(flow.hash())
+        let mut walk = self.services.get(&service)?.ring.walk(flow.hash());
+        Some(Candidates {
+            first: walk.next()?,
+            second: walk.next(),
+        })
+    }
+
+    /// The known agents of a service, or `None` if there are none.
+    pub(super) fn service(&self, service: NameKey) -> Option<&ServiceAgents> {
+        self.services.get(&service)
     }
 
     /// Applies the complete list of the store: agents in the list become registered,
     /// and known agents that it lacks become unregistered.
     pub fn replace(&mut self, now: Timestamp, records: &[AgentRecord]) {
         self.loaded = true;
-        let missing: Vec<InstanceId> = self
-            .known
-            .keys()
-            .filter(|id| !records.iter().any(|record| record.id == **id))
-            .copied()
-            .collect();
+        let listed: IndexSet<InstanceId> = records.iter().map(|record| record.id).collect();
+        let known = self.known.keys().filter(|id| !listed.contains(*id));
+        let missing: Vec<InstanceId> = known.copied().collect();
         for id in missing {
             self.unregister(now, id);
         }
@@ -213,7 +217,9 @@
     /// Removes an agent at once, whether it is registered or not.
     pub fn remove(&mut self, id: InstanceId) {
         if let Some(known) = self.known.swap_remove(&id) {
-            self.rebuild_service(known.record.service);
+            self.epoch += 1;
+            self.revision += 1;
+            self.remove_from_service(&known.record);
         }
     }
 
@@ -249,46 +255,47 @@
         due
     }
 
-    /// Stores an agent's record and state. Rebuilds the services concerned if the
-    /// agent is new, changed its service or restarted.
+    /// Stores an agent's record and state, and updates the services concerned.
     fn set(&mut self, record: AgentRecord, unregistered: Option<UnregisteredState>) {
         let known = KnownAgent {
             record,
             unregistered,
         };
-        let previous = self.known.insert(record.id, known);
-        let Some(KnownAgent {
-            record: previous, ..
-        }) = previous
-        else {
-            self.rebuild_service(record.service);
-            return;
+        let previous = self.known.insert(record.id, known).map(|it| it.record);
+        let Some(previous) = previous else {
+            self.epoch += 1;
+            self.revision += 1;
+            return self.add_to_service(&record);
         };
-        let same_process = previous.incarnation == record.incarnation;
-        if previous.service == record.service && same_process {
-            return;
+        let moved = previous.service != record.service || previous.domain != record.domain;
+        if moved || previous.incarnation != record.incarnation {
+            self.epoch += 1;
+        }
+        let standing = |it: &AgentRecord| (it.state, it.started_at, it.strays);
+        if moved {
+            self.remove_from_service(&previous);
+            self.add_to_service(&record);
+        } else if let Some(agents) = self.services.get_mut(&record.service) {
+            agents.update(&previous, &record);
         }
-        if previous.service != record.service {
-            self.rebuild_service(previous.service);
+        if moved || standing(&previous) != standing(&record) {
+            self.revision += 1;
         }
-        self.rebuild_service(record.service);
     }
 
-    /// Derives the agent list and the directory table of a service from the records.
-    fn rebuild_service(&mut self, service: NameKey) {
-        self.epoch += 1;
-        let records = self.known.values().map(|known| &known.record);
-        let mut ids: Vec<InstanceId> = records
-            .filter(|record| record.service == service)
-            .map(|record| record.id)
-            .collect();
-        ids.sort();
-        if ids.is_empty() {
-            self.services.swap_remove(&service);
-            return;
-        }
-        let directory = PlacementTable::new(ids.iter().map(|id| Member { id: *id, weight: 1 }));
+    fn add_to_service(&mut self, record: &AgentRecord) {
         self.services
-            .insert(service, ServiceAgents { ids, directory });
+            .entry(record.service)
+            .or_default()
+            .insert(record);
+    }
+
+    fn remove_from_service(&mut self, record: &AgentRecord) {
+        if let Some(agents) = self.services.get_mut(&record.service) {
+            agents.remove(record);
+            if agents.ids.is_empty() {
+                self.services.swap_remove(&record.service);
+            }
+        }
     }
 }
--- /dev/null
+++ b/marigoldway-core/src/flow/candidates.rs
@@ -0,0 +1,180 @@
+//! This module determines which agents may receive a flow, and which ones may hold it.
+//!
+//! The agents of a service have an order for each flow ([`Ring`]). Entries place the flow at one
+//! of the first [`CANDIDATES`] agents whose target serves, so only a few agents can hold it, and
+//! each process computes which ones they are. Uploads and downloads stay in the failure domain of
+//! their entry. They have [`DOMAIN_CANDIDATES`] candidates in each domain instead, since
+//! another entry in another domain may ask for them later.
+//!
+//! A flow may be older than some of the agents. An agent that joined after the flow was placed
+//! precedes the holder in the order, although it wasn't there to be a candidate. So only agents
+//! whose target is at least as old as the holder's count when the candidates are counted off:
+//! older targets than the holder's were there whenever the holder received a flow.
+//!
+//! The processes that place flows may know other agents than those that search. An agent that
+//! accepts a flow and finds that it isn't among the agents that may hold it therefore announces
+//! that it holds strays, and then it may hold any flow.
+
+use indexmap::IndexSet;
+
+use crate::flow::agents::Agents;
+use crate::flow::key::NameKey;
+use crate::flow::message::TargetState;
+use crate::flow::ring::Ring;
+use crate::flow::routes::WorkClass;
+use crate::ids::InstanceId;
+
+/// Number of agents of a service that may receive a flow. If half of them have died unnoticed,
+/// one flow in 250 has no living candidate.
+pub const CANDIDATES: usize = 8;
+
+/// Number of agents in each failure domain that may receive an upload or a download.
+pub const DOMAIN_CANDIDATES: usize = 3;
+
+impl Agents {
+    /// The agents that may receive a new flow, in the flow's order: the first [`CANDIDATES`] ones
+    /// whose target serves. If none serves, the first ones in any state. For a flow whose data
+    /// shouldn't cross failure domains, the first [`DOMAIN_CANDIDATES`] of `domain` if one of them
+    /// serves.
+    pub fn candidates(
+        &self,
+        service: NameKey,
+        hash: u64,
+        class: WorkClass,
+        domain: NameKey,
+    ) -> Vec<InstanceId> {
+        let Some(agents) = self.service(service) else {
+            return Vec::new();
+        };
+        if class.is_bulk()
+            && let Some(ring) = agents.domains.get(&domain)
+        {
+            let near = self.serving(ring, hash, DOMAIN_CANDIDATES);
+            if !near.is_empty() {
+                return near;
+            }
+        }
+        let serving = self.serving(&agents.ring, hash, CANDIDATES);
+        if serving.is_empty() {
+            return agents.ring.walk(hash).take(CANDIDATES).collect();
+        }
+        serving
+    }
+
+    /// The agents whose target may hold an open flow, in the flow's order. Targets that started
+    /// before `horizon`, in Unix milliseconds, count as equally old: a flow that was placed before
+    /// one of them started has ended.
+    pub fn may_hold(
+        &self,
+        service: NameKey,
+        hash: u64,
+        class: WorkClass,
+        horizon: u64,
+    ) -> IndexSet<InstanceId> {
+        let mut found = IndexSet::new();
+        let Some(agents) = self.service(service) else {
+            return found;
+        };
+        let ages = AgeClasses::new(horizon, agents.oldest_start());
+        self.add_holders(&agents.ring, hash, CANDIDATES, ages, &mut found);
+        if class.is_bulk() {
+            for ring in agents.domains.values() {
+                self.add_holders(ring, hash, DOMAIN_CANDIDATES, ages, &mut found);
+            }
+        }
+        found.extend(agents.strays.iter().copied());
+        found
+    }
+
+    /// The first `count` agents of a ring whose target serves.
+    fn serving(&self, ring: &Ring, hash: u64, count: usize) -> Vec<InstanceId> {
+        let serves = |id: &InstanceId| {
+            let record = self.record(*id);
+            record.is_some_and(|it| it.state == TargetState::Serving)
+        };
+        ring.walk(hash).filter(serves).take(count).collect()
+    }
+
+    /// Adds the agents of a ring that may have been among the first `count` serving ones at some
+    /// time since the start of their target.
+    fn add_holders(
+        &self,
+        ring: &Ring,
+        hash: u64,
+        count: usize,
+        ages: AgeClasses,
+        found: &mut IndexSet<InstanceId>,
+    ) {
+        let mut preceding = OldestPreceding::new(count);
+        for record in ring.walk(hash).filter_map(|id| self.record(id)) {
+            let Some(started_at) = record.started_at else {
+                // Of a target that hasn't sent a heartbeat yet, nothing is known.
+                found.insert(record.id);
+                continue;
+            };
+            let class = ages.class(started_at);
+            if !preceding.exclude(class) {
+                found.insert(record.id);
+            }
+            if record.state == TargetState::Serving {
+                preceding.add(class);
+            }
+            if preceding.exclude(ages.oldest) {
+                return;
+            }
+        }
+    }
+}
+
+/// `AgeClasses` maps start times of targets to numbers that are equal for targets that count as
+/// equally old, and lower for older ones.
+#[derive(Clone, Copy, Debug)]
+struct AgeClasses {
+    horizon: u64,
+    /// Class of the oldest target of the service.
+    oldest: u64,
+}
+
+impl AgeClasses {
+    fn new(horizon: u64, oldest_start: u64) -> AgeClasses {
+        let mut ages = AgeClasses { horizon, oldest: 0 };
+        ages.oldest = ages.class(oldest_start);
+        ages
+    }
+
+    fn class(self, started_at: u64) -> u64 {
+        if started_at <= self.horizon {
+            return 0;
+        }
+        started_at
+    }
+}
+
+/// `OldestPreceding` keeps the age classes of the oldest serving targets that precede an agent.
+#[derive(Debug)]
+struct OldestPreceding {
+    /// Classes in ascending order.
+    classes: Vec<u64>,
+    count: usize,
+}
+
+impl OldestPreceding {
+    fn new(count: usize) -> OldestPreceding {
+        OldestPreceding {
+            classes: Vec::with_capacity(count + 1),
+            count,
+        }
+    }
+
+    fn add(&mut self, class: u64) {
+        let index = self.classes.partition_point(|it| *it <= class);
+        self.classes.insert(index, class);
+        self.classes.truncate(self.count);
+    }
+
+    /// Whether `count` preceding targets are at least as old as `class`, so that an agent of that
+    /// class has never been a candidate.
+    fn exclude(&self, class: u64) -> bool {
+        self.classes.len() == self.count && self.classes.last().is_some_and(|it| *it <= class)
+    }
+}
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Removes an agent whose target is known to hold no flow.
+    pub fn remove_agent(&mut self, id: InstanceId) {
+        self.agents.remove(id);
+        self.views.remove(id);
+    }
+
     /// Applies an agent's record from the store.
     pub fn register_agent(&mut self, record: AgentRecord) {
         self.agents.register(record);
@@ -276,7 +282,8 @@
             Some(FlowState::Locating(_)) | None => Vec::new(),
         };
         let service = route.service(&flow);
-        let Some((selected, threshold)) = self.select(now, service, route.work, &tried) else {
+        let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
+        else {
             return EntryAction::Drop(DropReason::Unserved);
         };
         let agent = selected.agent;
@@ -310,18 +317,22 @@
         record.is_some_and(|it| it.service == service)
     }
 
-    /// Selects an agent for a new flow, and returns it with the maximum load at which
-    /// an agent accepts the flow at once. Agents in `tried` are considered only if
-    /// the service has no other ones. Returns `None` if it has no known agent.
+    /// Selects one of the candidates of a new flow, and returns it with the maximum load at
+    /// which an agent accepts the flow at once. Agents in `tried` are considered only if
+    /// there are no other ones. Returns `None` if the service has no known agent.
     fn select(
         &mut self,
         now: Timestamp,
         service: NameKey,
+        flow: &FlowKey,
         work: Work,
         tried: &[InstanceId],
     ) -> Option<(Selection, LoadLevel)> {
         let domain = self.options.domain;
-        let all = self.views.candidates(now, &self.agents, service, domain);
+        let ids = self
+            .agents
+            .candidates(service, flow.hash(), work.class, domain);
+        let all = self.views.candidates(now, &self.agents, &ids, domain);
         let untried: Vec<Candidate> = all
             .iter()
             .filter(|it| !tried.contains(&it.id))
@@ -368,8 +379,7 @@
         reason: RefuseReason,
     ) {
         if reason == RefuseReason::Service {
-            self.agents.remove(from);
-            self.views.remove(from);
+            self.remove_agent(from);
         } else {
             self.views.on_refusal(now, from);
         }
--- a/marigoldway-core/src/flow/entry/actions.rs
+++ b/marigoldway-core/src/flow/entry/actions.rs
@@ -2,6 +2,7 @@
 
 use crate::flow::key::FlowKey;
 use crate::flow::message::Header;
+use crate::flow::routes::WorkClass;
 use crate::flow::segment::Reset;
 use crate::ids::InstanceId;
 
@@ -60,8 +61,9 @@
 pub enum EntryAction {
     /// Forward the packet to each of these agents.
     Forward(Vec<Forwarding>),
-    /// Ask these agents to search the flow among all agents of their service.
-    Search(Vec<InstanceId>, FlowKey),
+    /// Ask these agents, one of each service, to search a flow of this class among the agents
+    /// that may hold it.
+    Search(Vec<InstanceId>, WorkClass, FlowKey),
     /// Send the client a reset of the flow.
     Reset(Reset, ResetReason),
     /// Drop the packet.
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -2,8 +2,8 @@
 //!
 //! The flow may belong to any service that its address had within the lifetime of a flow, since a
 //! new configuration leaves open flows where they are. The entry asks a directory agent of each of
-//! these services. If none of them knows the flow, it asks them to search it among all agents of
-//! their service. Once no target of any service holds the flow, it is gone, and its client receives
+//! these services. If none of them knows the flow, it asks them to search it among the agents that
+//! may hold it. Once no target of any service holds the flow, it is gone, and its client receives
 //! a reset at once instead of waiting for its timeout.
 
 use indexmap::IndexMap;
@@ -64,8 +64,8 @@
         if let Some(reset) = self.conclude(now, &flow) {
             return EntryAction::Reset(reset, ResetReason::NotHeld);
         }
-        // The directory agents of the right service know the flow as a rule. A search among all
-        // agents of the other services would be in vain, so the entry first waits for their reports.
+        // The directory agents of the right service know the flow as a rule. A search in the
+        // other services would be in vain, so the entry first waits for their reports.
         let search = services.len() == 1 || queries > 0;
         let mut forwardings = Vec::new();
         for service in asked {
@@ -94,6 +94,7 @@
         let service = self.agents.record(from)?.service;
         let routes = self.routes.clone()?;
         let route = routes.by_addr.get(&flow.server)?;
+        let class = route.work.class;
         let services = self.services(now, flow, route);
         let FlowState::Locating(state) = self.flows.touch(now, flow)? else {
             return None;
@@ -104,7 +105,7 @@
             remaining.map(|it| state.unknown.get(it).copied()).collect();
         let agents = agents?;
         state.unknown.clear();
-        Some(EntryAction::Search(agents, *flow))
+        Some(EntryAction::Search(agents, class, *flow))
     }
 
     /// Processes an agent's report that no target of its service holds the flow. Returns the reset
--- a/marigoldway-core/src/flow/entry/views.rs
+++ b/marigoldway-core/src/flow/entry/views.rs
@@ -95,17 +95,16 @@
         awaiting_since.is_some_and(|since| now.since(since) > ANSWER_TIMEOUT)
     }
 
-    /// The known agents of a service with what the entry knows about each of them.
+    /// What the entry knows about each of the agents `ids`, without unknown ones.
     /// `domain` is the entry's failure domain.
     pub(super) fn candidates(
         &self,
         now: Timestamp,
         agents: &Agents,
-        service: NameKey,
+        ids: &[InstanceId],
         domain: NameKey,
     ) -> Vec<Candidate> {
-        let ids = agents.of_service(service).iter();
-        ids.filter_map(|id| {
+        let known = ids.iter().filter_map(|id| {
             let view = self.views.get(id)?;
             let record = agents.record(*id)?;
             let refused = view
@@ -118,8 +117,8 @@
                 same_domain: record.domain == domain,
                 suspect: refused || self.is_overdue(now, *id),
             })
-        })
-        .collect()
+        });
+        known.collect()
     }
 }
 
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -245,6 +245,12 @@
     /// so if the agent process is as old as the target, or older than the lifetime of
     /// a flow.
     pub complete: bool,
+    /// Start time of the target by its own clock, in Unix milliseconds. `None` while this
+    /// process hasn't had a heartbeat of a target.
+    pub started_at: Option<u64>,
+    /// Whether the target may hold flows for which other processes don't count the agent
+    /// among those that may hold them.
+    pub strays: bool,
 }
 
 impl AgentRecord {
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -13,8 +13,10 @@
 //! - An [`entry::EntryFlows`] decides for an entry. It remembers which agent holds
 //!   a flow, selects an agent for a new flow ([`selection`]), and forwards packets
 //!   of unknown flows to one of the flow's two directory agents.
-//! - The directory agents ([`agents`]) of a flow are the two agents of its
-//!   service that rank first in a rendezvous hash of the flow's addresses.
+//! - A flow has an order of the agents of its service ([`ring`]). Its directory agents
+//!   ([`agents`]) are the first two of them.
+//! - Only the first few agents in that order may receive a flow, so every process can
+//!   compute which ones may hold it ([`candidates`]).
 //! - An [`addr_services::AddrServices`] keeps which services an address had within the
 //!   lifetime of a flow. The directory agents of all of them are asked.
 //! - An [`agent::AgentFlows`] decides for an agent. It processes every packet to
@@ -27,11 +29,14 @@
 pub mod addr_services;
 pub mod agent;
 pub mod agents;
+pub mod candidates;
 pub mod entry;
 pub mod key;
 pub mod message;
+pub mod ring;
 pub mod routes;
 pub mod segment;
 pub mod selection;
+mod service_agents;
 pub mod table;
 pub mod target;
--- /dev/null
+++ b/marigoldway-core/src/flow/ring.rs
@@ -0,0 +1,57 @@
+//! This module orders the agents of a service for each flow.
+
+use std::collections::BTreeSet;
+use std::iter;
+use std::net::Ipv4Addr;
+
+use indexmap::IndexSet;
+
+use crate::ids::InstanceId;
+use crate::placement::mix;
+
+/// Number of points of each agent on the ring. More points make the shares of the agents more
+/// even.
+const POINTS: u64 = 16;
+
+/// `Ring` places each agent at several points of a circle of hashes (consistent hashing, Karger
+/// and others 1997). From the hash of a flow on, the agents follow each other in an order that is
+/// the same in every process. An agent that joins or leaves doesn't change the order of the
+/// others, and a walk costs no more in a larger service.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    points: BTreeSet<(u64, InstanceId)>,
+}
+
+impl Ring {
+    /// Adds an agent. Has no effect on an agent that is there already.
+    pub fn insert(&mut self, id: InstanceId) {
+        self.points.extend(points(id));
+    }
+
+    /// Removes an agent, if it is there.
+    pub fn remove(&mut self, id: InstanceId) {
+        for point in points(id) {
+            self.points.remove(&point);
+        }
+    }
+
+    /// Whether the ring has no agents.
+    pub fn is_empty(&self) -> bool {
+        self.points.is_empty()
+    }
+
+    /// Iterates over all agents in their order for a flow with the hash `hash`.
+    pub fn walk(&self, hash: u64) -> impl Iterator<Item = InstanceId> {
+        let start = (hash, InstanceId::new(Ipv4Addr::UNSPECIFIED, 0));
+        let points = self.points.range(start..).chain(self.points.range(..start));
+        let mut seen = IndexSet::new();
+        points.filter_map(move |(_, id)| seen.insert(*id).then_some(*id))
+    }
+}
+
+/// The points of an agent.
+fn points(id: InstanceId) -> impl Iterator<Item = (u64, InstanceId)> {
+    let seed = mix(id.to_u64());
+    let hashes = iter::successors(Some(seed), |hash| Some(mix(*hash)));
+    hashes.take(POINTS as usize).map(move |hash| (hash, id))
+}
--- a/marigoldway-core/src/flow/selection.rs
+++ b/marigoldway-core/src/flow/selection.rs
@@ -1,6 +1,6 @@
 //! This module selects the agent that receives a new flow.
 //!
-//! An entry draws two agents of the service at random and selects the one of lower
+//! An entry draws two of the flow's candidates at random and selects the one of lower
 //! cost: its load, plus the cost of crossing failure domains. A load report is as
 //! old as the last message of its agent, and many entries hold the same reports. If
 //! each entry selected the agent with the lowest load, all of them would send their
--- /dev/null
+++ b/marigoldway-core/src/flow/service_agents.rs
@@ -0,0 +1,90 @@
+//! This module keeps the agents of one service in the orders that decisions need.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::flow::key::NameKey;
+use crate::flow::message::AgentRecord;
+use crate::flow::ring::Ring;
+use crate::ids::InstanceId;
+
+/// `ServiceAgents` holds the known agents of one service. A change costs no more in a larger
+/// service, but for the list of IDs, whose tail moves.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceAgents {
+    /// IDs in ascending order.
+    pub(super) ids: Vec<InstanceId>,
+    /// Orders the agents for each flow.
+    pub(super) ring: Ring,
+    /// Orders the agents of each failure domain.
+    pub(super) domains: IndexMap<NameKey, Ring>,
+    /// Agents that may hold flows for which they aren't candidates.
+    pub(super) strays: IndexSet<InstanceId>,
+    /// Number of targets by start time, in Unix milliseconds.
+    starts: BTreeMap<u64, usize>,
+}
+
+impl ServiceAgents {
+    /// Adds an agent that isn't there.
+    pub(super) fn insert(&mut self, record: &AgentRecord) {
+        if let Err(index) = self.ids.binary_search(&record.id) {
+            self.ids.insert(index, record.id);
+        }
+        self.ring.insert(record.id);
+        self.domains
+            .entry(record.domain)
+            .or_default()
+            .insert(record.id);
+        self.add_start(record);
+    }
+
+    /// Removes the agent that was added with `record`.
+    pub(super) fn remove(&mut self, record: &AgentRecord) {
+        if let Ok(index) = self.ids.binary_search(&record.id) {
+            self.ids.remove(index);
+        }
+        self.ring.remove(record.id);
+        if let Some(ring) = self.domains.get_mut(&record.domain) {
+            ring.remove(record.id);
+            if ring.is_empty() {
+                self.domains.swap_remove(&record.domain);
+            }
+        }
+        self.remove_start(record);
+    }
+
+    /// Replaces the record of an agent that stays in its failure domain.
+    pub(super) fn update(&mut self, previous: &AgentRecord, record: &AgentRecord) {
+        self.remove_start(previous);
+        self.add_start(record);
+    }
+
+    /// The earliest start of a target, in Unix milliseconds, or 0 if none is known.
+    pub(super) fn oldest_start(&self) -> u64 {
+        self.starts.keys().next().copied().unwrap_or(0)
+    }
+
+    fn add_start(&mut self, record: &AgentRecord) {
+        if let Some(started_at) = record.started_at {
+            *self.starts.entry(started_at).or_default() += 1;
+        }
+        if record.strays {
+            self.strays.insert(record.id);
+        }
+    }
+
+    fn remove_start(&mut self, record: &AgentRecord) {
+        self.strays.swap_remove(&record.id);
+        let Some(started_at) = record.started_at else {
+            return;
+        };
+        if let Some(count) = self.starts.get_mut(&started_at) {
+            *count -= 1;
+            if *count == 0 {
+                self.starts.remove(&started_at);
+            }
+        }
+    }
+}
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -161,10 +161,10 @@
     DirectoryUpdate(InstanceId, DirectoryUpdate),
     /// Sender, receiver and flows that the sender's target doesn't hold.
     NotHeld(InstanceId, InstanceId, Vec<FlowKey>),
-    /// Sender, receiver and flows that the sender searches for.
-    Query(InstanceId, InstanceId, Vec<FlowKey>),
-    /// Entry, receiver and flows that the entry asks to search.
-    Search(InstanceId, InstanceId, Vec<FlowKey>),
+    /// Sender, receiver, entry and flows that the sender searches for the entry.
+    Query(InstanceId, InstanceId, InstanceId, Vec<FlowKey>),
+    /// Entry, receiver, class and flows that the entry asks to search.
+    Search(InstanceId, InstanceId, WorkClass, Vec<FlowKey>),
 }
 
 /// What a client received.
@@ -532,10 +532,10 @@
                         .push(Datagram::Packet(it.agent, it.header, segment));
                 }
             }
-            EntryAction::Search(agents, flow) => {
+            EntryAction::Search(agents, class, flow) => {
                 for agent in agents {
-                    self.queue
-                        .push(Datagram::Search(entry_id(n), *agent, vec![*flow]));
+                    let search = Datagram::Search(entry_id(n), *agent, *class, vec![*flow]);
+                    self.queue.push(search);
                 }
             }
             EntryAction::Reset(reset, _) => {
@@ -561,7 +561,7 @@
         let node = self.agents.get_mut(&agent_id(n)).unwrap();
         let mut actions = Vec::new();
         node.flows
-            .on_query(self.now, agent_id(1), &[key], &mut actions);
+            .on_query(self.now, agent_id(1), entry_id(0), &[key], &mut actions);
         let claims = actions.iter().map(|action| match action {
             AgentAction::ToDirectory(_, update) => update.flows.len(),
             _ => 0,
@@ -677,17 +677,20 @@
                     self.carry_out(to, None, actions);
                 }
             }
-            Datagram::Query(from, to, flows) => {
+            Datagram::Query(from, to, entry, flows) => {
                 if let Some(node) = self.agents.get_mut(&to) {
                     let mut actions = Vec::new();
-                    node.flows.on_query(self.now, from, &flows, &mut actions);
+                    node.flows
+                        .on_query(self.now, from, entry, &flows, &mut actions);
                     self.carry_out(to, None, actions);
                 }
             }
-            Datagram::Search(from, to, flows) => {
+            Datagram::Search(from, to, class, flows) => {
                 if let Some(node) = self.agents.get_mut(&to) {
                     let mut actions = Vec::new();
-                    node.flows.on_search(self.now, from, &flows, &mut actions);
+                    let flows = &flows;
+                    node.flows
+                        .on_search(self.now, from, class, flows, &mut actions);
                     self.carry_out(to, None, actions);
                 }
             }
@@ -732,11 +735,8 @@
                         }
                     }
                 }
-                AgentAction::Query(agents, flows) => {
-                    for other in agents {
-                        self.queue
-                            .push(Datagram::Query(agent, other, flows.clone()));
-                    }
+                AgentAction::Query(other, entry, flows) => {
+                    self.queue.push(Datagram::Query(agent, other, entry, flows));
                 }
                 AgentAction::ToSearcher(searcher, flows) => {
                     self.queue.push(Datagram::NotHeld(agent, searcher, flows));
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -276,8 +276,9 @@
             let flows = &mut fleet.agents[&agent_id(1)].flows;
             let mut actions = Vec::new();
             flows.on_client(fleet.now, &header, &segment, b"data", &mut actions);
-            flows.on_query(fleet.now, header.entry, &[key], &mut actions);
-            flows.on_search(fleet.now, header.entry, &[key, key], &mut actions);
+            flows.on_query(fleet.now, header.entry, header.entry, &[key], &mut actions);
+            let class = header.work.class;
+            flows.on_search(fleet.now, header.entry, class, &[key, key], &mut actions);
             flows.on_not_held(fleet.now, header.entry, &[key], &mut actions);
             flows.tick(fleet.now, &mut actions);
         }
--- a/marigoldway-net/src/wire/agents.rs
+++ b/marigoldway-net/src/wire/agents.rs
@@ -35,6 +35,11 @@
     state: TargetState,
     slots: u16,
     complete: bool,
+    /// Start time of the target in Unix milliseconds.
+    #[serde(default)]
+    started_at: Option<u64>,
+    #[serde(default)]
+    strays: bool,
 }
 
 /// Returns the prefix of the keys of one service's agents.
@@ -117,6 +122,8 @@
             state: record.state,
             slots: record.slots,
             complete: record.complete,
+            started_at: record.started_at,
+            strays: record.strays,
         }
     }
 }
@@ -140,6 +147,8 @@
             state: stored.state,
             slots: stored.slots,
             complete: stored.complete,
+            started_at: stored.started_at,
+            strays: stored.strays,
         })
     }
 }
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -79,10 +79,11 @@
     Probe,
     /// The flows of a query that the target of the answering agent doesn't hold.
     NotHeld(Vec<FlowKey>),
-    /// A query that asks the receiving agent which of these flows its target holds.
-    Query(Vec<FlowKey>),
-    /// An entry's request to search these flows among all agents of the service.
-    Search(Vec<FlowKey>),
+    /// A query that asks the receiving agent which of these flows its target holds, on behalf of
+    /// an entry.
+    Query(InstanceId, Vec<FlowKey>),
+    /// An entry's request to search flows of this class among the agents that may hold them.
+    Search(WorkClass, Vec<FlowKey>),
 }
 
 /// Length of the header before a client's packet in octets, including the message type.
@@ -130,17 +131,23 @@
 
 /// Encodes the flows that an agent's target doesn't hold.
 pub fn encode_not_held(keys: &[FlowKey]) -> Vec<u8> {
-    encode_flows(NOT_HELD, keys)
+    let mut datagram = vec![NOT_HELD];
+    push_flows(&mut datagram, keys);
+    datagram
 }
 
-/// Encodes a query that asks which flows an agent's target holds.
-pub fn encode_query(keys: &[FlowKey]) -> Vec<u8> {
-    encode_flows(QUERY, keys)
+/// Encodes a query, on behalf of `entry`, that asks which flows an agent's target holds.
+pub fn encode_query(entry: InstanceId, keys: &[FlowKey]) -> Vec<u8> {
+    let mut datagram = encode(QUERY, &WireAddr::from(entry.0));
+    push_flows(&mut datagram, keys);
+    datagram
 }
 
-/// Encodes a request to search flows.
-pub fn encode_search(keys: &[FlowKey]) -> Vec<u8> {
-    encode_flows(SEARCH, keys)
+/// Encodes a request to search flows of one class.
+pub fn encode_search(class: WorkClass, keys: &[FlowKey]) -> Vec<u8> {
+    let mut datagram = encode(SEARCH, &class_code(class));
+    push_flows(&mut datagram, keys);
+    datagram
 }
 
 /// Decodes a datagram. Returns `None` if its type, its length or one of its values is invalid.
@@ -163,8 +170,16 @@
         }
         PROBE => Some(Message::Probe),
         NOT_HELD => decode_flows(body).map(Message::NotHeld),
-        QUERY => decode_flows(body).map(Message::Query),
-        SEARCH => decode_flows(body).map(Message::Search),
+        QUERY => {
+            let (entry, flows) = WireAddr::ref_from_prefix(body).ok()?;
+            let entry = InstanceId(SocketAddrV4::from(*entry));
+            Some(Message::Query(entry, decode_flows(flows)?))
+        }
+        SEARCH => {
+            let (class, flows) = body.split_first()?;
+            let class = decode_class(*class).ok()?;
+            Some(Message::Search(class, decode_flows(flows)?))
+        }
         _ => None,
     }
 }
@@ -176,12 +191,10 @@
     datagram
 }
 
-fn encode_flows(kind: u8, keys: &[FlowKey]) -> Vec<u8> {
-    let mut datagram = vec![kind];
+fn push_flows(datagram: &mut Vec<u8>, keys: &[FlowKey]) {
     for key in keys {
         datagram.extend_from_slice(WireFlow::from(key).as_bytes());
     }
-    datagram
 }
 
 fn decode_flows(body: &[u8]) -> Option<Vec<FlowKey>> {
@@ -293,6 +306,10 @@
     domain: U64,
     /// 1 if the agent's table contains every flow that its target holds.
     complete: u8,
+    /// 1 if the target may hold flows that other processes don't look for at the agent.
+    strays: u8,
+    /// Start time of the target in Unix milliseconds, or 0 if it isn't known.
+    started_at: U64,
     load: WireLoad,
     version: U64,
 }
@@ -343,12 +360,7 @@
                 Intent::Search => 3,
             },
             hops: header.hops,
-            class: match header.work.class {
-                WorkClass::Safe => 0,
-                WorkClass::Unsafe => 1,
-                WorkClass::Upload => 2,
-                WorkClass::Download => 3,
-            },
+            class: class_code(header.work.class),
             search: u8::from(header.search),
             priority: header.work.priority,
             service: header.service.0.into(),
@@ -386,13 +398,7 @@
             other: (other.port() > 0).then_some(InstanceId(other)),
             search: wire.search == 1,
             work: Work {
-                class: match wire.class {
-                    0 => WorkClass::Safe,
-                    1 => WorkClass::Unsafe,
-                    2 => WorkClass::Upload,
-                    3 => WorkClass::Download,
-                    _ => return Err(InvalidValue),
-                },
+                class: decode_class(wire.class)?,
                 priority: wire.priority,
                 objective: duration(wire.objective_ms),
                 timeout: duration(wire.timeout_ms),
@@ -502,6 +508,8 @@
             service: hello.record.service.0.into(),
             domain: hello.record.domain.0.into(),
             complete: u8::from(hello.record.complete),
+            strays: u8::from(hello.record.strays),
+            started_at: hello.record.started_at.unwrap_or(0).into(),
             load: WireLoad::from(&hello.load),
             version: hello.version.into(),
         }
@@ -523,6 +531,8 @@
                 state: load.state,
                 slots: load.slots,
                 complete: wire.complete == 1,
+                strays: wire.strays == 1,
+                started_at: Some(wire.started_at.get()).filter(|it| *it > 0),
             },
             load,
             version: wire.version.get(),
@@ -530,6 +540,25 @@
     }
 }
 
+fn class_code(class: WorkClass) -> u8 {
+    match class {
+        WorkClass::Safe => 0,
+        WorkClass::Unsafe => 1,
+        WorkClass::Upload => 2,
+        WorkClass::Download => 3,
+    }
+}
+
+fn decode_class(code: u8) -> Result<WorkClass, InvalidValue> {
+    match code {
+        0 => Ok(WorkClass::Safe),
+        1 => Ok(WorkClass::Unsafe),
+        2 => Ok(WorkClass::Upload),
+        3 => Ok(WorkClass::Download),
+        _ => Err(InvalidValue),
+    }
+}
+
 /// Returns a duration in milliseconds. A longer one becomes [`u32::MAX`].
 fn millis(span: Duration) -> U32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX).into()
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -45,14 +45,17 @@
     any::<u32>().prop_map(|ms| Duration::from_millis(u64::from(ms)))
 }
 
-fn arb_work() -> impl Strategy<Value = Work> {
-    let class = prop_oneof![
+fn arb_class() -> impl Strategy<Value = WorkClass> {
+    prop_oneof![
         Just(WorkClass::Safe),
         Just(WorkClass::Unsafe),
         Just(WorkClass::Upload),
         Just(WorkClass::Download),
-    ];
-    (class, any::<u8>(), arb_millis(), arb_millis()).prop_map(
+    ]
+}
+
+fn arb_work() -> impl Strategy<Value = Work> {
+    (arb_class(), any::<u8>(), arb_millis(), arb_millis()).prop_map(
         |(class, priority, objective, timeout)| Work {
             class,
             priority,
@@ -117,9 +120,12 @@
 
 fn arb_record() -> impl Strategy<Value = AgentRecord> {
     let names = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
-    (arb_id(), names, arb_state(), any::<u16>(), any::<bool>()).prop_map(
-        |(id, (incarnation, number, service, domain), state, slots, complete)| AgentRecord {
-            complete,
+    let flags = (any::<bool>(), any::<bool>(), prop::option::of(1..u64::MAX));
+    (arb_id(), names, arb_state(), any::<u16>(), flags).prop_map(
+        |(id, (incarnation, number, service, domain), state, slots, flags)| AgentRecord {
+            complete: flags.0,
+            strays: flags.1,
+            started_at: flags.2,
             id,
             incarnation,
             number,
@@ -185,13 +191,18 @@
     }
 
     #[test]
-    fn decode_flow_lists(keys in prop::collection::vec(arb_flow(), 0..64)) {
+    fn decode_flow_lists(
+        class in arb_class(),
+        entry in arb_id(),
+        keys in prop::collection::vec(arb_flow(), 0..64),
+    ) {
         let not_held = flows::encode_not_held(&keys);
         prop_assert_eq!(flows::decode(&not_held), Some(Message::NotHeld(keys.clone())));
-        let query = flows::encode_query(&keys);
-        prop_assert_eq!(flows::decode(&query), Some(Message::Query(keys.clone())));
-        let search = flows::encode_search(&keys);
-        prop_assert_eq!(flows::decode(&search), Some(Message::Search(keys)));
+        let query = flows::encode_query(entry, &keys);
+        prop_assert!(query.len() <= 1_400);
+        prop_assert_eq!(flows::decode(&query), Some(Message::Query(entry, keys.clone())));
+        let search = flows::encode_search(class, &keys);
+        prop_assert_eq!(flows::decode(&search), Some(Message::Search(class, keys)));
     }
 
     #[test]
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -196,6 +196,7 @@
         shared.on_agents(event);
     }));
     task::spawn_local(Registrar::new(agent.clone(), store).run());
+    task::spawn_local(target::find_listener(agent.clone()));
     task::spawn_local(tick(agent.clone()));
     task::spawn_local(send_hellos(agent.clone()));
     task::spawn_local(fetch_from_contacts(agent.clone()));
@@ -313,7 +314,7 @@
         loop {
             time::sleep(node::TICK).await;
             let now = self.node.clock.now();
-            let without_target = self.target_has_left() || self.leaves_without_target();
+            let without_target = self.has_no_target() || self.leaves_without_target();
             let is_listed = without_target && !self.record_removed.get();
             let has_work = self.flows.borrow().has_work(now) || is_listed;
             if !has_work || now.since(start) > LEAVE_LIMIT {
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -51,11 +51,8 @@
                         self.node.send(agent.0, &hello);
                     }
                 }
-                AgentAction::Query(agents, query) => {
-                    let datagram = flows::encode_query(query);
-                    for agent in agents {
-                        self.node.send(agent.0, &datagram);
-                    }
+                AgentAction::Query(agent, entry, query) => {
+                    self.node.send(agent.0, &flows::encode_query(*entry, query));
                 }
                 AgentAction::ToSearcher(searcher, not_held) => {
                     self.node
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -48,8 +48,14 @@
                     self.presence_keys.borrow_mut().add(&key);
                     flows.agents_mut().unregister(now, id);
                 }
-                None if agents::presence_id(&key) == Some(own) => self.presence_written.set(false),
-                None => {}
+                None => match agents::presence_id(&key) {
+                    Some(id) if id == own => self.presence_written.set(false),
+                    // The agent has removed both keys, or hasn't lived for long.
+                    Some(id) if !flows.agents().is_registered(id) => {
+                        flows.agents_mut().remove(id);
+                    }
+                    Some(_) | None => {}
+                },
             },
             StoreEvent::UpToDate | StoreEvent::Unreachable => {}
         }
@@ -70,10 +76,12 @@
         self.record_dirty.notify_one();
     }
 
-    /// Whether the target has announced its end, and no other one has started.
-    pub(crate) fn target_has_left(&self) -> bool {
+    /// Whether there is no target: it has announced its end, or there was none when this process
+    /// started, and no other one has started since.
+    pub(crate) fn has_no_target(&self) -> bool {
         let flows = self.flows.borrow();
-        flows.target().current().is_none() && flows.target().incarnations() > 0
+        let has_left = flows.target().current().is_none() && flows.target().incarnations() > 0;
+        has_left || flows.is_without_target()
     }
 
     /// Whether the process is leaving and has never heard of a target.
--- a/marigoldway/src/packets/agent/messages.rs
+++ b/marigoldway/src/packets/agent/messages.rs
@@ -47,11 +47,11 @@
             Some(Message::NotHeld(not_held)) => self.decide(|flows, actions| {
                 flows.on_not_held(now, InstanceId(from), &not_held, actions);
             }),
-            Some(Message::Query(query)) => self.decide(|flows, actions| {
-                flows.on_query(now, InstanceId(from), &query, actions);
+            Some(Message::Query(entry, query)) => self.decide(|flows, actions| {
+                flows.on_query(now, InstanceId(from), entry, &query, actions);
             }),
-            Some(Message::Search(search)) => self.decide(|flows, actions| {
-                flows.on_search(now, InstanceId(from), &search, actions);
+            Some(Message::Search(class, search)) => self.decide(|flows, actions| {
+                flows.on_search(now, InstanceId(from), class, &search, actions);
             }),
             Some(Message::FlowReport(_)) | None => self.node.count("message-unexpected"),
         }
--- a/marigoldway/src/packets/agent/target.rs
+++ b/marigoldway/src/packets/agent/target.rs
@@ -1,7 +1,13 @@
 //! HTTP requests of the target beside an agent: heartbeats, leaving and readiness.
 
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
 use http::Method;
 use http::StatusCode;
+use tokio::net::TcpStream;
+use tokio::time;
 
 use marigoldway_core::flow::target::HeartbeatOutcome;
 use marigoldway_platform::api;
@@ -10,6 +16,36 @@
 use crate::packets::agent::Agent;
 use crate::packets::server::Answer;
 
+/// Interval between two checks whether the store has been read.
+const LISTED_POLL: Duration = Duration::from_millis(100);
+
+/// Timeout of the connection to the target's address. It doesn't leave the instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Finds out whether a target that an earlier process of this agent served still runs. If nothing
+/// listens at its address, no flow of it lives, and no search waits for this agent. Opens no
+/// connection if the store has no trace of an earlier process, or after a heartbeat.
+pub(super) async fn find_listener(agent: Rc<Agent>) {
+    while !agent.flows.borrow().agents().is_loaded() {
+        time::sleep(LISTED_POLL).await;
+    }
+    let is_heard = agent.flows.borrow().target().incarnations() > 0;
+    if is_heard || agent.is_idle() {
+        return;
+    }
+    let address = agent.settings.borrow().target;
+    let connection = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let refused =
+        matches!(&connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    log::info!("event=target-sought target={address} listens={}", !refused);
+    if refused {
+        agent
+            .flows
+            .borrow_mut()
+            .on_no_target(agent.node.clock.now());
+    }
+}
+
 impl Agent {
     /// Handles a request of the target. Answers 404 for an unknown path or method.
     pub(super) fn on_request(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -304,6 +304,11 @@
                 if let Some(id) = agents::key_id(&key) {
                     log::info!("event=agent-unlisted agent={id}");
                     flows.unregister_agent(now, id);
+                } else if let Some(id) = agents::presence_id(&key)
+                    && !flows.agents().is_registered(id)
+                {
+                    // The agent has removed both keys, or hasn't lived for long.
+                    flows.remove_agent(id);
                 }
             }
             StoreEvent::UpToDate | StoreEvent::Unreachable => {}
@@ -334,9 +339,10 @@
                     self.node.send(agent.0, &buffer);
                 }
             }
-            EntryAction::Search(agents, flow) => {
+            EntryAction::Search(agents, class, flow) => {
+                let datagram = flows::encode_search(class, &[flow]);
                 for agent in agents {
-                    self.node.send(agent.0, &flows::encode_search(&[flow]));
+                    self.node.send(agent.0, &datagram);
                 }
             }
             EntryAction::Reset(reset, _) => {
@@ -379,8 +385,8 @@
                 | Message::DirectoryUpdate(_)
                 | Message::Probe
                 | Message::NotHeld(_)
-                | Message::Query(_)
-                | Message::Search(_),
+                | Message::Query(..)
+                | Message::Search(..),
             )
             | None => {
                 self.node.count("message-unexpected");
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -127,7 +127,7 @@
         // An agent that has registered without a target waited for longer than the interval of
         // heartbeats: an earlier target is gone. Before that, a target may live.
         let registered = matches!(self.key_state, KeyState::Record(..));
-        if self.agent.target_has_left() || (registered && self.agent.leaves_without_target()) {
+        if self.agent.has_no_target() || (registered && self.agent.leaves_without_target()) {
             return self.remove_record().await;
         }
         if self.agent.leaves_without_target() {
@@ -249,26 +249,36 @@
         Ok(())
     }
 
-    /// Deletes the record and the presence key, since the target has left and holds no flow. A
+    /// Deletes the record and the presence key, since there is no target that holds a flow. A
     /// search would otherwise wait for this agent until its lease ends, if it ends without a word.
     /// The registrar registers the agent again if another target starts.
     async fn remove_record(&mut self) -> Result<()> {
         // The lease ends by itself.
         self.renewed_at = time::Instant::now();
         self.lease = None;
+        if self.key.is_empty() {
+            // An earlier process of this agent may have left its keys.
+            self.key = agents::agent_key(&self.agent.record());
+        }
         let revision = match self.key_state {
-            KeyState::Record(_, revision) => revision,
-            KeyState::Unknown if !self.key.is_empty() => self.read_revision().await?,
-            KeyState::Unknown | KeyState::Revision(_) => 0,
+            KeyState::Record(_, revision) | KeyState::Revision(revision) => revision,
+            KeyState::Unknown => self.read_revision().await?,
         };
-        if revision == 0 {
+        let mut removes = Vec::new();
+        if revision > 0 {
+            removes.push(self.key.clone());
+        }
+        if self.agent.presence_written.get() {
+            removes.push(agents::presence_key(&self.key));
+        }
+        if removes.is_empty() {
             self.agent.record_removed.set(true);
             return Ok(());
         }
         self.key_state = KeyState::Unknown;
         let swap = Swap {
             compares: vec![(self.key.clone(), revision)],
-            removes: vec![self.key.clone(), agents::presence_key(&self.key)],
+            removes,
             ..Swap::default()
         };
         let outcome = self.store.compare_and_swap(&swap).await?;
