--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -321,6 +321,7 @@
         self.flows.sweep(now);
         self.directory.sweep(now);
         self.searches.expire(now);
+        self.review_searches(now, actions);
         self.openings.expire(now);
         self.recount();
         self.send_hello(now, actions);
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -147,13 +147,9 @@
         actions: &mut Vec<AgentAction>,
     ) {
         let flow = segment.inbound_flow();
-        let holders = self.other_holders(now, &flow, header.work.class);
-        if !self.begin_search(now, flow, header.entry, &holders, actions) {
-            return actions.push(AgentAction::Drop(DropReason::Searched));
-        }
-        let incomplete = holders
-            .into_iter()
-            .filter(|id| !self.has_complete_table(*id));
+        let class = header.work.class;
+        let asked = self.begin_search(now, flow, header.entry, class, actions);
+        let incomplete = asked.into_iter().filter(|id| !self.has_complete_table(*id));
         let incomplete: Vec<InstanceId> = incomplete.collect();
         self.flush_searches(now, actions);
         if incomplete.is_empty() {
@@ -182,7 +178,7 @@
             }
             let holders = self.other_holders(now, flow, class);
             if holders.iter().all(|id| self.has_complete_table(*id)) {
-                self.begin_search(now, *flow, entry, &holders, actions);
+                self.begin_search(now, *flow, entry, class, actions);
             }
         }
         self.flush_searches(now, actions);
@@ -198,38 +194,76 @@
         self.agents.record(id).is_some_and(|it| it.complete)
     }
 
-    /// Starts a search among `holders`, and adds queries for those with a complete table. If there
-    /// are none, the service doesn't hold the flow. Returns `false` if no search was started.
+    /// Starts or repeats a search among the agents that may hold a flow, and adds queries for those
+    /// with a complete table. Returns the agents to ask. If there is no other agent, the service
+    /// doesn't hold the flow.
     fn begin_search(
         &mut self,
         now: Timestamp,
         flow: FlowKey,
         entry: InstanceId,
-        holders: &[InstanceId],
+        class: WorkClass,
         actions: &mut Vec<AgentAction>,
-    ) -> bool {
-        // A search among only some of the agents can't prove that a flow is gone.
-        let conclusive = self.knows_every_agent(now);
-        if holders.is_empty() {
-            if conclusive {
-                self.report(now, entry, flow, Verdict::NotHeld, actions);
+    ) -> Vec<InstanceId> {
+        let holders = self.other_holders(now, &flow, class);
+        let asked = self.searches.begin(now, flow, entry, class, &holders);
+        let asked = asked.unwrap_or_default();
+        self.add_queries(entry, flow, &asked);
+        self.conclude_search(now, &flow, actions);
+        asked
+    }
+
+    /// Adds queries for a flow to those of `agents` whose table contains every flow of their target.
+    fn add_queries(&mut self, entry: InstanceId, flow: FlowKey, agents: &[InstanceId]) {
+        for id in agents {
+            if self.has_complete_table(*id) {
+                self.searches.add_query(*id, entry, flow);
             }
-            return false;
         }
-        if !self.searches.begin(now, flow, entry, conclusive, holders) {
-            return false;
+    }
+
+    /// Reports to the entry that asked for a flow that the service doesn't hold it, if all agents
+    /// that may hold it have replied.
+    pub(super) fn conclude_search(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        // A search among only some of the agents can't prove that a flow is gone.
+        if !self.knows_every_agent(now) {
+            return;
         }
-        for id in holders {
-            if self.has_complete_table(*id) {
-                self.searches.add_query(*id, entry, flow);
+        let Some(class) = self.searches.class(flow) else {
+            return;
+        };
+        let holders = self.other_holders(now, flow, class);
+        if let Some(entry) = self.searches.conclude(flow, &holders)
+            && self.flows.peek(flow).is_none()
+        {
+            self.report(now, entry, *flow, Verdict::NotHeld, actions);
+        }
+    }
+
+    /// Asks the agents again that haven't replied to a search, and ends searches whose missing
+    /// agents are gone.
+    pub(super) fn review_searches(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
+        for flow in self.searches.flows() {
+            self.conclude_search(now, &flow, actions);
+            let Some(class) = self.searches.class(&flow) else {
+                continue;
+            };
+            let holders = self.other_holders(now, &flow, class);
+            if let Some((entry, missing)) = self.searches.due(now, &flow, &holders) {
+                self.add_queries(entry, flow, &missing);
             }
         }
-        true
     }
 
     /// Stores in the directory that an agent holds a flow. If the flow has more than `MAX_OWNERS`
     /// owners, the one that registered longest ago is removed.
     pub(super) fn add_owner(&mut self, now: Timestamp, owner: InstanceId, held: &DirectoryEntry) {
+        self.searches.end(&held.flow);
         let entry = (owner, held.origin);
         let Some(owners) = self.directory.touch(now, &held.flow) else {
             self.directory.insert(now, held.flow, vec![entry]);
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -41,12 +41,8 @@
         actions: &mut Vec<AgentAction>,
     ) {
         for flow in flows {
-            let Some(entry) = self.searches.on_not_held(from, flow) else {
-                continue;
-            };
-            if self.flows.peek(flow).is_none() {
-                self.report(now, entry, *flow, Verdict::NotHeld, actions);
-            }
+            self.searches.on_not_held(from, flow);
+            self.conclude_search(now, flow, actions);
         }
     }
 
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -5,18 +5,20 @@
 //! reports that it doesn't. An agent whose table contains every flow of its target receives a
 //! query, for many flows at a time. Any other agent receives the client's packet itself, since
 //! only its target knows whether it holds the flow; a target returns packets of flows that it
-//! doesn't hold. Once every agent of the service has reported that it doesn't hold the flow, the
-//! entry that asked for the flow learns that this service doesn't hold it.
+//! doesn't hold. Once every agent that may hold the flow has reported that it doesn't, the entry
+//! that asked for the flow learns that this service doesn't hold it. Which agents these are is
+//! computed again until then, since the known agents change: one that has left has no say.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::flow::key::FlowKey;
+use crate::flow::routes::WorkClass;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
-/// Time after the start of a search from which on the next packet of the flow starts another one.
+/// Time after which the agents that haven't replied are asked again.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for which the agent stores a search, that its target doesn't hold a flow, or that a flow
@@ -43,46 +45,102 @@
     replies: IndexMap<InstanceId, Vec<FlowKey>>,
 }
 
+/// `Search` is what is known of one flow that is searched for.
 #[derive(Debug)]
 struct Search {
+    /// When the search was started.
     since: Timestamp,
-    /// Agents that haven't reported yet.
-    pending: Vec<InstanceId>,
+    /// When the agents were last asked.
+    asked_at: Timestamp,
+    /// Agents that have reported that they don't hold the flow.
+    replied: Vec<InstanceId>,
     /// Entry that asked for the flow last.
     entry: InstanceId,
-    /// Whether the service doesn't hold the flow once no agent is pending: every agent that may
-    /// hold it was known at the start.
-    conclusive: bool,
+    class: WorkClass,
 }
 
 impl Searches {
-    /// Starts a search among `peers` for `entry`. Returns `false` if one for the flow was started
-    /// within `SEARCH_TIMEOUT`, whose result then goes to `entry`, or if `MAX_ENTRIES` searches are
-    /// stored.
+    /// Starts or repeats a search among `holders`, the agents that may hold the flow, for `entry`.
+    /// Returns those that haven't replied yet, which are to be asked now. Returns `None` if the
+    /// agents were asked within `SEARCH_TIMEOUT`, whose replies then go to `entry`, or if
+    /// `MAX_ENTRIES` searches are stored.
     pub(super) fn begin(
         &mut self,
         now: Timestamp,
         flow: FlowKey,
         entry: InstanceId,
-        conclusive: bool,
-        peers: &[InstanceId],
-    ) -> bool {
-        let active = self.active.get_mut(&flow);
-        if let Some(active) = active.filter(|it| now.since(it.since) < SEARCH_TIMEOUT) {
+        class: WorkClass,
+        holders: &[InstanceId],
+    ) -> Option<Vec<InstanceId>> {
+        if let Some(active) = self.active.get_mut(&flow) {
             active.entry = entry;
-            return false;
+            if now.since(active.asked_at) < SEARCH_TIMEOUT {
+                return None;
+            }
+            active.asked_at = now;
+            return Some(missing(holders, &active.replied));
         }
         if self.active.len() >= MAX_ENTRIES {
-            return false;
+            return None;
         }
         let search = Search {
             since: now,
-            pending: peers.to_vec(),
+            asked_at: now,
+            replied: Vec::new(),
             entry,
-            conclusive,
+            class,
         };
         self.active.insert(flow, search);
-        true
+        Some(holders.to_vec())
+    }
+
+    /// Records that an agent doesn't hold a flow. Has no effect if there is no search for it.
+    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) {
+        if let Some(search) = self.active.get_mut(flow)
+            && !search.replied.contains(&from)
+        {
+            search.replied.push(from);
+        }
+    }
+
+    /// The class of a flow that is searched for.
+    pub(super) fn class(&self, flow: &FlowKey) -> Option<WorkClass> {
+        self.active.get(flow).map(|it| it.class)
+    }
+
+    /// Ends the search for a flow if all of `holders` have replied, and returns the entry that
+    /// asked for the flow.
+    pub(super) fn conclude(
+        &mut self,
+        flow: &FlowKey,
+        holders: &[InstanceId],
+    ) -> Option<InstanceId> {
+        let search = self.active.get(flow)?;
+        if !missing(holders, &search.replied).is_empty() {
+            return None;
+        }
+        self.active.swap_remove(flow).map(|it| it.entry)
+    }
+
+    /// The flows that are searched for.
+    pub(super) fn flows(&self) -> Vec<FlowKey> {
+        self.active.keys().copied().collect()
+    }
+
+    /// The entry and those of `holders` that are to be asked for a flow again, since they haven't
+    /// replied within `SEARCH_TIMEOUT`.
+    pub(super) fn due(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        holders: &[InstanceId],
+    ) -> Option<(InstanceId, Vec<InstanceId>)> {
+        let search = self.active.get_mut(flow)?;
+        if now.since(search.asked_at) < SEARCH_TIMEOUT {
+            return None;
+        }
+        search.asked_at = now;
+        Some((search.entry, missing(holders, &search.replied)))
     }
 
     /// Whether a packet of an unknown flow may go to the other directory agent. Records the flow if
@@ -99,18 +157,6 @@
         true
     }
 
-    /// Records that an agent doesn't hold a flow. Once all have reported this and the search is
-    /// conclusive, ends the search and returns the entry that asked for the flow. Returns `None`
-    /// otherwise, and if there is no search for the flow.
-    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) -> Option<InstanceId> {
-        let search = self.active.get_mut(flow)?;
-        search.pending.retain(|id| *id != from);
-        if !search.pending.is_empty() || !search.conclusive {
-            return None;
-        }
-        self.active.swap_remove(flow).map(|search| search.entry)
-    }
-
     /// Adds a flow to the next query to `agent` on behalf of `entry`.
     pub(super) fn add_query(&mut self, agent: InstanceId, entry: InstanceId, flow: FlowKey) {
         self.queries.entry((agent, entry)).or_default().push(flow);
@@ -156,6 +202,11 @@
         self.not_held.swap_remove(flow);
     }
 
+    /// Ends the search for a flow whose holder is known.
+    pub(super) fn end(&mut self, flow: &FlowKey) {
+        self.active.swap_remove(flow);
+    }
+
     /// Removes the flows recorded as not held. The caller does this for a new incarnation of the
     /// target.
     pub(super) fn clear_not_held(&mut self) {
@@ -172,3 +223,9 @@
             .retain(|_, at| now.since(*at) < NOT_HELD_LIFETIME);
     }
 }
+
+/// Those of `holders` that aren't in `replied`.
+fn missing(holders: &[InstanceId], replied: &[InstanceId]) -> Vec<InstanceId> {
+    let missing = holders.iter().filter(|id| !replied.contains(id));
+    missing.copied().collect()
+}
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -131,6 +131,11 @@
         })
     }
 
+    /// The services with known agents.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &ServiceAgents> {
+        self.services.values()
+    }
+
     /// The known agents of a service, or `None` if there are none.
     pub(super) fn service(&self, service: NameKey) -> Option<&ServiceAgents> {
         self.services.get(&service)
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -37,6 +37,6 @@
 pub mod routes;
 pub mod segment;
 pub mod selection;
-mod service_agents;
+pub(crate) mod service_agents;
 pub mod table;
 pub mod target;
--- a/marigoldway-core/src/flow/service_agents.rs
+++ b/marigoldway-core/src/flow/service_agents.rs
@@ -13,22 +13,22 @@
 /// `ServiceAgents` holds the known agents of one service. A change costs no more in a larger
 /// service, but for the list of IDs, whose tail moves.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ServiceAgents {
+pub(crate) struct ServiceAgents {
     /// IDs in ascending order.
-    pub(super) ids: Vec<InstanceId>,
+    pub(crate) ids: Vec<InstanceId>,
     /// Orders the agents for each flow.
-    pub(super) ring: Ring,
+    pub(crate) ring: Ring,
     /// Orders the agents of each failure domain.
-    pub(super) domains: IndexMap<NameKey, Ring>,
+    pub(crate) domains: IndexMap<NameKey, Ring>,
     /// Agents that may hold flows for which they aren't candidates.
-    pub(super) strays: IndexSet<InstanceId>,
+    pub(crate) strays: IndexSet<InstanceId>,
     /// Number of targets by start time, in Unix milliseconds.
     starts: BTreeMap<u64, usize>,
 }
 
 impl ServiceAgents {
     /// Adds an agent that isn't there.
-    pub(super) fn insert(&mut self, record: &AgentRecord) {
+    pub(crate) fn insert(&mut self, record: &AgentRecord) {
         if let Err(index) = self.ids.binary_search(&record.id) {
             self.ids.insert(index, record.id);
         }
@@ -41,7 +41,7 @@
     }
 
     /// Removes the agent that was added with `record`.
-    pub(super) fn remove(&mut self, record: &AgentRecord) {
+    pub(crate) fn remove(&mut self, record: &AgentRecord) {
         if let Ok(index) = self.ids.binary_search(&record.id) {
             self.ids.remove(index);
         }
@@ -56,13 +56,13 @@
     }
 
     /// Replaces the record of an agent that stays in its failure domain.
-    pub(super) fn update(&mut self, previous: &AgentRecord, record: &AgentRecord) {
+    pub(crate) fn update(&mut self, previous: &AgentRecord, record: &AgentRecord) {
         self.remove_start(previous);
         self.add_start(record);
     }
 
     /// The earliest start of a target, in Unix milliseconds, or 0 if none is known.
-    pub(super) fn oldest_start(&self) -> u64 {
+    pub(crate) fn oldest_start(&self) -> u64 {
         self.starts.keys().next().copied().unwrap_or(0)
     }
 
--- a/marigoldway-core/src/lib.rs
+++ b/marigoldway-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod packet;
 pub mod placement;
 pub mod relay;
+pub mod replica;
 pub mod reply;
 pub mod request;
 pub mod reset;
--- /dev/null
+++ b/marigoldway-core/src/replica.rs
@@ -0,0 +1,182 @@
+//! This module keeps copies of keys of the platform's store, which processes read from each other
+//! instead of from the store.
+//!
+//! A few agents in each failure domain follow the store, and every other process reads the changes
+//! from one of them. So the number of calls to the store grows with the changes and the domains,
+//! not with the processes. The store stays the authority: a replica holds only what the store
+//! has acknowledged, in the order of the store's revisions, and says when the store last confirmed
+//! it. A reader takes no answer that is older than what it has.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::time::Timestamp;
+
+pub mod followers;
+pub mod sources;
+
+/// Maximum number of changes that a replica keeps for its readers. A reader that lacks more of them
+/// receives all keys.
+const MAX_CHANGES: usize = 1_024;
+
+/// Time since the store's last answer after which a replica may be out of date. It is longer than
+/// the store holds a watch without a change, and ends the service of a follower that the store no
+/// longer answers, or that was suspended.
+const MAX_AGE: Duration = Duration::from_secs(13);
+
+/// `Item` is a key of the store with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the store at the last change of the key.
+    pub revision: u64,
+}
+
+/// `Change` is one change of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key was written.
+    Put(Item),
+    /// The key was deleted at a revision.
+    Deleted(String, u64),
+}
+
+impl Change {
+    /// Revision of the store at which the change was made.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Change::Put(item) => item.revision,
+            Change::Deleted(_, revision) => *revision,
+        }
+    }
+
+    fn key(&self) -> &str {
+        match self {
+            Change::Put(item) => &item.key,
+            Change::Deleted(key, _) => key,
+        }
+    }
+}
+
+/// `Answer` is what a replica tells a reader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Revision of the store up to which the reader then has all changes.
+    pub revision: u64,
+    /// Time since the store confirmed this revision.
+    pub age: Duration,
+    /// What the reader lacks.
+    pub content: Content,
+}
+
+/// `Content` is the part of an answer that changes what the reader has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// The changes after the reader's revision, in the order of their revisions.
+    Changes(Vec<Change>),
+    /// All items, which replace those that the reader has.
+    Snapshot(Vec<Item>),
+}
+
+/// `Replica` is a copy of the keys of one prefix, with the latest changes.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    items: IndexMap<String, Item>,
+    /// Revision up to which the copy contains all changes, or 0 before the first read.
+    revision: u64,
+    /// The changes after `floor`.
+    changes: VecDeque<Change>,
+    /// Revision after which `changes` has every change.
+    floor: u64,
+    /// Changes that the store hasn't confirmed to be all of their revision.
+    pending: Vec<Change>,
+    /// When the store last confirmed the copy. `None` while the store doesn't answer.
+    confirmed: Option<Timestamp>,
+}
+
+impl Replica {
+    /// Replaces the copy by all items of the store at a revision. Has no effect if the copy is
+    /// newer.
+    pub fn replace(&mut self, now: Timestamp, items: Vec<Item>, revision: u64) {
+        self.pending.clear();
+        if revision < self.revision {
+            return;
+        }
+        self.items = items.into_iter().map(|it| (it.key.clone(), it)).collect();
+        self.changes.clear();
+        self.floor = revision;
+        self.revision = revision;
+        self.confirmed = Some(now);
+    }
+
+    /// Adds a change. Readers see it once the store has confirmed that no other change of its
+    /// revision is missing.
+    pub fn add(&mut self, change: Change) {
+        self.pending.push(change);
+    }
+
+    /// Applies the changes added since the last call: the store has told all changes so far.
+    pub fn confirm(&mut self, now: Timestamp) {
+        for change in std::mem::take(&mut self.pending) {
+            if change.revision() > self.revision {
+                self.apply(change);
+            }
+        }
+        let last = self.changes.back().map_or(0, Change::revision);
+        self.revision = self.revision.max(last);
+        self.confirmed = Some(now);
+    }
+
+    /// Notes that the store doesn't answer: until it does, the copy may be out of date.
+    pub fn suspend(&mut self) {
+        self.pending.clear();
+        self.confirmed = None;
+    }
+
+    /// Answers a reader that has all changes of the keys with a prefix up to the revision `after`,
+    /// or nothing if that is 0. Returns `None` if the copy may be out of date, or is older than
+    /// what the reader has.
+    pub fn answer(&self, now: Timestamp, prefix: &str, after: u64) -> Option<Answer> {
+        let age = now.since(self.confirmed?);
+        if after > self.revision || age > MAX_AGE {
+            return None;
+        }
+        let content = if after == 0 || after < self.floor {
+            let items = self.items.values();
+            let items = items.filter(|it| it.key.starts_with(prefix));
+            Content::Snapshot(items.cloned().collect())
+        } else {
+            let changes = self.changes.iter();
+            let changes =
+                changes.filter(|it| it.revision() > after && it.key().starts_with(prefix));
+            Content::Changes(changes.cloned().collect())
+        };
+        Some(Answer {
+            revision: self.revision,
+            age,
+            content,
+        })
+    }
+
+    fn apply(&mut self, change: Change) {
+        match &change {
+            Change::Put(item) => {
+                self.items.insert(item.key.clone(), item.clone());
+            }
+            Change::Deleted(key, _) => {
+                self.items.swap_remove(key);
+            }
+        }
+        self.changes.push_back(change);
+        if self.changes.len() > MAX_CHANGES
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.floor = self.floor.max(oldest.revision());
+        }
+    }
+}
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 //! start, stop and restart.
 
 mod fleet;
+mod holders;
 mod load;
 mod locate;
 mod moved;
--- a/marigoldway-net/src/platform/mod.rs
+++ b/marigoldway-net/src/platform/mod.rs
@@ -70,6 +70,8 @@
     /// Lease whose end deletes the written keys. Without one, they stay until they are
     /// deleted.
     pub lease: Option<LeaseId>,
+    /// Further keys and their new values, which stay whatever the lease.
+    pub lasting: Vec<(String, Vec<u8>)>,
 }
 
 /// `SwapOutcome` is the result of a [`Swap`] whose response arrived.
--- a/marigoldway-net/src/platform/wire.rs
+++ b/marigoldway-net/src/platform/wire.rs
@@ -147,13 +147,15 @@
             result: "EQUAL",
             mod_revision: revision.to_string(),
         });
-        let puts = swap.puts.iter().map(|(key, value)| {
+        let put = |(key, value): &(String, Vec<u8>), lease: Option<LeaseId>| {
             Operation::RequestPut(Put {
                 key: STANDARD.encode(key),
                 value: STANDARD.encode(value),
-                lease: swap.lease.map(|LeaseId(id)| id.to_string()),
+                lease: lease.map(|LeaseId(id)| id.to_string()),
             })
-        });
+        };
+        let leased = swap.puts.iter().map(|it| put(it, swap.lease));
+        let puts = leased.chain(swap.lasting.iter().map(|it| put(it, None)));
         let removes = swap.removes.iter().map(|key| {
             Operation::RequestDeleteRange(DeleteRange {
                 key: STANDARD.encode(key),
--- a/marigoldway-net/src/wire/mod.rs
+++ b/marigoldway-net/src/wire/mod.rs
@@ -5,7 +5,8 @@
 //!
 //! Messages of the control channel have CBOR types of their own, so that the types of
 //! `marigoldway-core` don't determine the format. [`flows`] is a binary format for datagrams.
-//! [`agents`] is a JSON format for records in the platform's key-value store.
+//! [`agents`] is a JSON format for records in the platform's key-value store, and [`replica`] a
+//! CBOR format for copies of its keys.
 
 use std::io;
 
@@ -22,6 +23,7 @@
 pub mod membership;
 pub mod octets;
 pub mod relay;
+pub mod replica;
 pub mod shares;
 
 /// `Frame` is one message of the control channel between two processes.
--- /dev/null
+++ b/marigoldway-net/src/wire/replica.rs
@@ -0,0 +1,138 @@
+//! Format of the changes of the store's keys that processes read from each other.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use marigoldway_core::replica::Answer;
+use marigoldway_core::replica::Change;
+use marigoldway_core::replica::Content;
+use marigoldway_core::replica::Item;
+
+use crate::errors::Result;
+use crate::wire;
+
+/// First part of the path at which a follower serves changes.
+const PATH: &str = "/changes/";
+
+/// `AnswerWire` is the CBOR form of an [`Answer`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AnswerWire {
+    #[serde(rename = "r")]
+    revision: u64,
+    #[serde(rename = "a")]
+    age_ms: u32,
+    /// Whether the items replace all that the reader has.
+    #[serde(rename = "s")]
+    snapshot: bool,
+    #[serde(rename = "i")]
+    items: Vec<ItemWire>,
+}
+
+/// `ItemWire` is an item, or a change if the value is missing: the key was deleted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ItemWire {
+    #[serde(rename = "k")]
+    key: String,
+    #[serde(rename = "v")]
+    value: Option<Bytes>,
+    #[serde(rename = "r")]
+    revision: u64,
+}
+
+/// The path at which a reader that has all changes up to the revision `after` reads the later ones
+/// of the keys with a prefix.
+pub fn path(prefix: &str, after: u64) -> String {
+    format!("{PATH}{after}/{prefix}")
+}
+
+/// The prefix and the revision of a path made by [`path`]. Returns `None` for another path.
+pub fn parse_path(path: &str) -> Option<(&str, u64)> {
+    let (after, prefix) = path.strip_prefix(PATH)?.split_once('/')?;
+    Some((prefix, after.parse().ok()?))
+}
+
+/// Encodes an answer. Fails if it can't be encoded.
+pub fn encode(answer: &Answer) -> Result<Vec<u8>> {
+    wire::encode(&AnswerWire::from(answer))
+}
+
+/// Decodes an answer. Fails if the octets aren't one.
+pub fn decode(octets: &[u8]) -> Result<Answer> {
+    let answer: AnswerWire = wire::decode(octets)?;
+    Ok(Answer::from(answer))
+}
+
+impl From<&Answer> for AnswerWire {
+    fn from(answer: &Answer) -> AnswerWire {
+        let (snapshot, items) = match &answer.content {
+            Content::Changes(changes) => (false, changes.iter().map(ItemWire::from).collect()),
+            Content::Snapshot(items) => (true, items.iter().map(ItemWire::from).collect()),
+        };
+        AnswerWire {
+            revision: answer.revision,
+            age_ms: u32::try_from(answer.age.as_millis()).unwrap_or(u32::MAX),
+            snapshot,
+            items,
+        }
+    }
+}
+
+impl From<AnswerWire> for Answer {
+    fn from(wire: AnswerWire) -> Answer {
+        let items = wire.items.into_iter();
+        let content = if wire.snapshot {
+            // A snapshot has no deletions.
+            let puts = items.filter_map(|it| match Change::from(it) {
+                Change::Put(item) => Some(item),
+                Change::Deleted(..) => None,
+            });
+            Content::Snapshot(puts.collect())
+        } else {
+            Content::Changes(items.map(Change::from).collect())
+        };
+        Answer {
+            revision: wire.revision,
+            age: Duration::from_millis(u64::from(wire.age_ms)),
+            content,
+        }
+    }
+}
+
+impl From<&Item> for ItemWire {
+    fn from(item: &Item) -> ItemWire {
+        ItemWire {
+            key: item.key.clone(),
+            value: Some(Bytes::copy_from_slice(&item.value)),
+            revision: item.revision,
+        }
+    }
+}
+
+impl From<&Change> for ItemWire {
+    fn from(change: &Change) -> ItemWire {
+        match change {
+            Change::Put(item) => ItemWire::from(item),
+            Change::Deleted(key, revision) => ItemWire {
+                key: key.clone(),
+                value: None,
+                revision: *revision,
+            },
+        }
+    }
+}
+
+impl From<ItemWire> for Change {
+    fn from(wire: ItemWire) -> Change {
+        match wire.value {
+            Some(value) => Change::Put(Item {
+                key: wire.key,
+                value: value.to_vec(),
+                revision: wire.revision,
+            }),
+            None => Change::Deleted(wire.key, wire.revision),
+        }
+    }
+}
--- a/marigoldway/src/lists/put.rs
+++ b/marigoldway/src/lists/put.rs
@@ -130,8 +130,7 @@
             (store::list_key(kind), text.as_bytes().to_vec()),
             (history, entry.into_bytes()),
         ],
-        removes: Vec::new(),
-        lease: None,
+        ..Swap::default()
     }
 }
 
--- a/marigoldway/src/lists/watcher.rs
+++ b/marigoldway/src/lists/watcher.rs
@@ -178,8 +178,7 @@
         let swap = Swap {
             compares: vec![(key.clone(), lists.store_revision(kind))],
             puts: vec![(key, repair.text.as_bytes().to_vec())],
-            removes: Vec::new(),
-            lease: None,
+            ..Swap::default()
         };
         let outcome = self.platform.compare_and_swap(&swap).await?;
         Ok(outcome != SwapOutcome::Refused)
--- a/marigoldway/src/membership/entry_directory.rs
+++ b/marigoldway/src/membership/entry_directory.rs
@@ -130,8 +130,7 @@
         let swap = Swap {
             compares: vec![(key.clone(), stored.map_or(0, |it| it.revision))],
             puts: vec![(key, addresses.as_bytes().to_vec())],
-            removes: Vec::new(),
-            lease: None,
+            ..Swap::default()
         };
         // A refused swap is no error: another entry has written the key from its own
         // roster, which is equally valid.
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -35,17 +35,20 @@
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
 use marigoldway_platform::api::ApiRequest;
+use marigoldway_platform::config;
 
 use crate::errors::Result;
+use crate::packets::feed;
+use crate::packets::feed::Feed;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::node::Signals;
 use crate::packets::peers;
 use crate::packets::presence::PresenceKeys;
 use crate::packets::registrar::Registrar;
+use crate::packets::replicate;
 use crate::packets::server;
 use crate::packets::server::Answer;
-use crate::packets::store;
 use crate::settings::FlowAgentSettings;
 
 /// Maximum number of flows in each of the agent's two tables, per megabyte of memory.
@@ -70,10 +73,13 @@
 /// keeps a copy for entries that lose theirs.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
 
-/// Pause between two calls of the watch of the service's agents, so that several
-/// changes arrive in one answer. Until that answer arrives, a directory agent that
-/// doesn't know which agent holds a flow queries the other agents.
-const AGENTS_PAUSE: Duration = Duration::from_secs(3);
+/// Interval between two reads of the service's agents. Until a change has arrived, a directory
+/// agent that doesn't know which agent holds a flow queries other agents.
+const AGENTS_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Pause between two calls of a follower's watch, so that several changes arrive in one answer. It
+/// is a small part of the seconds within which a change has to be known everywhere.
+const REPLICA_PAUSE: Duration = Duration::from_millis(500);
 
 /// Interval between two requests of a starting agent to its contacts: the instances
 /// that its settings name for this.
@@ -112,6 +118,8 @@
     pub(crate) record_removed: Cell<bool>,
     /// Presence keys of agents that aren't registered.
     pub(crate) presence_keys: RefCell<PresenceKeys>,
+    /// Revision of the own record's key at the last list of the store, or 0 if the list lacked it.
+    own_revision: Cell<u64>,
     /// Revision of the key with the service's addresses, or 0 if it doesn't exist.
     addrs_revision: Cell<u64>,
 }
@@ -149,6 +157,7 @@
         presence_written: Cell::new(false),
         record_removed: Cell::new(false),
         presence_keys: RefCell::new(PresenceKeys::new(settings.shared.lifetime)),
+        own_revision: Cell::new(0),
         addrs_revision: Cell::new(0),
         settings: RefCell::new(settings),
         node,
@@ -189,12 +198,24 @@
         let on_packet = |datagram: &mut [u8], _| shared.on_target_packet(datagram);
         node::receive(&shared.outbound, on_packet).await;
     });
-    let store = agent.node.store_client(AGENTS_PAUSE, node::WATCH_WAIT);
-    let prefix = agents::service_prefix(agent.flows.borrow().service());
+    let store = agent.node.store_client(AGENTS_INTERVAL, node::WATCH_WAIT);
+    let asking = agent.clone();
+    let feed = Feed {
+        node: agent.node.clone(),
+        store: store.clone(),
+        prefix: agents::service_prefix(agent.flows.borrow().service()),
+        interval: AGENTS_INTERVAL,
+        followers: move || asking.followers(),
+    };
     let shared = agent.clone();
-    task::spawn_local(store::follow(store.clone(), prefix, move |event| {
-        shared.on_agents(event);
-    }));
+    task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
+    for prefix in [config::CONFIG_KEY, agents::AGENTS_PREFIX] {
+        let store = agent.node.store_client(REPLICA_PAUSE, node::CONFIG_WAIT);
+        let shared = agent.clone();
+        let is_follower = move || shared.is_follower();
+        let node = agent.node.clone();
+        task::spawn_local(replicate::replicate(node, store, prefix, is_follower));
+    }
     task::spawn_local(Registrar::new(agent.clone(), store).run());
     task::spawn_local(target::find_listener(agent.clone()));
     task::spawn_local(tick(agent.clone()));
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddrV4;
 
+use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::followers;
 use marigoldway_net::wire::agents;
 
 use crate::packets::agent::Agent;
@@ -18,6 +21,9 @@
         match event {
             StoreEvent::Snapshot(found, revision) => {
                 let records = agent_records::decode_all(&self.node, &found);
+                let own_key = agents::agent_key(&flows.hello(now).record);
+                let listed = found.iter().find(|it| it.key == own_key);
+                self.own_revision.set(listed.map_or(0, |it| it.revision));
                 if !records.iter().any(|record| record.id == own) {
                     self.on_own_unregistered(revision);
                 }
@@ -57,10 +63,25 @@
                     Some(_) | None => {}
                 },
             },
-            StoreEvent::UpToDate | StoreEvent::Unreachable => {}
+            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
         }
     }
 
+    /// Whether this agent follows the store for other processes.
+    pub(super) fn is_follower(&self) -> bool {
+        let settings = &self.node.settings;
+        let domain = NameKey::from(settings.domain.as_str());
+        let flows = self.flows.borrow();
+        !self.node.leaving.get() && followers::is_follower(flows.agents(), domain, settings.data)
+    }
+
+    /// The followers of the service, in the order in which this agent asks them.
+    pub(super) fn followers(&self) -> Vec<InstanceId> {
+        let settings = &self.node.settings;
+        let domain = NameKey::from(settings.domain.as_str());
+        followers::followers(self.flows.borrow().agents(), domain, settings.data)
+    }
+
     /// Adds the presence keys of agents that have no record.
     pub(super) fn add_presence_keys(&self, records: &[AgentRecord], presence: &[AgentRecord]) {
         let is_registered = |id| records.iter().any(|record| record.id == id);
@@ -94,6 +115,11 @@
         self.agents_loaded.get() && self.flows.borrow().is_announced()
     }
 
+    /// Revision of the own record's key when the store was last listed, or 0 if the list lacked it.
+    pub(crate) fn own_revision(&self) -> u64 {
+        self.own_revision.get()
+    }
+
     /// Whether this agent is the first of its service in the order of IDs. The first agent deletes
     /// expired presence keys.
     pub(crate) fn is_first(&self) -> bool {
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -24,6 +24,7 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::followers::followers;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
@@ -34,13 +35,14 @@
 
 use crate::errors::Result;
 use crate::packets::agent_records;
+use crate::packets::feed;
+use crate::packets::feed::Feed;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::node::Signals;
 use crate::packets::peers;
 use crate::packets::server;
 use crate::packets::server::Answer;
-use crate::packets::store;
 use crate::packets::store::StoreEvent;
 use crate::settings::FlowSettings;
 
@@ -56,20 +58,13 @@
 /// it from the process that reported its version.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
 
-/// Pause between two calls of the watch of the configuration, so that several changes
-/// arrive in one answer. It is a small part of the seconds within which a change has to
-/// be in force.
-const CONFIG_PAUSE: Duration = Duration::from_millis(500);
+/// Interval between two reads of the configuration. It is a small part of the seconds within
+/// which a change has to be in force.
+const CONFIG_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Maximum time for which the store may hold a watch of the configuration. The store
-/// may never answer a call that it accepted while it was unresponsive. Until that call
-/// times out, only other processes report a change.
-const CONFIG_WAIT: Duration = Duration::from_secs(10);
-
-/// Pause between two calls of the watch of the agents, so that several changes arrive in
-/// one answer. Agents whose state changes send a hello at once to the entries that they
-/// know.
-const AGENTS_PAUSE: Duration = Duration::from_secs(1);
+/// Interval between two reads of the agents. Agents whose state changes send a hello at once to
+/// the entries that they know.
+const AGENTS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval between two requests of a starting entry to its contacts: the instances
 /// that its settings name for this.
@@ -155,18 +150,12 @@
         let on_message = |datagram: &mut [u8], from| shared.on_message(datagram, from);
         node::receive(&shared.node.data, on_message).await;
     });
-    let store = entry.node.store_client(CONFIG_PAUSE, CONFIG_WAIT);
     let shared = entry.clone();
-    let key = config::CONFIG_KEY.to_owned();
-    task::spawn_local(store::follow(store, key, move |event| {
-        shared.on_config(event);
-    }));
+    let feed = entry.feed(config::CONFIG_KEY, CONFIG_INTERVAL, node::CONFIG_WAIT);
+    task::spawn_local(feed::follow(feed, move |event| shared.on_config(event)));
     let shared = entry.clone();
-    let prefix = agents::AGENTS_PREFIX.to_owned();
-    let store = entry.node.store_client(AGENTS_PAUSE, node::WATCH_WAIT);
-    task::spawn_local(store::follow(store, prefix, move |event| {
-        shared.on_agents(event);
-    }));
+    let feed = entry.feed(agents::AGENTS_PREFIX, AGENTS_INTERVAL, node::WATCH_WAIT);
+    task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
     task::spawn_local(tick(entry.clone()));
     task::spawn_local(fetch_from_contacts(entry.clone()));
     Ok(())
@@ -229,6 +218,27 @@
 }
 
 impl Entry {
+    /// A feed of the keys of a prefix. The store may hold a read of it for `wait`.
+    fn feed(
+        self: &Rc<Self>,
+        prefix: &str,
+        interval: Duration,
+        wait: Duration,
+    ) -> Feed<impl Fn() -> Vec<InstanceId> + use<>> {
+        let shared = self.clone();
+        Feed {
+            node: self.node.clone(),
+            store: self.node.store_client(interval, wait),
+            prefix: prefix.to_owned(),
+            interval,
+            followers: move || {
+                let settings = &shared.node.settings;
+                let domain = NameKey::from(settings.domain.as_str());
+                followers(shared.flows.borrow().agents(), domain, settings.data)
+            },
+        }
+    }
+
     /// Whether routers may send packets: the entry has a configuration and knows agents, and isn't
     /// leaving.
     fn is_ready(&self) -> bool {
@@ -259,8 +269,12 @@
             }
             StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
             StoreEvent::Put(_) | StoreEvent::Deleted(..) | StoreEvent::Unreachable => None,
-            StoreEvent::UpToDate => {
-                self.config_confirmed.set(Some(self.node.clock.now()));
+            StoreEvent::UpToDate(age) => {
+                let now = self.node.clock.now();
+                let confirmed = now.as_micros().saturating_sub(age.as_micros() as u64);
+                let confirmed = Some(Timestamp::from_micros(confirmed));
+                self.config_confirmed
+                    .set(self.config_confirmed.get().max(confirmed));
                 None
             }
         };
@@ -311,7 +325,7 @@
                     flows.remove_agent(id);
                 }
             }
-            StoreEvent::UpToDate | StoreEvent::Unreachable => {}
+            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
         }
     }
 
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -10,12 +10,14 @@
 pub mod agent;
 mod agent_records;
 pub mod entry;
+mod feed;
 mod histograms;
 mod log_limit;
 mod node;
 mod peers;
 mod presence;
 mod registrar;
+mod replicate;
 mod server;
 mod store;
 
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -42,6 +42,7 @@
 use crate::packets::histograms::Histograms;
 use crate::packets::log_limit::LogLimiter;
 use crate::packets::peers;
+use crate::packets::replicate::Replicas;
 use crate::packets::server;
 use crate::packets::server::Answer;
 use crate::settings::FlowSettings;
@@ -58,6 +59,11 @@
 /// connection sooner.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Maximum time for which the store may hold a watch of the configuration, or a watch of a follower.
+/// The store may never answer a call that it accepted while it was unresponsive. Until that call
+/// times out, only other processes report a change.
+pub(crate) const CONFIG_WAIT: Duration = Duration::from_secs(10);
+
 /// Interval between two log lines with the number of calls to the store.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -92,6 +98,8 @@
     pub(crate) data: UdpSocket,
     /// Whether the process is leaving.
     pub(crate) leaving: Cell<bool>,
+    /// Copies of the store's keys that other processes read here.
+    pub(crate) replicas: Replicas,
     /// Values of the store that couldn't be read and were logged.
     pub(crate) unreadable: RefCell<UnreadableKeys>,
     /// The configuration in force, or `None` before the first one.
@@ -112,6 +120,7 @@
             histograms: Histograms::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
+            replicas: Replicas::default(),
             unreadable: RefCell::default(),
             document: RefCell::new(None),
             calls: RefCell::default(),
@@ -257,7 +266,7 @@
     server::serve(node.settings.data.0, move |_, path, _| match path {
         peers::CONFIG_PATH => Answer::found(shared.document().map(|it| it.raw)),
         peers::AGENTS_PATH => Answer::found(Some(agents())),
-        _ => Answer::found(None),
+        _ => Answer::found(shared.replicas.answer(shared.clock.now(), path)),
     })?;
     task::spawn_local(node.clone().log_calls());
     let Some(addr) = node.settings.metrics else {
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -163,9 +163,6 @@
         {
             return Ok(());
         }
-        if !self.agent.presence_written.get() {
-            self.write_presence(&record).await?;
-        }
         self.write_record(lease, record).await
     }
 
@@ -198,22 +195,6 @@
         Ok(())
     }
 
-    /// Writes the presence key, without a lease. The caller writes the record afterwards.
-    async fn write_presence(&mut self, record: &AgentRecord) -> Result<()> {
-        let key = agents::presence_key(&agents::agent_key(record));
-        let swap = Swap {
-            compares: vec![(key.clone(), 0)],
-            puts: vec![(key, agents::encode(record))],
-            ..Swap::default()
-        };
-        // The store refuses the write if an earlier process left the key. That key has the same
-        // meaning.
-        let outcome = self.store.compare_and_swap(&swap).await?;
-        log::info!("event=mark-written outcome={outcome:?}");
-        self.agent.presence_written.set(true);
-        Ok(())
-    }
-
     /// Whether the target is absent in `record` but not in `written`, and has been for less than
     /// [`ABSENCE_DELAY`]. Sets `absent_since` when the absence starts, and clears it when it ends.
     fn is_brief_absence(&mut self, written: &AgentRecord, record: &AgentRecord) -> bool {
@@ -291,8 +272,10 @@
         Ok(())
     }
 
-    /// Writes the record under `lease`, unless the key has changed in the store. If the service has
-    /// changed, also deletes the keys under the former service.
+    /// Writes the record under `lease`, unless the key has changed in the store, and with it the
+    /// presence key if it is missing or the target may hold strays: no entry is told of an agent
+    /// without a presence key. If the service has changed, also deletes the keys under the former
+    /// service.
     async fn write_record(&mut self, lease: LeaseId, record: AgentRecord) -> Result<()> {
         let key = agents::agent_key(&record);
         let mut removes = Vec::new();
@@ -302,9 +285,9 @@
                 removes.push(agents::presence_key(&self.key));
             }
             self.key.clone_from(&key);
-            // If an earlier process left its record, the store refuses the write, and the revision
-            // is read before the next one.
-            self.key_state = KeyState::Revision(0);
+            // An earlier process may have left its record. If the list didn't show it yet, the store
+            // refuses the write, and the revision is read before the next one.
+            self.key_state = KeyState::Revision(self.agent.own_revision());
         }
         let revision = match self.key_state {
             KeyState::Revision(revision) | KeyState::Record(_, revision) => revision,
@@ -313,15 +296,24 @@
         // If the answer to a write is lost, the store may still apply the write later, but only
         // over this revision and so never over a newer record.
         self.key_state = KeyState::Unknown;
+        let value = agents::encode(&record);
+        let is_present = self.agent.presence_written.get() && !record.strays;
+        let presence = (agents::presence_key(&key), value.clone());
         let swap = Swap {
             compares: vec![(key.clone(), revision)],
-            puts: vec![(key, agents::encode(&record))],
+            puts: vec![(key, value)],
             removes,
             lease: Some(lease),
+            lasting: if is_present {
+                Vec::new()
+            } else {
+                vec![presence]
+            },
         };
         if let SwapOutcome::Applied(revision) = self.store.compare_and_swap(&swap).await? {
             let (state, number) = (record.state, record.number);
             log::info!("event=record-written state={state:?} number={number} revision={revision}");
+            self.agent.presence_written.set(true);
             self.key_state = KeyState::Record(record, revision);
             self.absent_since = None;
         }
--- a/marigoldway/src/packets/store.rs
+++ b/marigoldway/src/packets/store.rs
@@ -11,6 +11,7 @@
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::ReadResult;
+use marigoldway_net::platform::Watch;
 use marigoldway_net::platform::backoff::Backoff;
 use marigoldway_net::platform::errors::Error;
 use marigoldway_net::platform::errors::Result;
@@ -26,12 +27,32 @@
     Put(KeyValue),
     /// A key was deleted at a revision.
     Deleted(String, u64),
-    /// The store has answered, so the keys known so far are current.
-    UpToDate,
+    /// The store has answered, so the keys known so far were current this long ago.
+    UpToDate(Duration),
     /// The store doesn't answer.
     Unreachable,
 }
 
+impl StoreEvent {
+    /// Revision of the store that the event tells of, or 0.
+    pub(crate) fn revision(&self) -> u64 {
+        match self {
+            StoreEvent::Snapshot(_, revision) | StoreEvent::Deleted(_, revision) => *revision,
+            StoreEvent::Put(stored) => stored.revision,
+            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => 0,
+        }
+    }
+}
+
+/// `WatchEnd` tells whether a watch may be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WatchEnd {
+    /// The store has answered.
+    Answered,
+    /// The store didn't answer, or has lost its history: the keys must be read again.
+    Broken,
+}
+
 /// Time after the start of an attempt at the first read until another one begins beside it. The
 /// process can't do its work before an attempt succeeds. The store may be slow, so the earlier
 /// attempts go on, and it may never answer calls that it took while it was down.
@@ -62,7 +83,7 @@
                 outage.on_reachable();
                 backoff.reset();
                 on_event(StoreEvent::Snapshot(read.found, read.revision));
-                on_event(StoreEvent::UpToDate);
+                on_event(StoreEvent::UpToDate(Duration::ZERO));
                 watch(&store, &prefix, read.revision, &mut outage, &mut on_event).await;
             }
             Err(error) => {
@@ -76,7 +97,7 @@
 }
 
 /// Reads the keys of a prefix for the first time, by several attempts that overlap.
-async fn first_read(
+pub(crate) async fn first_read(
     store: &Rc<KvStore>,
     prefix: &str,
     outage: &mut Outage,
@@ -116,52 +137,93 @@
     let Ok(mut watch) = store.watch(prefix, revision + 1).await else {
         return;
     };
-    while let Some(change) = watch.next().await {
-        match change {
-            Change::Put(stored) => on_event(StoreEvent::Put(stored)),
-            Change::Deleted { key, revision } => on_event(StoreEvent::Deleted(key, revision)),
-            Change::UpToDate => {
-                outage.on_reachable();
-                on_event(StoreEvent::UpToDate);
-            }
-            // The watch isn't resumed, but the keys are read again. A store that drops its history
-            // ends watches, and may not answer a watch from an earlier revision for the whole
-            // wait of the watch.
-            Change::Unreachable(error) => {
-                outage.on_unreachable(&error);
-                return on_event(StoreEvent::Unreachable);
-            }
-            Change::HistoryLost => {
-                log::info!("event=store-history-lost prefix={prefix} revision={revision}");
-                return;
-            }
+    while next_event(&mut watch, prefix, outage, on_event)
+        .await
+        .is_some()
+    {}
+}
+
+/// Passes the changes after `revision` to `on_event`, until the store has answered once.
+pub(crate) async fn watch_once(
+    store: &KvStore,
+    prefix: &str,
+    revision: u64,
+    outage: &mut Outage,
+    on_event: &mut impl FnMut(StoreEvent),
+) -> WatchEnd {
+    let Ok(mut watch) = store.watch(prefix, revision + 1).await else {
+        return WatchEnd::Broken;
+    };
+    loop {
+        match next_event(&mut watch, prefix, outage, on_event).await {
+            Some(EventKind::Change) => {}
+            Some(EventKind::Answered) => return WatchEnd::Answered,
+            None => return WatchEnd::Broken,
+        }
+    }
+}
+
+/// `EventKind` tells whether more events of the same answer of the store may follow.
+enum EventKind {
+    /// A change of a key.
+    Change,
+    /// The last event of an answer.
+    Answered,
+}
+
+/// Passes the next event of a watch to `on_event`. Returns `None` if the watch can't be resumed, but
+/// the keys must be read again. A store that drops its history ends watches, and may not answer a
+/// watch from an earlier revision for the whole wait of the watch.
+async fn next_event(
+    watch: &mut Watch,
+    prefix: &str,
+    outage: &mut Outage,
+    on_event: &mut impl FnMut(StoreEvent),
+) -> Option<EventKind> {
+    match watch.next().await? {
+        Change::Put(stored) => on_event(StoreEvent::Put(stored)),
+        Change::Deleted { key, revision } => on_event(StoreEvent::Deleted(key, revision)),
+        Change::UpToDate => {
+            outage.on_reachable();
+            on_event(StoreEvent::UpToDate(Duration::ZERO));
+            return Some(EventKind::Answered);
+        }
+        Change::Unreachable(error) => {
+            outage.on_unreachable(&error);
+            on_event(StoreEvent::Unreachable);
+            return None;
+        }
+        Change::HistoryLost => {
+            log::info!("event=store-history-lost prefix={prefix}");
+            return None;
         }
     }
+    Some(EventKind::Change)
 }
 
 /// `Outage` logs when the store becomes unreachable and when it answers again.
-struct Outage {
+pub(crate) struct Outage {
     prefix: String,
     /// Start of the outage, or `None` while the store answers.
     since: Option<time::Instant>,
 }
 
 impl Outage {
-    fn new(prefix: String) -> Outage {
+    pub(crate) fn new(prefix: String) -> Outage {
         Outage {
             prefix,
             since: None,
         }
     }
 
-    fn on_reachable(&mut self) {
+    pub(crate) fn on_reachable(&mut self) {
         if let Some(since) = self.since.take() {
             let (prefix, ms) = (&self.prefix, since.elapsed().as_millis());
             log::info!("event=store-regained prefix={prefix} away-ms={ms}");
         }
     }
 
-    fn on_unreachable(&mut self, error: &Error) {
+    pub(crate) fn on_unreachable(&mut self, error: &Error) {
         if self.since.is_none() {
             self.since = Some(time::Instant::now());
             let prefix = &self.prefix;
