Let the stand-in of a target listen for health checks

Cause: the stand-in spoke only packets and heartbeats. The platform's endpoints also accept health checks over TCP at the same address, by which an agent now tells whether a target of an earlier process lives; the soak read every target as gone and reported resets of living flows.

--- a/marigoldway-standin/src/packets/target.rs
+++ b/marigoldway-standin/src/packets/target.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexMap;
 use rand::RngExt;
 use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task;
 use tokio::time;
@@ -81,6 +82,9 @@
     pub(crate) options: TargetOptions,
     /// `None` once the target has stopped: another target may use the address.
     socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Listens for health checks at the same address, which are accepted but not answered. Closed
+    /// with `socket`.
+    health: RefCell<Option<TcpListener>>,
     flows: RefCell<IndexMap<FlowKey, TargetFlow>>,
     /// Requests that wait for a slot, by flow and request id.
     queue: RefCell<VecDeque<(FlowKey, String)>>,
@@ -117,6 +121,7 @@
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let target = Rc::new(Target {
             socket: RefCell::new(Some(Rc::new(bind(options.app).await?))),
+            health: RefCell::new(Some(listen(options.app).await?)),
             options,
             flows: RefCell::default(),
             queue: RefCell::default(),
@@ -141,6 +146,7 @@
     pub(crate) fn crash(&self) {
         self.stopped.set(true);
         self.socket.borrow_mut().take();
+        self.health.borrow_mut().take();
         self.flows.borrow_mut().clear();
     }
 
@@ -371,6 +377,19 @@
     }
 }
 
+/// Listens at the address, and retries while the former target still uses it.
+async fn listen(addr: SocketAddrV4) -> io::Result<TcpListener> {
+    let end = time::Instant::now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(addr).await {
+            Err(err) if err.kind() == ErrorKind::AddrInUse && time::Instant::now() < end => {
+                time::sleep(TICK).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Sends a request to the agent, and returns whether the response has a status from 200 to 299.
 async fn call(addr: SocketAddrV4, method: Method, path: &str, body: String) -> bool {
     let response = transport::exchange(addr.into(), method, path, body.into()).await;
