Tell only the possible searchers of a joining agent, and split large files

Only the directory agents of flows that it may receive can search for its flows.

Tests of candidates, holders and searchers at 100 to 5,000 agents; a model fleet loses all processes and a third of its targets.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -20,6 +20,7 @@
 mod redirect;
 mod register;
 mod search;
+mod searcher;
 mod served_addrs;
 pub mod slot_queue;
 
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -80,15 +80,15 @@
         self.flush_searches(now, actions);
     }
 
-    /// Whether this agent has announced itself to the known agents of the service, or knows no
-    /// other one. Only then may the agent be registered: a search among agents that don't know a
+    /// Whether this agent has announced itself to the agents that may search for its flows, or knows
+    /// no other one. Only then may the agent be registered: a search by agents that don't know a
     /// joining agent would report its flows as gone.
     pub fn is_announced(&self) -> bool {
         self.hellos.0 > 0 || self.peers().next().is_none()
     }
 
-    /// Announces this agent to the known agents of the service if the next round of hellos is due.
-    /// The rounds repeat while the store may not have told the agents yet.
+    /// Announces this agent to the agents that may search for its flows if the next round of hellos
+    /// is due. The rounds repeat while the store may not have told them yet.
     pub(super) fn send_hello(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
         let (count, last) = self.hellos;
         let interval = match count {
@@ -99,7 +99,8 @@
         if count >= MAX_HELLOS || now.since(last) < interval || self.is_idle() {
             return;
         }
-        let peers: Vec<InstanceId> = self.peers().map(|record| record.id).collect();
+        let own = self.hello(now).record;
+        let peers: Vec<InstanceId> = self.agents.searchers(&own).into_iter().collect();
         if peers.is_empty() {
             return;
         }
--- a/marigoldway-core/src/flow/candidates.rs
+++ b/marigoldway-core/src/flow/candidates.rs
@@ -19,7 +19,9 @@
 
 use crate::flow::agents::Agents;
 use crate::flow::key::NameKey;
+use crate::flow::message::AgentRecord;
 use crate::flow::message::TargetState;
+use crate::flow::ring;
 use crate::flow::ring::Ring;
 use crate::flow::routes::WorkClass;
 use crate::ids::InstanceId;
@@ -86,6 +88,40 @@
         found
     }
 
+    /// The other agents that may search for a flow that the agent of `record` may hold: the directory
+    /// agents of the flows for which it is a candidate. They have to know the agent before it holds
+    /// a flow. Their number doesn't grow with the service.
+    pub fn searchers(&self, record: &AgentRecord) -> IndexSet<InstanceId> {
+        let mut found = IndexSet::new();
+        let Some(agents) = self.service(record.service) else {
+            return found;
+        };
+        let is_other = |id: &InstanceId| *id != record.id;
+        for hash in ring::hashes(record.id) {
+            // The second directory agent of flows whose first one this agent is.
+            found.extend(agents.ring.walk(hash).find(is_other));
+            let (mut passed, mut passed_near) = (0, 0);
+            let walk = agents.ring.walk_back(hash).filter(is_other);
+            for other in walk.filter_map(|id| self.record(id)) {
+                found.insert(other.id);
+                // Agents that may leave soon or have joined lately don't keep others from being
+                // candidates.
+                let counts = other.state == TargetState::Serving
+                    && other
+                        .started_at
+                        .is_some_and(|it| Some(it) <= record.started_at);
+                if counts {
+                    passed += 1;
+                    passed_near += usize::from(other.domain == record.domain);
+                }
+                if passed >= CANDIDATES && passed_near >= DOMAIN_CANDIDATES {
+                    break;
+                }
+            }
+        }
+        found
+    }
+
     /// The first `count` agents of a ring whose target serves.
     fn serving(&self, ring: &Ring, hash: u64, count: usize) -> Vec<InstanceId> {
         let serves = |id: &InstanceId| {
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -6,6 +6,7 @@
 
 mod actions;
 mod locate;
+mod open;
 mod views;
 
 use std::net::SocketAddrV4;
@@ -37,12 +38,8 @@
 use crate::flow::message::Verdict;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
-use crate::flow::routes::Work;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
-use crate::flow::selection;
-use crate::flow::selection::Candidate;
-use crate::flow::selection::Selection;
 use crate::flow::table::FlowTable;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
@@ -262,41 +259,6 @@
         EntryAction::Reset(Reset { flow, seq }, ResetReason::Unrouted)
     }
 
-    /// Forwards an opening packet: to the agent that is known to hold the flow, or to
-    /// a newly selected agent that wasn't tried yet if possible.
-    fn open(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryAction {
-        let tried = match self.flows.touch(now, &flow) {
-            // The agent answers each copy of the opening packet, or has queued the
-            // first copy.
-            Some(FlowState::Located { agent, service }) => {
-                let (agent, service) = (*agent, *service);
-                // The present route applies to each copy of the opening packet.
-                if route.has_service(service) && self.is_of_service(agent, service) {
-                    self.views.expect_answer(now, agent);
-                    let header = self.header(Intent::Open, service, route, None);
-                    return EntryAction::Forward(vec![Forwarding { agent, header }]);
-                }
-                vec![agent]
-            }
-            Some(FlowState::Opening { tried }) => tried.clone(),
-            Some(FlowState::Locating(_)) | None => Vec::new(),
-        };
-        let service = route.service(&flow);
-        let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
-        else {
-            return EntryAction::Drop(DropReason::Unserved);
-        };
-        let agent = selected.agent;
-        self.views.expect_answer(now, agent);
-        self.views.on_open(agent);
-        let mut tried = tried;
-        tried.push(agent);
-        self.flows.insert(now, flow, FlowState::Opening { tried });
-        let mut header = self.header(Intent::Open, service, route, selected.alternate);
-        header.placement_hint.threshold = threshold;
-        EntryAction::Forward(vec![Forwarding { agent, header }])
-    }
-
     /// Forwards a packet that doesn't open a flow: to the agent that is known to hold
     /// the flow, whatever the service of the present route is, or to directory agents.
     fn forward(&mut self, now: Timestamp, flow: FlowKey, route: &Route, acked: u32) -> EntryAction {
@@ -317,32 +279,7 @@
         record.is_some_and(|it| it.service == service)
     }
 
-    /// Selects one of the candidates of a new flow, and returns it with the maximum load at
-    /// which an agent accepts the flow at once. Agents in `tried` are considered only if
-    /// there are no other ones. Returns `None` if the service has no known agent.
-    fn select(
-        &mut self,
-        now: Timestamp,
-        service: NameKey,
-        flow: &FlowKey,
-        work: Work,
-        tried: &[InstanceId],
-    ) -> Option<(Selection, LoadLevel)> {
-        let domain = self.options.domain;
-        let ids = self
-            .agents
-            .candidates(service, flow.hash(), work.class, domain);
-        let all = self.views.candidates(now, &self.agents, &ids, domain);
-        let untried: Vec<Candidate> = all
-            .iter()
-            .filter(|it| !tried.contains(&it.id))
-            .copied()
-            .collect();
-        let candidates = if untried.is_empty() { &all } else { &untried };
-        let selected = selection::choose(candidates, work.class, &mut self.rng)?;
-        Some((selected, selection::threshold(&all, work.class)))
-    }
-
+    /// Header of a packet of a flow that goes to an agent which is expected to hold it.
     fn header(
         &self,
         intent: Intent,
--- /dev/null
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -0,0 +1,81 @@
+//! Places new flows: forwards opening packets to one of the flow's candidates.
+
+use crate::flow::entry::EntryAction;
+use crate::flow::entry::EntryFlows;
+use crate::flow::entry::FlowState;
+use crate::flow::entry::actions::DropReason;
+use crate::flow::entry::actions::Forwarding;
+use crate::flow::key::FlowKey;
+use crate::flow::key::NameKey;
+use crate::flow::message::Intent;
+use crate::flow::message::LoadLevel;
+use crate::flow::routes::Route;
+use crate::flow::routes::Work;
+use crate::flow::selection;
+use crate::flow::selection::Candidate;
+use crate::flow::selection::Selection;
+use crate::ids::InstanceId;
+use crate::time::Timestamp;
+
+impl EntryFlows {
+    /// Forwards an opening packet: to the agent that is known to hold the flow, or to
+    /// a newly selected agent that wasn't tried yet if possible.
+    pub(super) fn open(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryAction {
+        let tried = match self.flows.touch(now, &flow) {
+            // The agent answers each copy of the opening packet, or has queued the
+            // first copy.
+            Some(FlowState::Located { agent, service }) => {
+                let (agent, service) = (*agent, *service);
+                // The present route applies to each copy of the opening packet.
+                if route.has_service(service) && self.is_of_service(agent, service) {
+                    self.views.expect_answer(now, agent);
+                    let header = self.header(Intent::Open, service, route, None);
+                    return EntryAction::Forward(vec![Forwarding { agent, header }]);
+                }
+                vec![agent]
+            }
+            Some(FlowState::Opening { tried }) => tried.clone(),
+            Some(FlowState::Locating(_)) | None => Vec::new(),
+        };
+        let service = route.service(&flow);
+        let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
+        else {
+            return EntryAction::Drop(DropReason::Unserved);
+        };
+        let agent = selected.agent;
+        self.views.expect_answer(now, agent);
+        self.views.on_open(agent);
+        let mut tried = tried;
+        tried.push(agent);
+        self.flows.insert(now, flow, FlowState::Opening { tried });
+        let mut header = self.header(Intent::Open, service, route, selected.alternate);
+        header.placement_hint.threshold = threshold;
+        EntryAction::Forward(vec![Forwarding { agent, header }])
+    }
+
+    /// Selects one of the candidates of a new flow, and returns it with the maximum load at
+    /// which an agent accepts the flow at once. Agents in `tried` are considered only if
+    /// there are no other ones. Returns `None` if the service has no known agent.
+    fn select(
+        &mut self,
+        now: Timestamp,
+        service: NameKey,
+        flow: &FlowKey,
+        work: Work,
+        tried: &[InstanceId],
+    ) -> Option<(Selection, LoadLevel)> {
+        let domain = self.options.domain;
+        let ids = self
+            .agents
+            .candidates(service, flow.hash(), work.class, domain);
+        let all = self.views.candidates(now, &self.agents, &ids, domain);
+        let untried: Vec<Candidate> = all
+            .iter()
+            .filter(|it| !tried.contains(&it.id))
+            .copied()
+            .collect();
+        let candidates = if untried.is_empty() { &all } else { &untried };
+        let selected = selection::choose(candidates, work.class, &mut self.rng)?;
+        Some((selected, selection::threshold(&all, work.class)))
+    }
+}
--- a/marigoldway-core/src/flow/ring.rs
+++ b/marigoldway-core/src/flow/ring.rs
@@ -11,7 +11,7 @@
 
 /// Number of points of each agent on the ring. More points make the shares of the agents more
 /// even.
-const POINTS: u64 = 16;
+const POINTS: usize = 16;
 
 /// `Ring` places each agent at several points of a circle of hashes (consistent hashing, Karger
 /// and others 1997). From the hash of a flow on, the agents follow each other in an order that is
@@ -25,13 +25,13 @@
 impl Ring {
     /// Adds an agent. Has no effect on an agent that is there already.
     pub fn insert(&mut self, id: InstanceId) {
-        self.points.extend(points(id));
+        self.points.extend(hashes(id).map(|hash| (hash, id)));
     }
 
     /// Removes an agent, if it is there.
     pub fn remove(&mut self, id: InstanceId) {
-        for point in points(id) {
-            self.points.remove(&point);
+        for hash in hashes(id) {
+            self.points.remove(&(hash, id));
         }
     }
 
@@ -47,11 +47,19 @@
         let mut seen = IndexSet::new();
         points.filter_map(move |(_, id)| seen.insert(*id).then_some(*id))
     }
+
+    /// Iterates over all agents in the reverse order, from a hash back.
+    pub fn walk_back(&self, hash: u64) -> impl Iterator<Item = InstanceId> {
+        let start = (hash, InstanceId::new(Ipv4Addr::UNSPECIFIED, 0));
+        let before = self.points.range(..start).rev();
+        let points = before.chain(self.points.range(start..).rev());
+        let mut seen = IndexSet::new();
+        points.filter_map(move |(_, id)| seen.insert(*id).then_some(*id))
+    }
 }
 
-/// The points of an agent.
-fn points(id: InstanceId) -> impl Iterator<Item = (u64, InstanceId)> {
+/// The hashes at which an agent is placed.
+pub fn hashes(id: InstanceId) -> impl Iterator<Item = u64> {
     let seed = mix(id.to_u64());
-    let hashes = iter::successors(Some(seed), |hash| Some(mix(*hash)));
-    hashes.take(POINTS as usize).map(move |hash| (hash, id))
+    iter::successors(Some(seed), |hash| Some(mix(*hash))).take(POINTS)
 }
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -1,6 +1,7 @@
 //! Packets of flows reach the right target while entries, agents and targets
 //! start, stop and restart.
 
+mod candidates;
 mod fleet;
 mod holders;
 mod load;
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -8,38 +8,32 @@
 //! Each message has a fixed binary layout in network byte order, since most are encoded
 //! and decoded for each packet or each new flow. The first octet is the message type.
 
-use std::net::Ipv4Addr;
+mod layout;
+
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use zerocopy::FromBytes;
 use zerocopy::Immutable;
 use zerocopy::IntoBytes;
-use zerocopy::KnownLayout;
-use zerocopy::Unaligned;
-use zerocopy::big_endian::U16;
-use zerocopy::big_endian::U32;
-use zerocopy::big_endian::U64;
 
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
-use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::flow::message::DirectoryEntry;
 use marigoldway_core::flow::message::DirectoryUpdate;
 use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::flow::message::Header;
 use marigoldway_core::flow::message::Hello;
-use marigoldway_core::flow::message::Intent;
-use marigoldway_core::flow::message::Load;
-use marigoldway_core::flow::message::LoadLevel;
-use marigoldway_core::flow::message::PlacementHint;
-use marigoldway_core::flow::message::RefuseReason;
-use marigoldway_core::flow::message::TargetState;
-use marigoldway_core::flow::message::Verdict;
-use marigoldway_core::flow::routes::Work;
 use marigoldway_core::flow::routes::WorkClass;
 use marigoldway_core::ids::InstanceId;
 
+use crate::wire::flows::layout::WireAddr;
+use crate::wire::flows::layout::WireDirectoryEntry;
+use crate::wire::flows::layout::WireDirectoryUpdate;
+use crate::wire::flows::layout::WireFlow;
+use crate::wire::flows::layout::WireFlowReport;
+use crate::wire::flows::layout::WireHeader;
+use crate::wire::flows::layout::WireHello;
+
 /// First octet of a message that consists of a header and a client's packet.
 const PACKET: u8 = 0xe1;
 
@@ -145,7 +139,7 @@
 
 /// Encodes a request to search flows of one class.
 pub fn encode_search(class: WorkClass, keys: &[FlowKey]) -> Vec<u8> {
-    let mut datagram = encode(SEARCH, &class_code(class));
+    let mut datagram = encode(SEARCH, &layout::class_code(class));
     push_flows(&mut datagram, keys);
     datagram
 }
@@ -177,7 +171,7 @@
         }
         SEARCH => {
             let (class, flows) = body.split_first()?;
-            let class = decode_class(*class).ok()?;
+            let class = layout::decode_class(*class).ok()?;
             Some(Message::Search(class, decode_flows(flows)?))
         }
         _ => None,
@@ -217,353 +211,3 @@
             .collect(),
     })
 }
-
-/// `InvalidValue` is the error for a received number that stands for no enum variant.
-struct InvalidValue;
-
-#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireAddr {
-    ip: U32,
-    port: U16,
-}
-
-#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireFlow {
-    client: WireAddr,
-    server: WireAddr,
-}
-
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireHeader {
-    intent: u8,
-    hops: u8,
-    class: u8,
-    /// 1 if directory agents search for the flow.
-    search: u8,
-    priority: u8,
-    service: U64,
-    version: U64,
-    entry: WireAddr,
-    /// Another agent, which [`Header::other`] describes; port 0 means none.
-    other: WireAddr,
-    objective_ms: U32,
-    timeout_ms: U32,
-    threshold: U16,
-    /// Least loaded agent that forwarded the flow; port 0 means none.
-    best: WireAddr,
-    best_load: U16,
-}
-
-#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireLoad {
-    state: u8,
-    slots: U16,
-    running: U16,
-    waiting: U16,
-    opening: U16,
-    flows: U32,
-    /// Percentage of the latest requests that failed, 0 to 100.
-    failing: u8,
-    slow_start_ms: U32,
-}
-
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireFlowReport {
-    verdict: u8,
-    flow: WireFlow,
-    load: WireLoad,
-    version: U64,
-}
-
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireDirectoryUpdate {
-    service: U64,
-    owner: WireAddr,
-}
-
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireDirectoryEntry {
-    flow: WireFlow,
-    origin: U32,
-}
-
-/// `WireHello` is the layout of a [`Hello`]. The state and slots of the agent's record are
-/// those of `load`.
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-struct WireHello {
-    id: WireAddr,
-    incarnation: U64,
-    number: U64,
-    service: U64,
-    domain: U64,
-    /// 1 if the agent's table contains every flow that its target holds.
-    complete: u8,
-    /// 1 if the target may hold flows that other processes don't look for at the agent.
-    strays: u8,
-    /// Start time of the target in Unix milliseconds, or 0 if it isn't known.
-    started_at: U64,
-    load: WireLoad,
-    version: U64,
-}
-
-impl From<SocketAddrV4> for WireAddr {
-    fn from(addr: SocketAddrV4) -> WireAddr {
-        WireAddr {
-            ip: addr.ip().to_bits().into(),
-            port: addr.port().into(),
-        }
-    }
-}
-
-impl From<WireAddr> for SocketAddrV4 {
-    fn from(wire: WireAddr) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::from_bits(wire.ip.get()), wire.port.get())
-    }
-}
-
-impl From<&FlowKey> for WireFlow {
-    fn from(flow: &FlowKey) -> WireFlow {
-        WireFlow {
-            client: flow.client.into(),
-            server: flow.server.into(),
-        }
-    }
-}
-
-impl From<WireFlow> for FlowKey {
-    fn from(wire: WireFlow) -> FlowKey {
-        FlowKey {
-            client: wire.client.into(),
-            server: wire.server.into(),
-        }
-    }
-}
-
-impl From<&Header> for WireHeader {
-    fn from(header: &Header) -> WireHeader {
-        let none = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
-        let best = header.placement_hint.best;
-        let best = best.map_or((none, LoadLevel::default()), |(id, load)| (id.0, load));
-        WireHeader {
-            intent: match header.intent {
-                Intent::Open => 0,
-                Intent::Owned => 1,
-                Intent::Locate => 2,
-                Intent::Search => 3,
-            },
-            hops: header.hops,
-            class: class_code(header.work.class),
-            search: u8::from(header.search),
-            priority: header.work.priority,
-            service: header.service.0.into(),
-            version: header.version.into(),
-            entry: header.entry.0.into(),
-            other: header.other.map_or(none, |other| other.0).into(),
-            objective_ms: millis(header.work.objective),
-            timeout_ms: millis(header.work.timeout),
-            threshold: header.placement_hint.threshold.0.into(),
-            best: best.0.into(),
-            best_load: best.1.0.into(),
-        }
-    }
-}
-
-impl TryFrom<&WireHeader> for Header {
-    type Error = InvalidValue;
-
-    fn try_from(wire: &WireHeader) -> Result<Header, InvalidValue> {
-        let other = SocketAddrV4::from(wire.other);
-        let best = SocketAddrV4::from(wire.best);
-        let best_load = LoadLevel(wire.best_load.get());
-        Ok(Header {
-            intent: match wire.intent {
-                0 => Intent::Open,
-                1 => Intent::Owned,
-                2 => Intent::Locate,
-                3 => Intent::Search,
-                _ => return Err(InvalidValue),
-            },
-            hops: wire.hops,
-            service: NameKey(wire.service.get()),
-            version: wire.version.get(),
-            entry: InstanceId(wire.entry.into()),
-            other: (other.port() > 0).then_some(InstanceId(other)),
-            search: wire.search == 1,
-            work: Work {
-                class: decode_class(wire.class)?,
-                priority: wire.priority,
-                objective: duration(wire.objective_ms),
-                timeout: duration(wire.timeout_ms),
-            },
-            placement_hint: PlacementHint {
-                threshold: LoadLevel(wire.threshold.get()),
-                best: (best.port() > 0).then_some((InstanceId(best), best_load)),
-            },
-        })
-    }
-}
-
-impl From<&Load> for WireLoad {
-    fn from(load: &Load) -> WireLoad {
-        WireLoad {
-            state: match load.state {
-                TargetState::Serving => 0,
-                TargetState::Draining => 1,
-                TargetState::Absent => 2,
-            },
-            slots: load.slots.into(),
-            running: load.running.into(),
-            waiting: load.waiting.into(),
-            opening: load.opening.into(),
-            flows: load.flows.into(),
-            failing: load.failing,
-            slow_start_ms: millis(load.slow_start),
-        }
-    }
-}
-
-impl TryFrom<WireLoad> for Load {
-    type Error = InvalidValue;
-
-    fn try_from(wire: WireLoad) -> Result<Load, InvalidValue> {
-        Ok(Load {
-            state: match wire.state {
-                0 => TargetState::Serving,
-                1 => TargetState::Draining,
-                2 => TargetState::Absent,
-                _ => return Err(InvalidValue),
-            },
-            slots: wire.slots.get(),
-            running: wire.running.get(),
-            waiting: wire.waiting.get(),
-            opening: wire.opening.get(),
-            flows: wire.flows.get(),
-            failing: wire.failing,
-            slow_start: duration(wire.slow_start_ms),
-        })
-    }
-}
-
-impl From<&FlowReport> for WireFlowReport {
-    fn from(report: &FlowReport) -> WireFlowReport {
-        WireFlowReport {
-            verdict: match report.verdict {
-                Verdict::Holds => 0,
-                Verdict::Refused(RefuseReason::Service) => 2,
-                Verdict::Refused(RefuseReason::Version) => 3,
-                Verdict::Refused(RefuseReason::Draining) => 4,
-                Verdict::Refused(RefuseReason::Absent) => 5,
-                Verdict::Refused(RefuseReason::Bounced) => 6,
-                Verdict::Refused(RefuseReason::Silent) => 7,
-                Verdict::PassedOn => 1,
-                Verdict::Unknown => 8,
-                Verdict::NotHeld => 9,
-            },
-            flow: WireFlow::from(&report.flow),
-            load: WireLoad::from(&report.load),
-            version: report.version.into(),
-        }
-    }
-}
-
-impl TryFrom<&WireFlowReport> for FlowReport {
-    type Error = InvalidValue;
-
-    fn try_from(wire: &WireFlowReport) -> Result<FlowReport, InvalidValue> {
-        Ok(FlowReport {
-            flow: FlowKey::from(wire.flow),
-            verdict: match wire.verdict {
-                0 => Verdict::Holds,
-                2 => Verdict::Refused(RefuseReason::Service),
-                3 => Verdict::Refused(RefuseReason::Version),
-                4 => Verdict::Refused(RefuseReason::Draining),
-                5 => Verdict::Refused(RefuseReason::Absent),
-                6 => Verdict::Refused(RefuseReason::Bounced),
-                7 => Verdict::Refused(RefuseReason::Silent),
-                1 => Verdict::PassedOn,
-                8 => Verdict::Unknown,
-                9 => Verdict::NotHeld,
-                _ => return Err(InvalidValue),
-            },
-            load: Load::try_from(wire.load)?,
-            version: wire.version.get(),
-        })
-    }
-}
-
-impl From<&Hello> for WireHello {
-    fn from(hello: &Hello) -> WireHello {
-        WireHello {
-            id: hello.record.id.0.into(),
-            incarnation: hello.record.incarnation.into(),
-            number: hello.record.number.into(),
-            service: hello.record.service.0.into(),
-            domain: hello.record.domain.0.into(),
-            complete: u8::from(hello.record.complete),
-            strays: u8::from(hello.record.strays),
-            started_at: hello.record.started_at.unwrap_or(0).into(),
-            load: WireLoad::from(&hello.load),
-            version: hello.version.into(),
-        }
-    }
-}
-
-impl TryFrom<&WireHello> for Hello {
-    type Error = InvalidValue;
-
-    fn try_from(wire: &WireHello) -> Result<Hello, InvalidValue> {
-        let load = Load::try_from(wire.load)?;
-        Ok(Hello {
-            record: AgentRecord {
-                id: InstanceId(wire.id.into()),
-                incarnation: wire.incarnation.get(),
-                number: wire.number.get(),
-                service: NameKey(wire.service.get()),
-                domain: NameKey(wire.domain.get()),
-                state: load.state,
-                slots: load.slots,
-                complete: wire.complete == 1,
-                strays: wire.strays == 1,
-                started_at: Some(wire.started_at.get()).filter(|it| *it > 0),
-            },
-            load,
-            version: wire.version.get(),
-        })
-    }
-}
-
-fn class_code(class: WorkClass) -> u8 {
-    match class {
-        WorkClass::Safe => 0,
-        WorkClass::Unsafe => 1,
-        WorkClass::Upload => 2,
-        WorkClass::Download => 3,
-    }
-}
-
-fn decode_class(code: u8) -> Result<WorkClass, InvalidValue> {
-    match code {
-        0 => Ok(WorkClass::Safe),
-        1 => Ok(WorkClass::Unsafe),
-        2 => Ok(WorkClass::Upload),
-        3 => Ok(WorkClass::Download),
-        _ => Err(InvalidValue),
-    }
-}
-
-/// Returns a duration in milliseconds. A longer one becomes [`u32::MAX`].
-fn millis(span: Duration) -> U32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX).into()
-}
-
-fn duration(millis: U32) -> Duration {
-    Duration::from_millis(u64::from(millis.get()))
-}
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -3,6 +3,7 @@
 //! Agents announce themselves to entries by hellos: messages with the agent's record, its
 //! load and the version of its configuration. A probe asks an agent for a hello.
 
+mod listing;
 mod log_actions;
 
 use std::cell::Cell;
@@ -24,7 +25,6 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::ids::InstanceId;
-use marigoldway_core::replica::followers::followers;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
@@ -34,16 +34,13 @@
 use marigoldway_platform::packet;
 
 use crate::errors::Result;
-use crate::packets::agent_records;
 use crate::packets::feed;
-use crate::packets::feed::Feed;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::node::Signals;
 use crate::packets::peers;
 use crate::packets::server;
 use crate::packets::server::Answer;
-use crate::packets::store::StoreEvent;
 use crate::settings::FlowSettings;
 
 /// Maximum number of flows per megabyte of memory. At about 200 octets a flow, they
@@ -58,18 +55,6 @@
 /// it from the process that reported its version.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
 
-/// Interval between two reads of the configuration. It is a small part of the seconds within
-/// which a change has to be in force.
-const CONFIG_INTERVAL: Duration = Duration::from_millis(600);
-
-/// Interval between two reads of the agents. Agents whose state changes send a hello at once to
-/// the entries that they know.
-const AGENTS_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Interval between two requests of a starting entry to its contacts: the instances
-/// that its settings name for this.
-const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time after which routers no longer send packets to an instance that isn't ready:
 /// two readiness checks of half a second each, and one in transit.
 const ROUTER_DELAY: Duration = Duration::from_millis(1_600);
@@ -151,13 +136,21 @@
         node::receive(&shared.node.data, on_message).await;
     });
     let shared = entry.clone();
-    let feed = entry.feed(config::CONFIG_KEY, CONFIG_INTERVAL, node::CONFIG_WAIT);
+    let feed = entry.feed(
+        config::CONFIG_KEY,
+        listing::CONFIG_INTERVAL,
+        node::CONFIG_WAIT,
+    );
     task::spawn_local(feed::follow(feed, move |event| shared.on_config(event)));
     let shared = entry.clone();
-    let feed = entry.feed(agents::AGENTS_PREFIX, AGENTS_INTERVAL, node::WATCH_WAIT);
+    let feed = entry.feed(
+        agents::AGENTS_PREFIX,
+        listing::AGENTS_INTERVAL,
+        node::WATCH_WAIT,
+    );
     task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
     task::spawn_local(tick(entry.clone()));
-    task::spawn_local(fetch_from_contacts(entry.clone()));
+    task::spawn_local(listing::fetch_from_contacts(entry.clone()));
     Ok(())
 }
 
@@ -177,68 +170,7 @@
     }
 }
 
-/// Fetches the configuration and the agents from the contacts, one after the other, until the
-/// entry has both. A starting entry needs this while the store doesn't answer.
-async fn fetch_from_contacts(entry: Rc<Entry>) {
-    let contacts = entry.node.contacts();
-    for contact in contacts.iter().cycle() {
-        time::sleep(CONTACT_INTERVAL).await;
-        let configured = entry.node.version() > 0;
-        if configured && entry.agents_loaded.get() {
-            return;
-        }
-        if !configured {
-            fetch_config(&entry, *contact).await;
-        }
-        if entry.agents_loaded.get() {
-            continue;
-        }
-        if let Some(body) = peers::fetch(*contact, peers::AGENTS_PATH).await {
-            let records = peers::decode_agents(&body);
-            entry.agents_loaded.set(!records.is_empty());
-            // The contact may list agents that have ended. An agent that doesn't answer probes
-            // is removed soon.
-            let now = entry.node.clock.now();
-            for record in &records {
-                entry.flows.borrow_mut().on_relayed_record(now, record);
-            }
-        }
-    }
-}
-
-/// Fetches the configuration from a peer and applies it if it is newer.
-async fn fetch_config(entry: &Rc<Entry>, peer: SocketAddrV4) {
-    if let Some(raw) = peers::fetch(peer, peers::CONFIG_PATH).await {
-        let routes = entry.node.apply_config(raw, "peer");
-        if let Some(routes) = routes {
-            let now = entry.node.clock.now();
-            entry.flows.borrow_mut().set_routes(now, routes);
-        }
-    }
-}
-
 impl Entry {
-    /// A feed of the keys of a prefix. The store may hold a read of it for `wait`.
-    fn feed(
-        self: &Rc<Self>,
-        prefix: &str,
-        interval: Duration,
-        wait: Duration,
-    ) -> Feed<impl Fn() -> Vec<InstanceId> + use<>> {
-        let shared = self.clone();
-        Feed {
-            node: self.node.clone(),
-            store: self.node.store_client(interval, wait),
-            prefix: prefix.to_owned(),
-            interval,
-            followers: move || {
-                let settings = &shared.node.settings;
-                let domain = NameKey::from(settings.domain.as_str());
-                followers(shared.flows.borrow().agents(), domain, settings.data)
-            },
-        }
-    }
-
     /// Whether routers may send packets: the entry has a configuration and knows agents, and isn't
     /// leaving.
     fn is_ready(&self) -> bool {
@@ -262,73 +194,6 @@
         }
     }
 
-    fn on_config(&self, event: StoreEvent) {
-        let stored = match event {
-            StoreEvent::Snapshot(found, _) => {
-                found.into_iter().find(|it| it.key == config::CONFIG_KEY)
-            }
-            StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
-            StoreEvent::Put(_) | StoreEvent::Deleted(..) | StoreEvent::Unreachable => None,
-            StoreEvent::UpToDate(age) => {
-                let now = self.node.clock.now();
-                let confirmed = now.as_micros().saturating_sub(age.as_micros() as u64);
-                let confirmed = Some(Timestamp::from_micros(confirmed));
-                self.config_confirmed
-                    .set(self.config_confirmed.get().max(confirmed));
-                None
-            }
-        };
-        let Some(stored) = stored else {
-            return;
-        };
-        if let Some(routes) = self.node.apply_config(stored.value.into(), "store") {
-            let now = self.node.clock.now();
-            self.flows.borrow_mut().set_routes(now, routes);
-        }
-    }
-
-    fn on_agents(&self, event: StoreEvent) {
-        let now = self.node.clock.now();
-        let mut flows = self.flows.borrow_mut();
-        match event {
-            StoreEvent::Snapshot(found, _) => {
-                let records = agent_records::decode_all(&self.node, &found);
-                for listed in agent_records::decode_addrs(&self.node, &found) {
-                    flows.set_service_addrs(listed.service, &listed.addrs);
-                }
-                self.agents_loaded
-                    .set(self.agents_loaded.get() || !records.is_empty());
-                flows.replace_agents(now, &records);
-                log::info!("event=agents-listed count={}", records.len());
-            }
-            StoreEvent::Put(stored) => {
-                if let Some(record) = agent_records::decode(&self.node, &stored) {
-                    let (id, state) = (record.id, record.state);
-                    log::info!(
-                        "event=agent-listed agent={id} state={state:?} revision={}",
-                        stored.revision
-                    );
-                    self.agents_loaded.set(true);
-                    flows.register_agent(record);
-                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
-                    flows.set_service_addrs(listed.service, &listed.addrs);
-                }
-            }
-            StoreEvent::Deleted(key, _) => {
-                if let Some(id) = agents::key_id(&key) {
-                    log::info!("event=agent-unlisted agent={id}");
-                    flows.unregister_agent(now, id);
-                } else if let Some(id) = agents::presence_id(&key)
-                    && !flows.agents().is_registered(id)
-                {
-                    // The agent has removed both keys, or hasn't lived for long.
-                    flows.remove_agent(id);
-                }
-            }
-            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
-        }
-    }
-
     /// Handles a packet from a client.
     fn on_packet(&self, datagram: &[u8]) {
         let now = self.node.clock.now();
@@ -418,7 +283,7 @@
         task::spawn_local(async move {
             time::sleep(FETCH_DELAY).await;
             if version > entry.node.version() {
-                fetch_config(&entry, from).await;
+                listing::fetch_config(&entry, from).await;
             }
             entry.fetching.set(false);
         });
--- /dev/null
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -0,0 +1,165 @@
+//! What an entry learns from the store, from followers and from contacts: the configuration and
+//! the agents.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time;
+
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::followers::followers;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::wire::agents;
+use marigoldway_platform::config;
+
+use crate::packets::agent_records;
+use crate::packets::entry::Entry;
+use crate::packets::feed::Feed;
+use crate::packets::peers;
+use crate::packets::store::StoreEvent;
+
+/// Interval between two reads of the agents. Agents whose state changes send a hello at once to
+/// the entries that they know.
+pub(super) const AGENTS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between two reads of the configuration. It is a small part of the seconds within
+/// which a change has to be in force.
+pub(super) const CONFIG_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Interval between two requests of a starting entry to its contacts: the instances
+/// that its settings name for this.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Fetches the configuration and the agents from the contacts, one after the other, until the
+/// entry has both. A starting entry needs this while the store doesn't answer.
+pub(super) async fn fetch_from_contacts(entry: Rc<Entry>) {
+    let contacts = entry.node.contacts();
+    for contact in contacts.iter().cycle() {
+        time::sleep(CONTACT_INTERVAL).await;
+        let configured = entry.node.version() > 0;
+        if configured && entry.agents_loaded.get() {
+            return;
+        }
+        if !configured {
+            fetch_config(&entry, *contact).await;
+        }
+        if entry.agents_loaded.get() {
+            continue;
+        }
+        if let Some(body) = peers::fetch(*contact, peers::AGENTS_PATH).await {
+            let records = peers::decode_agents(&body);
+            entry.agents_loaded.set(!records.is_empty());
+            // The contact may list agents that have ended. An agent that doesn't answer probes
+            // is removed soon.
+            let now = entry.node.clock.now();
+            for record in &records {
+                entry.flows.borrow_mut().on_relayed_record(now, record);
+            }
+        }
+    }
+}
+
+/// Fetches the configuration from a peer and applies it if it is newer.
+pub(super) async fn fetch_config(entry: &Rc<Entry>, peer: SocketAddrV4) {
+    if let Some(raw) = peers::fetch(peer, peers::CONFIG_PATH).await {
+        let routes = entry.node.apply_config(raw, "peer");
+        if let Some(routes) = routes {
+            let now = entry.node.clock.now();
+            entry.flows.borrow_mut().set_routes(now, routes);
+        }
+    }
+}
+
+impl Entry {
+    /// A feed of the keys of a prefix. The store may hold a read of it for `wait`.
+    pub(super) fn feed(
+        self: &Rc<Self>,
+        prefix: &str,
+        interval: Duration,
+        wait: Duration,
+    ) -> Feed<impl Fn() -> Vec<InstanceId> + use<>> {
+        let shared = self.clone();
+        Feed {
+            node: self.node.clone(),
+            store: self.node.store_client(interval, wait),
+            prefix: prefix.to_owned(),
+            interval,
+            followers: move || {
+                let settings = &shared.node.settings;
+                let domain = NameKey::from(settings.domain.as_str());
+                followers(shared.flows.borrow().agents(), domain, settings.data)
+            },
+        }
+    }
+
+    /// Applies a change of the configuration's key in the store.
+    pub(super) fn on_config(&self, event: StoreEvent) {
+        let stored = match event {
+            StoreEvent::Snapshot(found, _) => {
+                found.into_iter().find(|it| it.key == config::CONFIG_KEY)
+            }
+            StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
+            StoreEvent::Put(_) | StoreEvent::Deleted(..) | StoreEvent::Unreachable => None,
+            StoreEvent::UpToDate(age) => {
+                let now = self.node.clock.now();
+                let confirmed = now.as_micros().saturating_sub(age.as_micros() as u64);
+                let confirmed = Some(Timestamp::from_micros(confirmed));
+                self.config_confirmed
+                    .set(self.config_confirmed.get().max(confirmed));
+                None
+            }
+        };
+        let Some(stored) = stored else {
+            return;
+        };
+        if let Some(routes) = self.node.apply_config(stored.value.into(), "store") {
+            let now = self.node.clock.now();
+            self.flows.borrow_mut().set_routes(now, routes);
+        }
+    }
+
+    /// Applies a change of the agents' keys in the store.
+    pub(super) fn on_agents(&self, event: StoreEvent) {
+        let now = self.node.clock.now();
+        let mut flows = self.flows.borrow_mut();
+        match event {
+            StoreEvent::Snapshot(found, _) => {
+                let records = agent_records::decode_all(&self.node, &found);
+                for listed in agent_records::decode_addrs(&self.node, &found) {
+                    flows.set_service_addrs(listed.service, &listed.addrs);
+                }
+                self.agents_loaded
+                    .set(self.agents_loaded.get() || !records.is_empty());
+                flows.replace_agents(now, &records);
+                log::info!("event=agents-listed count={}", records.len());
+            }
+            StoreEvent::Put(stored) => {
+                if let Some(record) = agent_records::decode(&self.node, &stored) {
+                    let (id, state) = (record.id, record.state);
+                    log::info!(
+                        "event=agent-listed agent={id} state={state:?} revision={}",
+                        stored.revision
+                    );
+                    self.agents_loaded.set(true);
+                    flows.register_agent(record);
+                } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
+                    flows.set_service_addrs(listed.service, &listed.addrs);
+                }
+            }
+            StoreEvent::Deleted(key, _) => {
+                if let Some(id) = agents::key_id(&key) {
+                    log::info!("event=agent-unlisted agent={id}");
+                    flows.unregister_agent(now, id);
+                } else if let Some(id) = agents::presence_id(&key)
+                    && !flows.agents().is_registered(id)
+                {
+                    // The agent has removed both keys, or hasn't lived for long.
+                    flows.remove_agent(id);
+                }
+            }
+            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
+        }
+    }
+}
