--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -5,6 +5,7 @@
 //! whether its target holds a flow, and how loaded the target is.
 
 mod actions;
+mod early;
 mod locate;
 mod open;
 mod views;
@@ -22,6 +23,7 @@
 pub use crate::flow::entry::actions::EntryAction;
 pub use crate::flow::entry::actions::Forwarding;
 pub use crate::flow::entry::actions::ResetReason;
+pub use crate::flow::entry::early::EarlyPackets;
 use crate::flow::entry::locate::Locating;
 use crate::flow::entry::views::AgentViews;
 use crate::flow::key::FlowKey;
@@ -233,8 +235,16 @@
         self.flows.insert(now, flow, state);
     }
 
+    /// Whether the entry still lacks its first configuration or list of agents.
+    pub fn is_starting(&self) -> bool {
+        self.routes.is_none() || (self.agents.is_empty() && !self.agents.is_loaded())
+    }
+
     /// Decides how to handle a client's packet.
     pub fn on_packet(&mut self, now: Timestamp, segment: &Segment) -> EntryAction {
+        if self.is_starting() {
+            return EntryAction::Keep;
+        }
         let Some(routes) = self.routes.clone() else {
             return EntryAction::Drop(DropReason::Unconfigured);
         };
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -249,6 +249,11 @@
         self.share_roster();
     }
 
+    /// Replaces entry `n` by a new process that hasn't read the list of agents.
+    pub fn restart_entry_without_agents(&mut self, n: usize) {
+        self.entries[n] = self.new_entry(n);
+    }
+
     /// Replaces entry `n` by a new process that knows only the agents in `records`.
     pub fn restart_entry_with(&mut self, n: usize, records: &[AgentRecord]) {
         self.entries[n] = self.new_entry(n);
@@ -560,7 +565,7 @@
             EntryAction::Reset(reset, _) => {
                 self.received.push((reset.flow, Received::Reset(reset.seq)))
             }
-            EntryAction::Drop(_) => {}
+            EntryAction::Keep | EntryAction::Drop(_) => {}
         }
     }
 
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 //! start, stop and restart.
 
 mod candidates;
+mod early;
 mod fleet;
 mod holders;
 mod load;
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -18,6 +18,7 @@
 use tokio::task;
 use tokio::time;
 
+use marigoldway_core::flow::entry::EarlyPackets;
 use marigoldway_core::flow::entry::EntryAction;
 use marigoldway_core::flow::entry::EntryFlows;
 use marigoldway_core::flow::entry::EntryOptions;
@@ -68,6 +69,8 @@
     /// Socket for packets from and to clients.
     clients: UdpSocket,
     flows: RefCell<EntryFlows>,
+    /// Packets that arrived before the entry had a configuration and agents.
+    early: RefCell<EarlyPackets>,
     /// Buffer for the datagram that is being sent.
     buffer: RefCell<Vec<u8>>,
     /// Whether any agents were learned, from the store or from a peer.
@@ -94,6 +97,7 @@
     let entry = Rc::new(Entry {
         clients: node::bind(settings.listen)?,
         flows: RefCell::new(EntryFlows::new(options)),
+        early: RefCell::default(),
         buffer: RefCell::new(Vec::new()),
         agents_loaded: Cell::new(false),
         config_confirmed: Cell::new(None),
@@ -141,14 +145,22 @@
         listing::CONFIG_INTERVAL,
         node::CONFIG_WAIT,
     );
-    task::spawn_local(feed::follow(feed, move |event| shared.on_config(event)));
+    let on_config = move |event| {
+        shared.on_config(event);
+        shared.forward_early();
+    };
+    task::spawn_local(feed::follow(feed, on_config));
     let shared = entry.clone();
     let feed = entry.feed(
         agents::AGENTS_PREFIX,
         listing::AGENTS_INTERVAL,
         node::WATCH_WAIT,
     );
-    task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
+    let on_agents = move |event| {
+        shared.on_agents(event);
+        shared.forward_early();
+    };
+    task::spawn_local(feed::follow(feed, on_agents));
     task::spawn_local(tick(entry.clone()));
     task::spawn_local(listing::fetch_from_contacts(entry.clone()));
     Ok(())
@@ -202,12 +214,27 @@
             return self.node.count("packet-unreadable");
         };
         let action = self.flows.borrow_mut().on_packet(now, &segment);
+        if action == EntryAction::Keep {
+            self.early.borrow_mut().push(now, &segment, datagram);
+        }
         // An opening packet acknowledges nothing: its `ack` counts earlier copies.
         let copy = if segment.opens() { segment.ack } else { 0 };
         self.log_action(now, &segment.inbound_flow(), copy, &action);
         self.execute(datagram, action);
     }
 
+    /// Handles the packets that arrived before the entry could forward any.
+    fn forward_early(&self) {
+        if self.early.borrow().is_empty() || self.flows.borrow().is_starting() {
+            return;
+        }
+        let packets = self.early.borrow_mut().take(self.node.clock.now());
+        log::info!("event=early-packets count={}", packets.len());
+        for packet in packets {
+            self.on_packet(&packet);
+        }
+    }
+
     /// Carries out an action. `datagram` is the current packet, empty for a report.
     fn execute(&self, datagram: &[u8], action: EntryAction) {
         match action {
@@ -229,7 +256,7 @@
                 let client = reset.flow.client;
                 self.node.send_client(&self.clients, client, &packet);
             }
-            EntryAction::Drop(_) => {}
+            EntryAction::Keep | EntryAction::Drop(_) => {}
         }
     }
 
