Compute who may hold a flow once a search, and check strays by a short walk

Change: a search keeps the agents that may hold its flow until the known agents change; an agent checks its own flows by the walk up to itself.

--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -31,21 +31,6 @@
 const MAX_HELLOS: u32 = 12;
 
 impl AgentFlows {
-    /// Handles another agent's message that its target doesn't hold flows that this agent searches.
-    /// Reports the flows that no agent holds to the entry that asked for them.
-    pub fn on_not_held(
-        &mut self,
-        now: Timestamp,
-        from: InstanceId,
-        flows: &[FlowKey],
-        actions: &mut Vec<AgentAction>,
-    ) {
-        for flow in flows {
-            self.searches.on_not_held(from, flow);
-            self.conclude_search(now, flow, actions);
-        }
-    }
-
     /// Handles another agent's query, on behalf of `entry`, for flows that the target may hold.
     /// Tells both which flows it holds. Flows on which this agent has no knowledge get no reply.
     pub fn on_query(
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -135,21 +135,27 @@
         self.found_no_target && self.target.incarnations() == 0
     }
 
-    /// The agents that may hold a flow of the service, as far as they are known.
-    pub(super) fn may_hold(
+    /// The other agents that may hold a flow of the service, as far as they are known.
+    pub(super) fn other_holders(
         &self,
         now: Timestamp,
         flow: &FlowKey,
         class: WorkClass,
-    ) -> impl Iterator<Item = InstanceId> {
-        let aged = self.options.idle_timeout * AGED_LIFETIMES;
-        let running = now.since(self.options.started);
-        let unix_ms = self.options.started_at.saturating_add(millis(running));
-        let horizon = unix_ms.saturating_sub(millis(aged));
+    ) -> Vec<InstanceId> {
+        let horizon = self.horizon(now);
         let agents = self
             .agents
             .may_hold(self.service, flow.hash(), class, horizon);
-        agents.into_iter()
+        let others = agents.into_iter().filter(|id| *id != self.options.own);
+        others.collect()
+    }
+
+    /// Unix milliseconds before which all targets count as equally old.
+    fn horizon(&self, now: Timestamp) -> u64 {
+        let aged = self.options.idle_timeout * AGED_LIFETIMES;
+        let running = now.since(self.options.started);
+        let unix_ms = self.options.started_at.saturating_add(millis(running));
+        unix_ms.saturating_sub(millis(aged))
     }
 
     /// Whether the target may hold flows that other processes don't look for here.
@@ -161,8 +167,9 @@
     /// processes don't look for here. They aren't told of an agent that isn't listed.
     pub(super) fn note_stray(&mut self, now: Timestamp, flow: &FlowKey, class: WorkClass) {
         let own = self.options.own;
-        if self.agents.record(own).is_none() || self.may_hold(now, flow, class).any(|id| id == own)
-        {
+        let (hash, horizon) = (flow.hash(), self.horizon(now));
+        let is_listed = self.agents.record(own).is_some();
+        if !is_listed || self.agents.may_be_held_by(own, hash, class, horizon) {
             return;
         }
         self.stray_until = Some(now + self.options.idle_timeout);
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -47,100 +47,96 @@
 
 /// `Search` is what is known of one flow that is searched for.
 #[derive(Debug)]
-struct Search {
+pub(super) struct Search {
     /// When the search was started.
     since: Timestamp,
     /// When the agents were last asked.
     asked_at: Timestamp,
+    /// Agents that may hold the flow, as of `revision`.
+    holders: Vec<InstanceId>,
+    /// Revision of the known agents from which `holders` was computed.
+    revision: u64,
     /// Agents that have reported that they don't hold the flow.
     replied: Vec<InstanceId>,
     /// Entry that asked for the flow last.
-    entry: InstanceId,
-    class: WorkClass,
+    pub(super) entry: InstanceId,
+    pub(super) class: WorkClass,
 }
 
-impl Searches {
-    /// Starts or repeats a search among `holders`, the agents that may hold the flow, for `entry`.
-    /// Returns those that haven't replied yet, which are to be asked now. Returns `None` if the
-    /// agents were asked within `SEARCH_TIMEOUT`, whose replies then go to `entry`, or if
-    /// `MAX_ENTRIES` searches are stored.
-    pub(super) fn begin(
-        &mut self,
-        now: Timestamp,
-        flow: FlowKey,
-        entry: InstanceId,
-        class: WorkClass,
-        holders: &[InstanceId],
-    ) -> Option<Vec<InstanceId>> {
-        if let Some(active) = self.active.get_mut(&flow) {
-            active.entry = entry;
-            if now.since(active.asked_at) < SEARCH_TIMEOUT {
-                return None;
-            }
-            active.asked_at = now;
-            return Some(missing(holders, &active.replied));
-        }
-        if self.active.len() >= MAX_ENTRIES {
-            return None;
-        }
-        let search = Search {
+impl Search {
+    /// Creates a search on behalf of an entry, for which nobody has been asked yet.
+    pub(super) fn new(now: Timestamp, entry: InstanceId, class: WorkClass) -> Search {
+        Search {
             since: now,
             asked_at: now,
+            holders: Vec::new(),
+            revision: 0,
             replied: Vec::new(),
             entry,
             class,
-        };
-        self.active.insert(flow, search);
-        Some(holders.to_vec())
+        }
     }
 
-    /// Records that an agent doesn't hold a flow. Has no effect if there is no search for it.
-    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) {
-        if let Some(search) = self.active.get_mut(flow)
-            && !search.replied.contains(&from)
-        {
-            search.replied.push(from);
-        }
+    /// Whether the agents that may hold the flow have to be computed again, since the known agents
+    /// have changed to `revision`.
+    pub(super) fn is_outdated(&self, revision: u64) -> bool {
+        self.revision != revision
     }
 
-    /// The class of a flow that is searched for.
-    pub(super) fn class(&self, flow: &FlowKey) -> Option<WorkClass> {
-        self.active.get(flow).map(|it| it.class)
+    /// Sets the agents that may hold the flow.
+    pub(super) fn set_holders(&mut self, holders: Vec<InstanceId>, revision: u64) {
+        self.holders = holders;
+        self.revision = revision;
     }
 
-    /// Ends the search for a flow if all of `holders` have replied, and returns the entry that
-    /// asked for the flow.
-    pub(super) fn conclude(
-        &mut self,
-        flow: &FlowKey,
-        holders: &[InstanceId],
-    ) -> Option<InstanceId> {
-        let search = self.active.get(flow)?;
-        if !missing(holders, &search.replied).is_empty() {
-            return None;
+    /// The agents that may hold the flow and haven't replied.
+    pub(super) fn missing(&self) -> Vec<InstanceId> {
+        let missing = self.holders.iter().filter(|id| !self.replied.contains(id));
+        missing.copied().collect()
+    }
+
+    /// Whether the missing agents are to be asked again. If so, notes that they are asked now.
+    pub(super) fn is_due(&mut self, now: Timestamp) -> bool {
+        let due = now.since(self.asked_at) >= SEARCH_TIMEOUT;
+        if due {
+            self.asked_at = now;
         }
-        self.active.swap_remove(flow).map(|it| it.entry)
+        due
+    }
+}
+
+impl Searches {
+    /// The search for a flow, or `None` if there is none.
+    pub(super) fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut Search> {
+        self.active.get_mut(flow)
     }
 
-    /// The flows that are searched for.
-    pub(super) fn flows(&self) -> Vec<FlowKey> {
-        self.active.keys().copied().collect()
+    /// Adds a search. Returns `false` if `MAX_ENTRIES` searches are stored.
+    pub(super) fn insert(&mut self, flow: FlowKey, search: Search) -> bool {
+        let has_room = self.active.len() < MAX_ENTRIES;
+        if has_room {
+            self.active.insert(flow, search);
+        }
+        has_room
     }
 
-    /// The entry and those of `holders` that are to be asked for a flow again, since they haven't
-    /// replied within `SEARCH_TIMEOUT`.
-    pub(super) fn due(
-        &mut self,
-        now: Timestamp,
-        flow: &FlowKey,
-        holders: &[InstanceId],
-    ) -> Option<(InstanceId, Vec<InstanceId>)> {
-        let search = self.active.get_mut(flow)?;
-        if now.since(search.asked_at) < SEARCH_TIMEOUT {
-            return None;
+    /// Records that an agent doesn't hold a flow. Returns whether all agents that may hold it have
+    /// replied now. Returns `false` if there is no search for it.
+    pub(super) fn on_not_held(&mut self, from: InstanceId, flow: &FlowKey) -> bool {
+        let Some(search) = self.active.get_mut(flow) else {
+            return false;
+        };
+        if !search.replied.contains(&from) {
+            search.replied.push(from);
         }
-        search.asked_at = now;
-        Some((search.entry, missing(holders, &search.replied)))
+        search.missing().is_empty()
+    }
+
+    /// The flows whose search the missing agents are to be asked for again.
+    pub(super) fn due(&mut self, now: Timestamp) -> Vec<FlowKey> {
+        let due = self.active.iter_mut();
+        due.filter_map(|(flow, search)| search.is_due(now).then_some(*flow))
+            .collect()
     }
 
     /// Whether a packet of an unknown flow may go to the other directory agent. Records the flow if
@@ -202,9 +198,9 @@
         self.not_held.swap_remove(flow);
     }
 
-    /// Ends the search for a flow whose holder is known.
-    pub(super) fn end(&mut self, flow: &FlowKey) {
-        self.active.swap_remove(flow);
+    /// Ends the search for a flow, and returns it. `None` if there is none.
+    pub(super) fn end(&mut self, flow: &FlowKey) -> Option<Search> {
+        self.active.swap_remove(flow)
     }
 
     /// Removes the flows recorded as not held. The caller does this for a new incarnation of the
@@ -223,9 +219,3 @@
             .retain(|_, at| now.since(*at) < NOT_HELD_LIFETIME);
     }
 }
-
-/// Those of `holders` that aren't in `replied`.
-fn missing(holders: &[InstanceId], replied: &[InstanceId]) -> Vec<InstanceId> {
-    let missing = holders.iter().filter(|id| !replied.contains(id));
-    missing.copied().collect()
-}
--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -3,6 +3,7 @@
 use crate::flow::agent::AgentAction;
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::DropReason;
+use crate::flow::agent::search::Search;
 use crate::flow::key::FlowKey;
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
@@ -75,19 +76,13 @@
         self.flush_searches(now, actions);
     }
 
-    /// The other agents that may hold a flow.
-    fn other_holders(&self, now: Timestamp, flow: &FlowKey, class: WorkClass) -> Vec<InstanceId> {
-        let holders = self.may_hold(now, flow, class);
-        holders.filter(|id| *id != self.options.own).collect()
-    }
-
     fn has_complete_table(&self, id: InstanceId) -> bool {
         self.agents.record(id).is_some_and(|it| it.complete)
     }
 
     /// Starts or repeats a search among the agents that may hold a flow, and adds queries for those
-    /// with a complete table. Returns the agents to ask. If there is no other agent, the service
-    /// doesn't hold the flow.
+    /// with a complete table. Returns the agents to ask; none if they were asked a moment ago. If
+    /// there is no other agent, the service doesn't hold the flow.
     fn begin_search(
         &mut self,
         now: Timestamp,
@@ -96,58 +91,102 @@
         class: WorkClass,
         actions: &mut Vec<AgentAction>,
     ) -> Vec<InstanceId> {
-        let holders = self.other_holders(now, &flow, class);
-        let asked = self.searches.begin(now, flow, entry, class, &holders);
-        let asked = asked.unwrap_or_default();
-        self.add_queries(entry, flow, &asked);
-        self.conclude_search(now, &flow, actions);
-        asked
+        if let Some(active) = self.searches.get_mut(&flow) {
+            active.entry = entry;
+            if !active.is_due(now) {
+                return Vec::new();
+            }
+        } else if !self.searches.insert(flow, Search::new(now, entry, class)) {
+            return Vec::new();
+        }
+        self.ask_missing(now, flow, actions)
     }
 
-    /// Adds queries for a flow to those of `agents` whose table contains every flow of their target.
-    fn add_queries(&mut self, entry: InstanceId, flow: FlowKey, agents: &[InstanceId]) {
-        for id in agents {
+    /// Ends a search that has all replies. Otherwise adds queries for the missing agents with a
+    /// complete table, and returns the missing ones.
+    fn ask_missing(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        actions: &mut Vec<AgentAction>,
+    ) -> Vec<InstanceId> {
+        self.update_holders(now, &flow);
+        if self.conclude_search(now, &flow, actions) {
+            return Vec::new();
+        }
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return Vec::new();
+        };
+        let (entry, missing) = (search.entry, search.missing());
+        for id in &missing {
             if self.has_complete_table(*id) {
                 self.searches.add_query(*id, entry, flow);
             }
         }
+        missing
+    }
+
+    /// Computes again which agents may hold a flow that is searched for, if the known agents have
+    /// changed.
+    fn update_holders(&mut self, now: Timestamp, flow: &FlowKey) {
+        let revision = self.agents.revision();
+        let outdated = self.searches.get_mut(flow);
+        let Some(class) = outdated
+            .filter(|it| it.is_outdated(revision))
+            .map(|it| it.class)
+        else {
+            return;
+        };
+        let holders = self.other_holders(now, flow, class);
+        if let Some(search) = self.searches.get_mut(flow) {
+            search.set_holders(holders, revision);
+        }
     }
 
     /// Reports to the entry that asked for a flow that the service doesn't hold it, if all agents
-    /// that may hold it have replied.
-    pub(super) fn conclude_search(
+    /// that may hold it have replied. Returns whether the search has ended.
+    fn conclude_search(
         &mut self,
         now: Timestamp,
         flow: &FlowKey,
         actions: &mut Vec<AgentAction>,
-    ) {
+    ) -> bool {
+        let is_missing = |it: &mut Search| !it.missing().is_empty();
         // A search among only some of the agents can't prove that a flow is gone.
-        if !self.knows_every_agent(now) {
-            return;
+        if !self.knows_every_agent(now) || self.searches.get_mut(flow).is_none_or(is_missing) {
+            return false;
         }
-        let Some(class) = self.searches.class(flow) else {
-            return;
-        };
-        let holders = self.other_holders(now, flow, class);
-        if let Some(entry) = self.searches.conclude(flow, &holders)
+        let ended = self.searches.end(flow);
+        if let Some(search) = ended
             && self.flows.peek(flow).is_none()
         {
-            self.report(now, entry, *flow, Verdict::NotHeld, actions);
+            self.report(now, search.entry, *flow, Verdict::NotHeld, actions);
+        }
+        true
+    }
+
+    /// Handles another agent's message that its target doesn't hold flows that this agent searches.
+    /// Reports the flows that no agent holds to the entry that asked for them.
+    pub fn on_not_held(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        flows: &[FlowKey],
+        actions: &mut Vec<AgentAction>,
+    ) {
+        for flow in flows {
+            if self.searches.on_not_held(from, flow) {
+                self.update_holders(now, flow);
+                self.conclude_search(now, flow, actions);
+            }
         }
     }
 
     /// Asks the agents again that haven't replied to a search, and ends searches whose missing
     /// agents are gone.
     pub(super) fn review_searches(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
-        for flow in self.searches.flows() {
-            self.conclude_search(now, &flow, actions);
-            let Some(class) = self.searches.class(&flow) else {
-                continue;
-            };
-            let holders = self.other_holders(now, &flow, class);
-            if let Some((entry, missing)) = self.searches.due(now, &flow, &holders) {
-                self.add_queries(entry, flow, &missing);
-            }
+        for flow in self.searches.due(now) {
+            self.ask_missing(now, flow, actions);
         }
     }
 }
--- a/marigoldway-core/src/flow/candidates.rs
+++ b/marigoldway-core/src/flow/candidates.rs
@@ -88,6 +88,56 @@
         found
     }
 
+    /// Whether an agent is among those that may hold an open flow. It takes the steps of a walk to
+    /// that agent, where [`may_hold`](Agents::may_hold) may have to walk past all agents.
+    pub fn may_be_held_by(
+        &self,
+        id: InstanceId,
+        hash: u64,
+        class: WorkClass,
+        horizon: u64,
+    ) -> bool {
+        let Some(record) = self.record(id) else {
+            return false;
+        };
+        let Some(agents) = self.service(record.service) else {
+            return false;
+        };
+        let Some(started_at) = record.started_at else {
+            return true;
+        };
+        let ages = AgeClasses::new(horizon, agents.oldest_start());
+        let age = ages.class(started_at);
+        let near = agents.domains.get(&record.domain);
+        let near = near.filter(|_| class.is_bulk());
+        agents.strays.contains(&id)
+            || self.is_early(&agents.ring, hash, CANDIDATES, id, |it| {
+                ages.class(it) <= age
+            })
+            || near.is_some_and(|ring| {
+                self.is_early(ring, hash, DOMAIN_CANDIDATES, id, |it| {
+                    ages.class(it) <= age
+                })
+            })
+    }
+
+    /// Whether fewer than `count` serving targets of which `counts` is true, by their start time,
+    /// precede the agent `id` on a ring.
+    fn is_early(
+        &self,
+        ring: &Ring,
+        hash: u64,
+        count: usize,
+        id: InstanceId,
+        counts: impl Fn(u64) -> bool,
+    ) -> bool {
+        let before = ring.walk(hash).take_while(|other| *other != id);
+        let preceding = before
+            .filter_map(|other| self.record(other))
+            .filter(|it| it.state == TargetState::Serving && it.started_at.is_some_and(&counts));
+        preceding.take(count).count() < count
+    }
+
     /// The other agents that may search for a flow that the agent of `record` may hold: the directory
     /// agents of the flows for which it is a candidate. They have to know the agent before it holds
     /// a flow. Their number doesn't grow with the service.
--- a/marigoldway/tests/common/mod.rs
+++ b/marigoldway/tests/common/mod.rs
@@ -261,7 +261,9 @@
         let index = self.targets.len();
         let ip = self.allocate_ip();
         let slots = service.slots.to_string();
-        let listen = format!("{ip}:0");
+        // Drawn like the agent's ports: the system may assign one of these to a target that asks
+        // for any port.
+        let listen = SocketAddrV4::new(ip, free_port(ip)).to_string();
         let args = [
             "target",
             "--listen",
