--- a/marigoldway-standin/src/packets/target.rs
+++ b/marigoldway-standin/src/packets/target.rs
@@ -119,9 +119,11 @@
         checker: Rc<Checker>,
     ) -> io::Result<Rc<Target>> {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let socket = bind(async || UdpSocket::bind(options.app).await).await?;
+        let health = bind(async || TcpListener::bind(options.app).await).await?;
         let target = Rc::new(Target {
-            socket: RefCell::new(Some(Rc::new(bind(options.app).await?))),
-            health: RefCell::new(Some(listen(options.app).await?)),
+            socket: RefCell::new(Some(Rc::new(socket))),
+            health: RefCell::new(Some(health)),
             options,
             flows: RefCell::default(),
             queue: RefCell::default(),
@@ -364,24 +366,11 @@
     }
 }
 
-/// Binds the address, and retries while the former target still uses it.
-async fn bind(addr: SocketAddrV4) -> io::Result<UdpSocket> {
+/// Binds an address by `bind`, and retries while the former target still uses it.
+async fn bind<T>(bind: impl AsyncFn() -> io::Result<T>) -> io::Result<T> {
     let end = time::Instant::now() + BIND_TIMEOUT;
     loop {
-        match UdpSocket::bind(addr).await {
-            Err(err) if err.kind() == ErrorKind::AddrInUse && time::Instant::now() < end => {
-                time::sleep(TICK).await;
-            }
-            result => return result,
-        }
-    }
-}
-
-/// Listens at the address, and retries while the former target still uses it.
-async fn listen(addr: SocketAddrV4) -> io::Result<TcpListener> {
-    let end = time::Instant::now() + BIND_TIMEOUT;
-    loop {
-        match TcpListener::bind(addr).await {
+        match bind().await {
             Err(err) if err.kind() == ErrorKind::AddrInUse && time::Instant::now() < end => {
                 time::sleep(TICK).await;
             }
