Take an agent whose mark is gone for gone at once, and log whom searches wait for

Cause: the store tells of the two deletions of one transaction in the order of the keys; the mark's came before the record's, which left the agent known for 2.5 s more.

Change: a deleted mark removes the agent, registered or not. A search that knew nobody when it began asks as soon as it does. search-waits names the missing agents.

--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -45,6 +45,8 @@
     ToDirectory(InstanceId, DirectoryUpdate),
     /// Ask another agent which of these flows its target holds, on behalf of an entry.
     Query(InstanceId, InstanceId, Vec<FlowKey>),
+    /// Log that these agents haven't replied to a search for a flow, and are asked again.
+    SearchWaits(FlowKey, Vec<InstanceId>),
     /// Tell a searching agent that the target doesn't hold these flows.
     ToSearcher(InstanceId, Vec<FlowKey>),
     /// Announce this agent to other agents.
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -95,9 +95,10 @@
         missing.copied().collect()
     }
 
-    /// Whether the missing agents are to be asked again. If so, notes that they are asked now.
+    /// Whether the missing agents are to be asked again, or for the first time, since none was known
+    /// yet. If so, notes that they are asked now.
     pub(super) fn is_due(&mut self, now: Timestamp) -> bool {
-        let due = now.since(self.asked_at) >= SEARCH_TIMEOUT;
+        let due = self.holders.is_empty() || now.since(self.asked_at) >= SEARCH_TIMEOUT;
         if due {
             self.asked_at = now;
         }
--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -186,7 +186,10 @@
     /// agents are gone.
     pub(super) fn review_searches(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
         for flow in self.searches.due(now) {
-            self.ask_missing(now, flow, actions);
+            let missing = self.ask_missing(now, flow, actions);
+            if !missing.is_empty() {
+                actions.push(AgentAction::SearchWaits(flow, missing));
+            }
         }
     }
 }
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -776,6 +776,7 @@
                     self.received.push((reset.flow, Received::Reset(reset.seq)));
                 }
                 AgentAction::Queue
+                | AgentAction::SearchWaits(..)
                 | AgentAction::Release(_)
                 | AgentAction::TimedOut(_)
                 | AgentAction::Request(_)
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -68,6 +68,7 @@
                     self.node.send_client(&self.outbound, client, &reset_packet);
                 }
                 AgentAction::Queue
+                | AgentAction::SearchWaits(..)
                 | AgentAction::Request(_)
                 | AgentAction::Answered(..)
                 | AgentAction::Unanswered(_)
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -57,10 +57,8 @@
                 None => match agents::presence_id(&key) {
                     Some(id) if id == own => self.presence_written.set(false),
                     // The agent has removed both keys, or hasn't lived for long.
-                    Some(id) if !flows.agents().is_registered(id) => {
-                        flows.agents_mut().remove(id);
-                    }
-                    Some(_) | None => {}
+                    Some(id) => flows.agents_mut().remove(id),
+                    None => {}
                 },
             },
             StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
--- a/marigoldway/src/packets/agent/log_actions.rs
+++ b/marigoldway/src/packets/agent/log_actions.rs
@@ -20,6 +20,12 @@
             AgentAction::SendHello(..) => return self.node.count("peers-greeted"),
             AgentAction::Query(..) => return self.node.count("flows-inquired"),
             AgentAction::ToSearcher(..) => return self.node.count("flows-lacked"),
+            AgentAction::SearchWaits(flow, agents) => {
+                let event = "search-waits";
+                self.node.count(event);
+                let missing: Vec<String> = agents.iter().map(|id| id.0.to_string()).collect();
+                return self.log_flow(event, flow, &format!("missing={}", missing.join(",")));
+            }
             AgentAction::Release(release) => {
                 let event = "request-released";
                 self.node.count(event);
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -152,9 +152,7 @@
                 if let Some(id) = agents::key_id(&key) {
                     log::info!("event=agent-unlisted agent={id}");
                     flows.unregister_agent(now, id);
-                } else if let Some(id) = agents::presence_id(&key)
-                    && !flows.agents().is_registered(id)
-                {
+                } else if let Some(id) = agents::presence_id(&key) {
                     // The agent has removed both keys, or hasn't lived for long.
                     flows.remove_agent(id);
                 }
