Leave vacant agents out of searches, and take a target's start over from the record

Cause: an agent that had no heartbeat yet counted as one that may hold any flow.

Change: records say whether an agent is vacant (its target has left, or none was running when the process started); a vacant one holds nothing. Before its target's first heartbeat a process announces the start time that its own record in the store holds.

--- a/marigoldway-core/benches/candidates.rs
+++ b/marigoldway-core/benches/candidates.rs
@@ -40,6 +40,7 @@
         complete: true,
         started_at: Some(number),
         strays: false,
+        vacant: false,
     }
 }
 
--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -133,6 +133,8 @@
     unannounced: bool,
     /// Whether no target was running when the process started.
     found_no_target: bool,
+    /// Start time of the target that an earlier process of this agent served, in Unix milliseconds.
+    inherited_start: Option<u64>,
     /// Until when the record says that the target may hold strays: flows that other processes
     /// don't look for here.
     stray_until: Option<Timestamp>,
@@ -169,6 +171,7 @@
             joining: false,
             unannounced: false,
             found_no_target: false,
+            inherited_start: None,
             stray_until: None,
             checked_revision: 0,
             slot_queue: SlotQueue::default(),
--- a/marigoldway-core/src/flow/agent/listing.rs
+++ b/marigoldway-core/src/flow/agent/listing.rs
@@ -20,11 +20,7 @@
             let lacks_own = |list: &[AgentRecord]| list.iter().all(|it| it.id != self.options.own);
             self.joining = lacks_own(records);
             self.unannounced = self.joining && lacks_own(presence);
-            let own = records.iter().chain(presence);
-            let strays = own
-                .filter(|it| it.id == self.options.own)
-                .any(|it| it.strays);
-            self.inherit_strays(now, strays);
+            self.inherit_listed(now, records, presence);
             self.update_number(now);
         }
         self.agents.replace(now, records);
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -28,6 +28,7 @@
     service: NameKey,
     complete: bool,
     started_at: Option<u64>,
+    vacant: bool,
     strays: bool,
 }
 
@@ -45,7 +46,8 @@
                 state: load.state,
                 slots: load.slots,
                 complete: self.is_complete(now),
-                started_at: self.target.current().map(|it| it.started_at),
+                started_at: self.target_start(),
+                vacant: self.is_vacant(),
                 strays: self.has_strays(now),
             },
             load,
@@ -90,6 +92,7 @@
             service: record.service,
             complete: record.complete,
             started_at: record.started_at,
+            vacant: record.vacant,
             strays: record.strays,
         };
         if self.published == Some(published) {
@@ -129,10 +132,21 @@
         }
     }
 
-    /// Whether no target has run beside this process so far, nor a target of an earlier process
-    /// that still lives.
-    pub fn is_without_target(&self) -> bool {
-        self.found_no_target && self.target.incarnations() == 0
+    /// Whether there is no target that holds a flow: it has announced its end, or none was running
+    /// when this process started, and no other one has started since.
+    pub fn is_vacant(&self) -> bool {
+        let has_left = self.target.incarnations() > 0;
+        self.target.current().is_none() && (has_left || self.found_no_target)
+    }
+
+    /// Start time of the target, in Unix milliseconds. Before its first heartbeat, that of the target
+    /// that an earlier process of this agent served.
+    fn target_start(&self) -> Option<u64> {
+        match self.target.current() {
+            Some(target) => Some(target.started_at),
+            None if self.target.incarnations() == 0 => self.inherited_start,
+            None => None,
+        }
     }
 
     /// The other agents that may hold a flow of the service, as far as they are known.
@@ -195,13 +209,28 @@
         }
     }
 
-    /// Takes over from the record that an earlier process of this agent left that the target may
-    /// hold strays.
-    pub(super) fn inherit_strays(&mut self, now: Timestamp, strays: bool) {
-        if strays && !self.found_no_target {
+    /// Takes over what a record of an earlier process of this agent says of the target.
+    fn inherit(&mut self, now: Timestamp, earlier: &AgentRecord) {
+        self.inherited_start = self.inherited_start.or(earlier.started_at);
+        if earlier.strays && !self.found_no_target {
             self.stray_until = Some(now + self.options.idle_timeout);
         }
     }
+
+    /// Takes over what the store's lists of records and of presence records say of the target, if an
+    /// earlier process of this agent left a record.
+    pub(super) fn inherit_listed(
+        &mut self,
+        now: Timestamp,
+        records: &[AgentRecord],
+        presence: &[AgentRecord],
+    ) {
+        for earlier in records.iter().chain(presence) {
+            if earlier.id == self.options.own {
+                self.inherit(now, earlier);
+            }
+        }
+    }
 }
 
 fn saturate(count: usize) -> u16 {
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -276,7 +276,7 @@
         if moved || previous.incarnation != record.incarnation {
             self.epoch += 1;
         }
-        let standing = |it: &AgentRecord| (it.state, it.started_at, it.strays);
+        let standing = |it: &AgentRecord| (it.state, it.started_at, it.vacant, it.strays);
         if moved {
             self.remove_from_service(&previous);
             self.add_to_service(&record);
--- a/marigoldway-core/src/flow/candidates.rs
+++ b/marigoldway-core/src/flow/candidates.rs
@@ -156,11 +156,8 @@
                 found.insert(other.id);
                 // Agents that may leave soon or have joined lately don't keep others from being
                 // candidates.
-                let counts = other.state == TargetState::Serving
-                    && other
-                        .started_at
-                        .is_some_and(|it| Some(it) <= record.started_at);
-                if counts {
+                let is_older = |start: u64| record.started_at.is_none_or(|own| start <= own);
+                if other.state == TargetState::Serving && other.started_at.is_some_and(is_older) {
                     passed += 1;
                     passed_near += usize::from(other.domain == record.domain);
                 }
@@ -193,6 +190,9 @@
     ) {
         let mut preceding = OldestPreceding::new(count);
         for record in ring.walk(hash).filter_map(|id| self.record(id)) {
+            if record.vacant {
+                continue;
+            }
             let Some(started_at) = record.started_at else {
                 // Of a target that hasn't sent a heartbeat yet, nothing is known.
                 found.insert(record.id);
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -245,9 +245,12 @@
     /// so if the agent process is as old as the target, or older than the lifetime of
     /// a flow.
     pub complete: bool,
-    /// Start time of the target by its own clock, in Unix milliseconds. `None` while this
-    /// process hasn't had a heartbeat of a target.
+    /// Start time of the target by its own clock, in Unix milliseconds. `None` while nothing
+    /// is known of a target. A process that hasn't had a heartbeat yet takes the time over from
+    /// the record of an earlier process of the agent.
     pub started_at: Option<u64>,
+    /// Whether the agent is known to have no target, and so holds no flow.
+    pub vacant: bool,
     /// Whether the target may hold flows for which other processes don't count the agent
     /// among those that may hold them.
     pub strays: bool,
--- a/marigoldway-core/tests/flow/candidates.rs
+++ b/marigoldway-core/tests/flow/candidates.rs
@@ -40,6 +40,7 @@
         complete: true,
         started_at: Some(started_at),
         strays: false,
+        vacant: false,
     }
 }
 
@@ -181,6 +182,22 @@
     assert!(strays.count() < 100);
 }
 
+#[test]
+fn may_hold_leaves_out_agents_without_a_target() {
+    let mut agents = agents(100);
+    let vacant = AgentRecord {
+        state: TargetState::Absent,
+        started_at: None,
+        vacant: true,
+        number: 2,
+        ..record(7, 1)
+    };
+    agents.register(vacant);
+    for hash in hashes() {
+        assert!(!may_hold(&agents, hash, WorkClass::Safe).contains(&id(7)));
+    }
+}
+
 #[test]
 fn searchers_are_the_directory_agents_of_the_flows_that_an_agent_may_receive() {
     for count in [100, 3_000] {
--- a/marigoldway-net/src/wire/agents.rs
+++ b/marigoldway-net/src/wire/agents.rs
@@ -39,6 +39,8 @@
     #[serde(default)]
     started_at: Option<u64>,
     #[serde(default)]
+    vacant: bool,
+    #[serde(default)]
     strays: bool,
 }
 
@@ -123,6 +125,7 @@
             slots: record.slots,
             complete: record.complete,
             started_at: record.started_at,
+            vacant: record.vacant,
             strays: record.strays,
         }
     }
@@ -148,6 +151,7 @@
             slots: stored.slots,
             complete: stored.complete,
             started_at: stored.started_at,
+            vacant: stored.vacant,
             strays: stored.strays,
         })
     }
--- a/marigoldway-net/src/wire/flows/layout.rs
+++ b/marigoldway-net/src/wire/flows/layout.rs
@@ -120,6 +120,8 @@
     pub(super) complete: u8,
     /// 1 if the target may hold flows that other processes don't look for at the agent.
     pub(super) strays: u8,
+    /// 1 if the agent is known to have no target.
+    pub(super) vacant: u8,
     /// Start time of the target in Unix milliseconds, or 0 if it isn't known.
     pub(super) started_at: U64,
     pub(super) load: WireLoad,
@@ -321,6 +323,7 @@
             domain: hello.record.domain.0.into(),
             complete: u8::from(hello.record.complete),
             strays: u8::from(hello.record.strays),
+            vacant: u8::from(hello.record.vacant),
             started_at: hello.record.started_at.unwrap_or(0).into(),
             load: WireLoad::from(&hello.load),
             version: hello.version.into(),
@@ -344,6 +347,7 @@
                 slots: load.slots,
                 complete: wire.complete == 1,
                 strays: wire.strays == 1,
+                vacant: wire.vacant == 1,
                 started_at: Some(wire.started_at.get()).filter(|it| *it > 0),
             },
             load,
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -120,12 +120,14 @@
 
 fn arb_record() -> impl Strategy<Value = AgentRecord> {
     let names = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
-    let flags = (any::<bool>(), any::<bool>(), prop::option::of(1..u64::MAX));
+    let bits = (any::<bool>(), any::<bool>(), any::<bool>());
+    let flags = (bits, prop::option::of(1..u64::MAX));
     (arb_id(), names, arb_state(), any::<u16>(), flags).prop_map(
         |(id, (incarnation, number, service, domain), state, slots, flags)| AgentRecord {
-            complete: flags.0,
-            strays: flags.1,
-            started_at: flags.2,
+            complete: flags.0.0,
+            strays: flags.0.1,
+            vacant: flags.0.2,
+            started_at: flags.1,
             id,
             incarnation,
             number,
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -95,12 +95,9 @@
         self.record_dirty.notify_one();
     }
 
-    /// Whether there is no target: it has announced its end, or there was none when this process
-    /// started, and no other one has started since.
+    /// Whether there is no target that holds a flow.
     pub(crate) fn has_no_target(&self) -> bool {
-        let flows = self.flows.borrow();
-        let has_left = flows.target().current().is_none() && flows.target().incarnations() > 0;
-        has_left || flows.is_without_target()
+        self.flows.borrow().is_vacant()
     }
 
     /// Whether the process is leaving and has never heard of a target.
