--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -34,7 +34,7 @@
 
 impl Sources {
     /// The source of the next read: the first of the followers that didn't fail lately. The store
-    /// if there is none, or if [`MAX_FAILURES`] followers have failed one after the other.
+    /// if there is none, or if `MAX_FAILURES` followers have failed one after the other.
     pub fn next(&mut self, now: Timestamp, followers: &[InstanceId]) -> Source {
         self.failed.retain(|_, at| now.since(*at) < RETRY_AFTER);
         if self.failures >= MAX_FAILURES {
