Send a client's packet to the holders though the search was just repeated

Cause: a search asks again each 300 ms, and a client's packet went to the agents whose targets alone know the flow only if nobody had been asked for 300 ms: never again after the first round. A flow whose first packets came before its directory agents had read the list was found only once the search had expired, 3 s later.

Change: packets have a time of their own. Replicas are kept by prefix in a map.

--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -52,6 +52,8 @@
     since: Timestamp,
     /// When the agents were last asked.
     asked_at: Timestamp,
+    /// When a packet of the flow was last sent to those whose targets alone know the flow.
+    packet_at: Option<Timestamp>,
     /// Agents that may hold the flow, as of `revision`.
     holders: Vec<InstanceId>,
     /// Revision of the known agents from which `holders` was computed.
@@ -69,6 +71,7 @@
         Search {
             since: now,
             asked_at: now,
+            packet_at: None,
             holders: Vec::new(),
             revision: 0,
             replied: Vec::new(),
@@ -95,6 +98,22 @@
         missing.copied().collect()
     }
 
+    /// Whether a packet of the flow is to be sent to the missing agents, since none was sent within
+    /// `SEARCH_TIMEOUT`. If so, notes that they are asked now.
+    pub(super) fn takes_packet(&mut self, now: Timestamp) -> bool {
+        let sent = self.packet_at;
+        let due = sent.is_none_or(|at| now.since(at) >= SEARCH_TIMEOUT);
+        if due {
+            self.asked_at = now;
+        }
+        due
+    }
+
+    /// Notes that a packet of the flow is sent to the missing agents.
+    pub(super) fn on_packet(&mut self, now: Timestamp) {
+        self.packet_at = Some(now);
+    }
+
     /// Whether the missing agents are to be asked again, or for the first time, since none was known
     /// yet. If so, notes that they are asked now.
     pub(super) fn is_due(&mut self, now: Timestamp) -> bool {
--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -47,6 +47,9 @@
         if incomplete.is_empty() {
             return actions.push(AgentAction::Drop(DropReason::Searched));
         }
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.on_packet(now);
+        }
         actions.push(AgentAction::ToAgents(incomplete, *header));
     }
 
@@ -93,7 +96,7 @@
     ) -> Vec<InstanceId> {
         if let Some(active) = self.searches.get_mut(&flow) {
             active.entry = entry;
-            if !active.is_due(now) {
+            if !active.takes_packet(now) {
                 return Vec::new();
             }
         } else if !self.searches.insert(flow, Search::new(now, entry, class)) {
--- a/marigoldway-core/tests/flow/holders.rs
+++ b/marigoldway-core/tests/flow/holders.rs
@@ -224,6 +224,42 @@
     }
 }
 
+/// The load of the moment after all processes were killed: clients repeat their packets while agents
+/// read the list. Only the targets know the flows, so a packet has to reach them.
+#[test]
+fn flows_are_found_though_agents_read_the_list_late() {
+    let mut fleet = aged_fleet(16, 40);
+    let opened = open_all(&mut fleet);
+    let stored = fleet.records();
+    fleet.now = fleet.now + Duration::from_secs(1);
+    for n in 1..=40 {
+        restart(&mut fleet, n, false);
+    }
+    for n in 0..2 {
+        fleet.restart_entry_with(n, &stored);
+    }
+    let mut answered = vec![false; opened.len()];
+    for round in 0..7 {
+        if round == 2 {
+            for n in 1..=40 {
+                let node = fleet.agents.get_mut(&agent_id(n)).unwrap();
+                node.flows.on_list(fleet.now, &stored, &[]);
+            }
+            fleet.tick();
+        }
+        for ((client, origin), answered) in opened.iter().zip(&mut answered) {
+            *answered |= fleet.talk(1, flow(*client, 443), *origin);
+        }
+        for _ in 0..2 {
+            fleet.now = fleet.now + Duration::from_millis(100);
+            fleet.tick();
+        }
+    }
+    let unanswered = answered.iter().filter(|it| !**it).count();
+    assert_eq!(unanswered, 0, "of {}", opened.len());
+    assert_eq!(resets(&fleet, &opened), vec![0; opened.len()]);
+}
+
 /// An agent that holds a flow outside the rule announces it, also after a restart of its process.
 #[test]
 fn stray_flow_is_found_after_all_processes_ended() {
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use indexmap::IndexMap;
 use tokio::time;
 
 use marigoldway_core::replica::Change;
@@ -26,7 +27,7 @@
 /// `Replicas` holds the replica of each prefix that a follower serves. Other processes have none.
 #[derive(Debug, Default)]
 pub(crate) struct Replicas {
-    replicas: RefCell<Vec<(&'static str, Replica)>>,
+    replicas: RefCell<IndexMap<&'static str, Replica>>,
 }
 
 impl Replicas {
@@ -35,7 +36,7 @@
     pub(crate) fn answer(&self, now: Timestamp, path: &str) -> Option<Bytes> {
         let (prefix, after) = wire::replica::parse_path(path)?;
         let replicas = self.replicas.borrow();
-        let (_, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(it))?;
+        let (_, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
         let answer = replica.answer(now, prefix, after)?;
         match wire::replica::encode(&answer) {
             Ok(body) => Some(Bytes::from(body)),
@@ -47,13 +48,7 @@
     }
 
     fn update(&self, prefix: &'static str, update: impl FnOnce(&mut Replica)) {
-        let mut replicas = self.replicas.borrow_mut();
-        let index = replicas.iter().position(|(it, _)| *it == prefix);
-        let index = index.unwrap_or_else(|| {
-            replicas.push((prefix, Replica::default()));
-            replicas.len() - 1
-        });
-        update(&mut replicas[index].1);
+        update(self.replicas.borrow_mut().entry(prefix).or_default());
     }
 }
 
