--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -33,7 +33,7 @@
 impl AgentFlows {
     /// Handles an opening packet: sends it to the target, forwards it to another agent, or refuses
     /// it. If the target is silent and there is another agent, the packet is forwarded, and from time
-    /// to time also goes to the target as a trial.
+    /// to time also goes to the target, to find out whether it answers again.
     pub(super) fn open(
         &mut self,
         now: Timestamp,
