--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file's program and run review/build.sh first" >&2
     exit 2
 fi
-exec target/review/standin stale-entry "${RECORD:-review/2/record.txt}"
+exec target/review/standin stale-entry "${RECORD:-review/1/record.txt}"
