--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -23,9 +23,6 @@
 /// Time that a request runs.
 const WORK_TIME: Duration = Duration::from_millis(26);
 
-/// Maximum distance of an acknowledgement from the first octet that the endpoint sent.
-const MAX_FLOW_LEN: u32 = 1 << 25;
-
 /// Number of retransmissions after which the endpoint gives a flow up.
 const MAX_RETRANSMITS: u32 = 8;
 
@@ -148,7 +145,11 @@
             return self.on_open(&packet, key);
         }
         let mut flows = self.lock();
-        let fits = |it: &&mut Flow| packet.ack.wrapping_sub(it.isn) < MAX_FLOW_LEN;
+        // A half-open flow opens only by an acknowledgement of its own sequence number.
+        let fits = |it: &&mut Flow| {
+            let acked = packet.ack.wrapping_sub(it.isn);
+            acked > 0 && acked <= it.next.wrapping_sub(it.isn)
+        };
         let Some(flow) = flows.get_mut(&key).filter(fits) else {
             drop(flows);
             let mut bounced = octets.to_vec();
