Reset an open flow only after its routes are confirmed

Cause: an entry took its configuration for current for 15 s after any answer of the store, and reset every packet to an address without a route by it. That the routes were the newest ones some time ago doesn't tell whether they are newer than the flow: its entry may have learnt of the route since. The conclusion that nobody holds a flow rests on the same flag: a newer configuration may have given the address to another service.

Change: EntryFlows keeps the time as of which its routes are known to be the newest. A packet that isn't the first of its flow is kept until they are confirmed for a time after the flow's first packet; then its flow is reset, or the packet goes on by the newer route. The same holds for nobody-holds.

--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -59,6 +60,9 @@
     /// the maximum lifetime of a flow. The idle timeout of the routes applies if it is
     /// longer.
     pub idle_timeout: Duration,
+    /// Time within which a change of the configuration takes effect. The entry resets new flows to
+    /// addresses without a route as long as its routes were the newest ones this long ago.
+    pub apply_limit: Duration,
     /// Seed of the random draws among agents.
     pub seed: u64,
 }
@@ -75,6 +79,8 @@
     Located { agent: InstanceId, service: NameKey },
     /// The flow is open, and no agent is known to hold it.
     Locating(Locating),
+    /// The flow may be open, but its address has had no route here since this time.
+    Unrouted(Timestamp),
 }
 
 /// `EntryFlows` decides how an entry handles packets from clients.
@@ -82,8 +88,11 @@
 pub struct EntryFlows {
     options: EntryOptions,
     routes: Option<Arc<Routes>>,
-    /// Whether `routes` is known to be the configuration in force.
-    current: bool,
+    /// Latest time at which `routes` is known to have been the newest configuration, or `None`
+    /// before the first confirmation.
+    confirmed: Option<Timestamp>,
+    /// Flows that no target holds under `routes`, until these are confirmed.
+    unconfirmed: IndexSet<FlowKey>,
     agents: Agents,
     views: AgentViews,
     addr_services: AddrServices,
@@ -97,7 +106,8 @@
         EntryFlows {
             options,
             routes: None,
-            current: false,
+            confirmed: None,
+            unconfirmed: IndexSet::new(),
             agents: Agents::default(),
             views: AgentViews::default(),
             addr_services: AddrServices::new(options.idle_timeout),
@@ -141,11 +151,30 @@
         true
     }
 
-    /// Sets whether the routes are known to be the configuration in force. If they
-    /// are, the entry resets flows to addresses without a route at once. Otherwise it
-    /// drops their packets. Initially false.
-    pub fn set_current(&mut self, current: bool) {
-        self.current = current;
+    /// Notes that the routes in use were the newest configuration at `as_of`, according to the
+    /// store. Returns the resets of flows that are known to be gone by this.
+    pub fn confirm_routes(&mut self, now: Timestamp, as_of: Timestamp) -> Vec<EntryAction> {
+        self.confirmed = self.confirmed.max(Some(as_of));
+        let mut resets = Vec::new();
+        for flow in std::mem::take(&mut self.unconfirmed) {
+            if let Some(reset) = self.conclude(now, &flow) {
+                resets.push(EntryAction::Reset(reset, ResetReason::NotHeld));
+            }
+        }
+        resets
+    }
+
+    /// Whether the routes in use were the newest configuration at `at` or later. Only then do they
+    /// have the route of each flow that was open at that time, unless it was dropped since.
+    fn is_confirmed_since(&self, at: Timestamp) -> bool {
+        self.confirmed >= Some(at)
+    }
+
+    /// Whether the routes in use may decide on new flows: a newer configuration doesn't have to be
+    /// in effect yet.
+    fn is_current(&self, now: Timestamp) -> bool {
+        let confirmed = self.confirmed;
+        confirmed.is_some_and(|at| now.since(at) <= self.options.apply_limit)
     }
 
     /// Applies the complete list of agents from the store. Known agents that it lacks
@@ -250,7 +279,7 @@
         };
         let flow = segment.inbound_flow();
         let Some(route) = routes.by_addr.get(&flow.server) else {
-            return self.on_unrouted(flow, segment, &routes);
+            return self.on_unrouted(now, flow, segment, &routes);
         };
         if segment.opens() {
             self.open(now, flow, route)
@@ -259,12 +288,37 @@
         }
     }
 
-    fn on_unrouted(&mut self, flow: FlowKey, segment: &Segment, routes: &Routes) -> EntryAction {
-        if !self.current || routes.partial {
+    /// Decides on a packet to an address without a route. Any packet but the first of a flow shows
+    /// that another entry may have had a route, by a newer configuration than this entry's. So the
+    /// packet is kept until the routes are confirmed for a time at which the flow was open.
+    fn on_unrouted(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        segment: &Segment,
+        routes: &Routes,
+    ) -> EntryAction {
+        if routes.partial {
             return EntryAction::Drop(DropReason::Unrouted);
         }
+        // The `ack` of an opening packet counts its earlier copies.
+        if segment.opens() && segment.ack == 0 {
+            if !self.is_current(now) {
+                return EntryAction::Drop(DropReason::Unrouted);
+            }
+            return EntryAction::Reset(Reset { flow, seq: 0 }, ResetReason::Unrouted);
+        }
+        let since = match self.flows.touch(now, &flow) {
+            Some(FlowState::Unrouted(since)) => *since,
+            _ => {
+                self.flows.insert(now, flow, FlowState::Unrouted(now));
+                now
+            }
+        };
+        if !self.is_confirmed_since(since) {
+            return EntryAction::Keep;
+        }
         self.flows.remove(&flow);
-        // An opening packet acknowledges nothing: its `ack` counts earlier copies.
         let seq = if segment.opens() { 0 } else { segment.ack };
         EntryAction::Reset(Reset { flow, seq }, ResetReason::Unrouted)
     }
@@ -337,7 +391,8 @@
                 }
             }
             Some(FlowState::Opening { tried }) if !tried.contains(&from) => tried.push(from),
-            Some(FlowState::Opening { .. } | FlowState::Locating(_)) | None => {}
+            Some(FlowState::Opening { .. } | FlowState::Locating(_) | FlowState::Unrouted(_))
+            | None => {}
         }
     }
 
--- a/marigoldway-core/src/flow/entry/actions.rs
+++ b/marigoldway-core/src/flow/entry/actions.rs
@@ -66,7 +66,8 @@
     Search(Vec<InstanceId>, WorkClass, FlowKey),
     /// Send the client a reset of the flow.
     Reset(Reset, ResetReason),
-    /// Keep the packet until the entry has started, in [`EarlyPackets`](super::EarlyPackets).
+    /// Keep the packet in [`EarlyPackets`](super::EarlyPackets) until the entry has started, or
+    /// until its routes are confirmed.
     Keep,
     /// Drop the packet.
     Drop(DropReason),
--- a/marigoldway-core/src/flow/entry/early.rs
+++ b/marigoldway-core/src/flow/entry/early.rs
@@ -1,4 +1,5 @@
-//! Keeps the packets that reach a starting entry before it has a configuration and agents.
+//! Keeps the packets that reach an entry before it has the configuration and the agents that they
+//! need: a starting entry has none yet, and another entry may lack the newest routes.
 //!
 //! After all processes have ended together, routers send the packets of all clients to entries that
 //! have just started. A client repeats a packet only after up to 1.6 s then, so a packet that is
@@ -46,11 +47,12 @@
         }
     }
 
-    /// Removes all packets, and returns those that aren't older than `PACKET_LIFETIME`.
-    pub fn take(&mut self, now: Timestamp) -> Vec<Vec<u8>> {
+    /// Removes all packets, and returns those that aren't older than `PACKET_LIFETIME`, with the
+    /// time of their arrival.
+    pub fn take(&mut self, now: Timestamp) -> Vec<(Timestamp, Vec<u8>)> {
         let packets = std::mem::take(&mut self.packets).into_values();
         let recent = packets.filter(|(at, _)| now.since(*at) <= PACKET_LIFETIME);
-        recent.map(|(_, octets)| octets).collect()
+        recent.collect()
     }
 
     /// Whether no packets are kept.
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -22,9 +22,15 @@
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
+/// Maximum number of flows that are reset as soon as the routes are confirmed. Others are reset at
+/// the client's next packet.
+const MAX_UNCONFIRMED: usize = 4_096;
+
 /// `Locating` is what an entry knows about an open flow that no agent is known to hold.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Locating {
+    /// Time of the first packet that was forwarded to a directory agent. The flow was open then.
+    since: Timestamp,
     /// Number of packets that were forwarded to directory agents.
     queries: u32,
     /// Acknowledgement number of the client's latest packet.
@@ -35,6 +41,18 @@
     not_held: Vec<NameKey>,
 }
 
+impl Locating {
+    fn new(now: Timestamp) -> Locating {
+        Locating {
+            since: now,
+            queries: 0,
+            acked: 0,
+            unknown: IndexMap::new(),
+            not_held: Vec::new(),
+        }
+    }
+}
+
 impl EntryFlows {
     /// Forwards a packet to a directory agent of each service that may hold the flow. If the flow
     /// is already known to be gone, resets it.
@@ -46,9 +64,10 @@
         acked: u32,
     ) -> EntryAction {
         let mut state = match self.flows.touch(now, &flow) {
-            Some(FlowState::Locating(state)) => std::mem::take(state),
+            Some(FlowState::Locating(state)) => state.clone(),
+            Some(FlowState::Unrouted(since)) => Locating::new(*since),
             Some(FlowState::Located { .. } | FlowState::Opening { .. }) | None => {
-                Locating::default()
+                Locating::new(now)
             }
         };
         let queries = state.queries;
@@ -129,9 +148,11 @@
 
     /// Removes a flow that no target holds, and returns the reset for its client. Returns `None` if
     /// a target may hold it: a service hasn't been searched, or this entry may not know all
-    /// services of the address.
-    fn conclude(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Reset> {
-        if !self.current || !self.agents.is_loaded() {
+    /// services of the address. A newer configuration may have assigned the address to another
+    /// service, at which the flow was opened, so the routes must be confirmed for a time at which
+    /// the flow was open.
+    pub(super) fn conclude(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Reset> {
+        if !self.agents.is_loaded() {
             return None;
         }
         let routes = self.routes.clone()?;
@@ -143,6 +164,12 @@
         if !services.iter().all(|it| state.not_held.contains(it)) {
             return None;
         }
+        if !self.is_confirmed_since(state.since) {
+            if self.unconfirmed.len() < MAX_UNCONFIRMED {
+                self.unconfirmed.insert(*flow);
+            }
+            return None;
+        }
         let seq = state.acked;
         self.flows.remove(flow);
         Some(Reset { flow: *flow, seq })
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -35,7 +35,7 @@
                 vec![agent]
             }
             Some(FlowState::Opening { tried }) => tried.clone(),
-            Some(FlowState::Locating(_)) | None => Vec::new(),
+            Some(FlowState::Locating(_) | FlowState::Unrouted(_)) | None => Vec::new(),
         };
         let service = route.service(&flow);
         let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
--- a/marigoldway-core/src/time.rs
+++ b/marigoldway-core/src/time.rs
@@ -38,6 +38,12 @@
     pub fn since(self, earlier: Timestamp) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The timestamp `span` earlier, or the origin of the clock if that is later.
+    pub fn before(self, span: Duration) -> Timestamp {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/marigoldway-core/tests/flow/early.rs
+++ b/marigoldway-core/tests/flow/early.rs
@@ -39,7 +39,8 @@
         );
     }
     early.push(at(500), &data(flow(2, 443), 7, 100), &[7]);
-    assert_eq!(early.take(at(600)), [vec![2], vec![7]]);
+    let expected = [(at(400), vec![2]), (at(500), vec![7])];
+    assert_eq!(early.take(at(600)), expected);
     assert!(early.is_empty());
 }
 
@@ -48,7 +49,7 @@
     let mut early = EarlyPackets::default();
     early.push(at(0), &syn(flow(1, 443), 0), &[1]);
     early.push(at(900), &syn(flow(2, 443), 0), &[2]);
-    assert_eq!(early.take(at(1_100)), [vec![2]]);
+    assert_eq!(early.take(at(1_100)), [(at(900), vec![2])]);
 }
 
 #[test]
@@ -57,7 +58,7 @@
     for client in 0..2_000 {
         early.push(at(0), &syn(flow(client, 443), 0), &[0; 1_200]);
     }
-    let kept: usize = early.take(at(0)).iter().map(Vec::len).sum();
+    let kept: usize = early.take(at(0)).iter().map(|it| it.1.len()).sum();
     assert!(kept < 1 << 20, "{kept} octets");
     let last = Duration::from_millis(1);
     early.push(at(0) + last, &syn(flow(1, 443), 0), &[1]);
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -48,6 +48,9 @@
 /// Idle timeout of the flow tables of entries and agents.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time within which a change of the configuration takes effect.
+pub const APPLY_LIMIT: Duration = Duration::from_secs(3);
+
 /// Minimum time between the end of an agent process and the start of the one that
 /// replaces it.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
@@ -201,6 +204,8 @@
     pub loss: u32,
     /// Probability, in percent, that a datagram is delivered again.
     pub duplication: u32,
+    /// Whether an entry learns at each packet that its routes are the newest ones.
+    pub confirms: bool,
     /// Number of questions that agents sent in searches: queries for a flow, and packets.
     pub questions: usize,
     /// Number of targets started so far. It makes their start times distinct.
@@ -223,6 +228,7 @@
             received: Vec::new(),
             loss: 0,
             duplication: 0,
+            confirms: true,
             questions: 0,
             target_starts: 0,
             queue: Vec::new(),
@@ -308,10 +314,11 @@
             domain: NameKey::from("a"),
             max_flows: 10_000,
             idle_timeout: IDLE_TIMEOUT,
+            apply_limit: APPLY_LIMIT,
             seed: self.rng.random(),
         });
         entry.set_routes(self.now, self.routes.clone());
-        entry.set_current(true);
+        entry.confirm_routes(self.now, self.now);
         entry
     }
 
@@ -539,8 +546,18 @@
         }
     }
 
+    /// Tells entry `n` that its routes were the newest ones at `as_of`.
+    pub fn confirm_routes(&mut self, n: usize, as_of: Timestamp) {
+        for action in self.entries[n].confirm_routes(self.now, as_of) {
+            self.carry_out_entry(n, None, &action);
+        }
+    }
+
     /// Delivers a client's packet to entry `n`, and then all resulting datagrams.
     pub fn send(&mut self, n: usize, segment: Segment) -> EntryAction {
+        if self.confirms {
+            self.confirm_routes(n, self.now);
+        }
         let action = self.entries[n].on_packet(self.now, &segment);
         self.carry_out_entry(n, Some(segment), &action);
         self.deliver_all();
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -12,3 +12,4 @@
 mod refused;
 mod slot_queue;
 mod target;
+mod unconfirmed;
--- a/marigoldway-core/tests/flow/refused.rs
+++ b/marigoldway-core/tests/flow/refused.rs
@@ -5,6 +5,7 @@
 use marigoldway_core::flow::entry::DropReason;
 use marigoldway_core::flow::entry::EntryAction;
 
+use crate::fleet::APPLY_LIMIT;
 use crate::fleet::Fleet;
 use crate::fleet::agent_id;
 use crate::fleet::data;
@@ -48,7 +49,10 @@
     let mut fleet = Fleet::new(3, 1, &TWO_AGENTS);
     let key = flow(1_000, 999);
     assert!(matches!(fleet.send(0, syn(key, 0)), EntryAction::Reset(..)));
-    fleet.entries[0].set_current(false);
+    fleet.confirms = false;
+    fleet.now = fleet.now + APPLY_LIMIT;
+    assert!(matches!(fleet.send(0, syn(key, 0)), EntryAction::Reset(..)));
+    fleet.now = fleet.now + Duration::from_millis(1);
     let action = fleet.send(0, syn(key, 0));
     assert_eq!(action, EntryAction::Drop(DropReason::Unrouted));
 }
--- a/marigoldway/src/cli.rs
+++ b/marigoldway/src/cli.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use error_stack::Report;
 use gumdrop::Options;
@@ -25,6 +26,7 @@
 use crate::process;
 use crate::settings;
 use crate::settings::Faults;
+use crate::settings::values;
 use crate::status;
 
 /// Exit code of a command that succeeded.
@@ -66,10 +68,10 @@
 pub enum Command {
     /// Runs an entry, a load balancer behind the routers.
     #[options(help = "run an entry with the settings in FILE")]
-    Entry(FileArgs),
+    Entry(RoleArgs),
     /// Runs an agent, the process beside a target that admits requests to it.
     #[options(help = "run an agent with the settings in FILE")]
-    Agent(FileArgs),
+    Agent(RoleArgs),
     /// Reads and changes the operators' lists: plans and allowances.
     #[options(help = "read, check, compare and put the operators' lists")]
     Lists(ListsArgs),
@@ -87,6 +89,29 @@
     Keys(KeysArgs),
 }
 
+/// Arguments of a command that runs a process.
+#[derive(Debug, Options)]
+#[options(help = "FILE is the path of the settings.")]
+pub struct RoleArgs {
+    /// Whether to print the usage text.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Whether to print the version.
+    #[options(help = "print the version")]
+    pub version: bool,
+    /// Replaces `apply-limit` of the section `[flows]`.
+    #[options(
+        no_short,
+        meta = "TIME",
+        parse(try_from_str = "duration"),
+        help = "time within which a change takes effect, for a process that forwards flows"
+    )]
+    pub apply_limit: Option<Duration>,
+    /// Path of the settings; required.
+    #[options(free, help = "path of the settings")]
+    pub file: Option<PathBuf>,
+}
+
 /// Arguments of a command that takes one file.
 #[derive(Debug, Options)]
 #[options(help = "FILE is the path of a file.")]
@@ -201,7 +226,8 @@
 impl Command {
     fn wants_version(&self) -> bool {
         match self {
-            Command::Entry(args) | Command::Agent(args) | Command::Check(args) => args.version,
+            Command::Entry(args) | Command::Agent(args) => args.version,
+            Command::Check(args) => args.version,
             Command::Lists(args) => args.version,
             Command::Status(args) => args.version,
             Command::Explain(args) => args.version,
@@ -229,8 +255,12 @@
 
 fn run(command: Command) -> ExitCode {
     match command {
-        Command::Entry(args) => run_with(args.file, "FILE", |file| run_entry(&file)),
-        Command::Agent(args) => run_with(args.file, "FILE", |file| run_agent(&file)),
+        Command::Entry(args) => {
+            run_with(args.file, "FILE", |file| run_entry(&file, args.apply_limit))
+        }
+        Command::Agent(args) => {
+            run_with(args.file, "FILE", |file| run_agent(&file, args.apply_limit))
+        }
         Command::Check(args) => run_with(args.file, "FILE", |file| check::run(&file)),
         Command::Status(args) => run_with(args.addr, "ADDR", status::run),
         Command::Explain(args) => run_explain(args),
@@ -243,19 +273,19 @@
 }
 
 /// Runs an entry. It forwards flows of packets if the settings have a `[flows]` section; otherwise
-/// it serves QUIC services.
-fn run_entry(file: &Path) -> Result<()> {
+/// it serves QUIC services, for which `apply_limit` has no meaning.
+fn run_entry(file: &Path, apply_limit: Option<Duration>) -> Result<()> {
     if settings::has_flows_section(file) {
-        return packets::entry(file);
+        return packets::entry(file, apply_limit);
     }
     process::entry(file)
 }
 
 /// Runs an agent. It forwards flows of packets if the settings have a `[flows]` section; otherwise
-/// it serves a QUIC service.
-fn run_agent(file: &Path) -> Result<()> {
+/// it serves a QUIC service, for which `apply_limit` has no meaning.
+fn run_agent(file: &Path, apply_limit: Option<Duration>) -> Result<()> {
     if settings::has_flows_section(file) {
-        return packets::agent(file);
+        return packets::agent(file, apply_limit);
     }
     process::agent(file)
 }
@@ -302,6 +332,11 @@
     ExitCode::from(EXIT_FAILURE)
 }
 
+/// Parses a time with its unit. Returns what was expected if that fails.
+fn duration(text: &str) -> std::result::Result<Duration, String> {
+    values::duration(text).map_err(|expected| expected.0)
+}
+
 fn usage_error(message: &str) -> ExitCode {
     eprintln!("marigoldway: {message}\nTry marigoldway --help.");
     ExitCode::from(EXIT_USAGE)
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -48,10 +48,6 @@
 /// take a fifth of the memory.
 const FLOWS_PER_MB: usize = 1_000;
 
-/// Time after the store's last answer for which the configuration counts as current. An
-/// entry with a current configuration resets flows to addresses without a route at once.
-const CONFIG_LIFETIME: Duration = Duration::from_secs(15);
-
 /// Time that the store has to deliver a newer configuration before the entry fetches
 /// it from the process that reported its version.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
@@ -69,15 +65,12 @@
     /// Socket for packets from and to clients.
     clients: UdpSocket,
     flows: RefCell<EntryFlows>,
-    /// Packets that arrived before the entry had a configuration and agents.
+    /// Packets that wait for a configuration, for agents, or for a confirmation of the routes.
     early: RefCell<EarlyPackets>,
     /// Buffer for the datagram that is being sent.
     buffer: RefCell<Vec<u8>>,
     /// Whether any agents were learned, from the store or from a peer.
     agents_loaded: Cell<bool>,
-    /// Time of the store's last answer to a read or watch of the configuration, or `None` before
-    /// the first one.
-    config_confirmed: Cell<Option<Timestamp>>,
     /// Time of the last packet from a client.
     last_packet: Cell<Timestamp>,
     /// Whether a newer configuration is being fetched from another process.
@@ -92,6 +85,7 @@
         domain: NameKey::from(settings.domain.as_str()),
         max_flows: settings.memory as usize * FLOWS_PER_MB,
         idle_timeout: settings.lifetime,
+        apply_limit: settings.apply_limit,
         seed: rand::random(),
     };
     let entry = Rc::new(Entry {
@@ -100,7 +94,6 @@
         early: RefCell::default(),
         buffer: RefCell::new(Vec::new()),
         agents_loaded: Cell::new(false),
-        config_confirmed: Cell::new(None),
         last_packet: Cell::new(Timestamp::ZERO),
         fetching: Cell::new(false),
         node,
@@ -172,11 +165,8 @@
     loop {
         node::record_tick_delay(&entry.node, interval.tick().await);
         let now = entry.node.clock.now();
-        let current = entry.config_confirmed.get();
-        let current = current.is_some_and(|at| now.since(at) < CONFIG_LIFETIME);
-        let mut flows = entry.flows.borrow_mut();
-        flows.set_current(current);
-        for agent in flows.tick(now) {
+        let probes = entry.flows.borrow_mut().tick(now);
+        for agent in probes {
             entry.node.send(agent.0, &flows::encode_probe());
         }
     }
@@ -210,12 +200,18 @@
     fn on_packet(&self, datagram: &[u8]) {
         let now = self.node.clock.now();
         self.last_packet.set(now);
+        self.forward(now, datagram);
+    }
+
+    /// Forwards a packet that arrived at `arrived`, or keeps it.
+    fn forward(&self, arrived: Timestamp, datagram: &[u8]) {
+        let now = self.node.clock.now();
         let Some(segment) = packet::decode(datagram) else {
             return self.node.count("packet-unreadable");
         };
         let action = self.flows.borrow_mut().on_packet(now, &segment);
         if action == EntryAction::Keep {
-            self.early.borrow_mut().push(now, &segment, datagram);
+            self.early.borrow_mut().push(arrived, &segment, datagram);
         }
         // An opening packet acknowledges nothing: its `ack` counts earlier copies.
         let copy = if segment.opens() { segment.ack } else { 0 };
@@ -223,15 +219,15 @@
         self.execute(datagram, action);
     }
 
-    /// Handles the packets that arrived before the entry could forward any.
+    /// Handles the packets that were kept, after the entry has learned something new.
     fn forward_early(&self) {
         if self.early.borrow().is_empty() || self.flows.borrow().is_starting() {
             return;
         }
         let packets = self.early.borrow_mut().take(self.node.clock.now());
         log::info!("event=early-packets count={}", packets.len());
-        for packet in packets {
-            self.on_packet(&packet);
+        for (arrived, packet) in packets {
+            self.forward(arrived, &packet);
         }
     }
 
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -7,6 +7,7 @@
 
 use tokio::time;
 
+use marigoldway_core::flow::entry::EntryAction;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::followers::followers;
@@ -104,10 +105,7 @@
             StoreEvent::Put(_) | StoreEvent::Deleted(..) | StoreEvent::Unreachable => None,
             StoreEvent::UpToDate(age) => {
                 let now = self.node.clock.now();
-                let confirmed = now.as_micros().saturating_sub(age.as_micros() as u64);
-                let confirmed = Some(Timestamp::from_micros(confirmed));
-                self.config_confirmed
-                    .set(self.config_confirmed.get().max(confirmed));
+                self.confirm_routes(now, now.before(age));
                 None
             }
         };
@@ -120,6 +118,18 @@
         }
     }
 
+    /// Notes that the routes were the newest ones at `as_of`, and resets the flows that are known to
+    /// be gone by this.
+    fn confirm_routes(&self, now: Timestamp, as_of: Timestamp) {
+        let resets = self.flows.borrow_mut().confirm_routes(now, as_of);
+        for action in resets {
+            if let EntryAction::Reset(reset, _) = &action {
+                self.log_action(now, &reset.flow, 0, &action);
+            }
+            self.execute(&[], action);
+        }
+    }
+
     /// Applies a change of the agents' keys in the store.
     pub(super) fn on_agents(&self, event: StoreEvent) {
         let now = self.node.clock.now();
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -22,6 +22,7 @@
 mod store;
 
 use std::path::Path;
+use std::time::Duration;
 
 use error_stack::ResultExt;
 use tokio::runtime::Builder;
@@ -36,20 +37,25 @@
 use crate::settings::FlowSettings;
 
 /// Runs a packet entry with the settings in `file`, until it has left after SIGTERM or SIGINT.
-/// Fails if the settings are invalid or the entry can't start.
-pub fn entry(file: &Path) -> Result<()> {
+/// `apply_limit`, if given, replaces the setting of that name. Fails if the settings are invalid or
+/// the entry can't start.
+pub fn entry(file: &Path, apply_limit: Option<Duration>) -> Result<()> {
     run_role("entry", async |signals| {
-        let settings = FlowSettings::load(file).map_err(settings_error)?;
+        let mut settings = FlowSettings::load(file).map_err(settings_error)?;
+        settings.apply_limit = apply_limit.unwrap_or(settings.apply_limit);
         log_start("entry", &settings)?;
         entry::run(settings, file.to_owned(), signals).await
     })
 }
 
 /// Runs a packet agent with the settings in `file`, until it has left after SIGTERM or SIGINT.
-/// Fails if the settings are invalid or the agent can't start.
-pub fn agent(file: &Path) -> Result<()> {
+/// `apply_limit`, if given, replaces the setting of that name. Fails if the settings are invalid or
+/// the agent can't start.
+pub fn agent(file: &Path, apply_limit: Option<Duration>) -> Result<()> {
     run_role("agent", async |signals| {
-        let settings = FlowAgentSettings::load(file).map_err(settings_error)?;
+        let mut settings = FlowAgentSettings::load(file).map_err(settings_error)?;
+        let limit = &mut settings.shared.apply_limit;
+        *limit = apply_limit.unwrap_or(*limit);
         log_start("agent", &settings.shared)?;
         agent::run(settings, file.to_owned(), signals).await
     })
--- a/marigoldway/src/settings/flows.rs
+++ b/marigoldway/src/settings/flows.rs
@@ -20,6 +20,9 @@
 /// Name of the section whose presence makes a process forward flows of packets.
 pub const FLOWS_SECTION: &str = "flows";
 
+/// Default of `apply-limit`.
+pub const DEFAULT_APPLY_LIMIT: Duration = Duration::from_secs(3);
+
 /// Maximum value of `memory-mb`, in megabytes.
 const MAX_MEMORY_MB: u32 = 1 << 20;
 
@@ -52,6 +55,10 @@
     /// Time between the signal to leave and the end of the process. A leaving entry forwards packets
     /// for up to four fifths of it.
     pub grace: Duration,
+    /// Time within which a change in the platform's store takes effect at every process,
+    /// [`DEFAULT_APPLY_LIMIT`] by default. It determines how old the confirmation of what a process
+    /// has read may be.
+    pub apply_limit: Duration,
     /// Memory of the process in megabytes. It determines the maximum number of flows.
     pub memory: u32,
     /// Log level, [`DEFAULT_LEVEL`] by default.
@@ -133,6 +140,7 @@
         let heartbeat = section.required("heartbeat", values::duration);
         let lifetime = section.required("lifetime", values::duration);
         let grace = section.required("grace", values::duration);
+        let apply_limit = section.optional("apply-limit", values::duration);
         let memory = section.required("memory-mb", |text| values::number(text, 1..=MAX_MEMORY_MB));
         let log_level = section.optional("log-level", values::level);
 
@@ -148,6 +156,7 @@
             heartbeat: heartbeat?,
             lifetime: lifetime?,
             grace: grace?,
+            apply_limit: apply_limit?.unwrap_or(DEFAULT_APPLY_LIMIT),
             memory: memory?,
             log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
             platform: platform?,
--- a/marigoldway/src/settings/mod.rs
+++ b/marigoldway/src/settings/mod.rs
@@ -9,7 +9,7 @@
 mod flows;
 mod keys;
 mod sections;
-mod values;
+pub(crate) mod values;
 
 use std::path::Path;
 
@@ -17,6 +17,7 @@
 pub use crate::settings::faults::Expected;
 pub use crate::settings::faults::Fault;
 pub use crate::settings::faults::Faults;
+pub use crate::settings::flows::DEFAULT_APPLY_LIMIT;
 pub use crate::settings::flows::FLOWS_SECTION;
 pub use crate::settings::flows::FlowAgentSettings;
 pub use crate::settings::flows::FlowSettings;
--- a/marigoldway/tests/cli.rs
+++ b/marigoldway/tests/cli.rs
@@ -70,10 +70,12 @@
 
 #[test]
 fn usage_rejects_invalid_arguments() {
-    let invalid: [&[&str]; 7] = [
+    let invalid: [&[&str]; 9] = [
         &[],
         &["bogus"],
         &["entry"],
+        &["entry", "--apply-limit=3", "a"],
+        &["agent", "--apply-limit=soon", "a"],
         &["check", "a", "b"],
         &["status", "nowhere"],
         &["keys"],
