--- a/marigoldway-core/src/replica.rs
+++ b/marigoldway-core/src/replica.rs
@@ -4,7 +4,7 @@
 //! A few agents in each failure domain follow the store, and every other process reads the changes
 //! from one of them. So the number of calls to the store grows with the changes and the domains,
 //! not with the processes. The store stays the authority: a replica holds only what the store
-//! has acknowledged, in the order of the store's revisions, and says when the store last confirmed
+//! has acknowledged, in the order of the store's revisions, and says as of when the store confirmed
 //! it. A reader takes no answer that is older than what it has.
 
 use std::collections::VecDeque;
@@ -15,17 +15,14 @@
 use crate::time::Timestamp;
 
 pub mod followers;
+pub mod position;
 pub mod sources;
+pub mod timing;
 
 /// Maximum number of changes that a replica keeps for its readers. A reader that lacks more of them
 /// receives all keys.
 const MAX_CHANGES: usize = 1_024;
 
-/// Time since the store's last answer after which a replica may be out of date. It is longer than
-/// the store holds a watch without a change, and ends the service of a follower that the store no
-/// longer answers, or that was suspended.
-const MAX_AGE: Duration = Duration::from_secs(13);
-
 /// `Item` is a key of the store with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -68,7 +65,7 @@
 pub struct Answer {
     /// Revision of the store up to which the reader then has all changes.
     pub revision: u64,
-    /// Time since the store confirmed this revision.
+    /// Time since the latest moment at which the store is known to have had no further change.
     pub age: Duration,
     /// What the reader lacks.
     pub content: Content,
@@ -83,9 +80,21 @@
     Snapshot(Vec<Item>),
 }
 
+impl Content {
+    /// Whether the reader lacks nothing.
+    pub fn is_empty(&self) -> bool {
+        match self {
+            Content::Changes(changes) => changes.is_empty(),
+            Content::Snapshot(_) => false,
+        }
+    }
+}
+
 /// `Replica` is a copy of the keys of one prefix, with the latest changes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Replica {
+    /// Age of the confirmation from which on the replica gives no answer.
+    lifetime: Duration,
     items: IndexMap<String, Item>,
     /// Revision up to which the copy contains all changes, or 0 before the first read.
     revision: u64,
@@ -95,14 +104,28 @@
     floor: u64,
     /// Changes that the store hasn't confirmed to be all of their revision.
     pending: Vec<Change>,
-    /// When the store last confirmed the copy. `None` while the store doesn't answer.
+    /// Time as of which the copy is known to lack no change. `None` if it isn't kept up to date.
     confirmed: Option<Timestamp>,
 }
 
 impl Replica {
-    /// Replaces the copy by all items of the store at a revision. Has no effect if the copy is
-    /// newer.
-    pub fn replace(&mut self, now: Timestamp, items: Vec<Item>, revision: u64) {
+    /// A copy of which nothing is known. It gives no answer whose confirmation is older than
+    /// `lifetime`.
+    pub fn new(lifetime: Duration) -> Replica {
+        Replica {
+            lifetime,
+            items: IndexMap::new(),
+            revision: 0,
+            changes: VecDeque::new(),
+            floor: 0,
+            pending: Vec::new(),
+            confirmed: None,
+        }
+    }
+
+    /// Replaces the copy by all items that the store had at a revision. Has no effect if the copy is
+    /// newer. Readers get the items once they are confirmed.
+    pub fn replace(&mut self, items: Vec<Item>, revision: u64) {
         self.pending.clear();
         if revision < self.revision {
             return;
@@ -111,7 +134,6 @@
         self.changes.clear();
         self.floor = revision;
         self.revision = revision;
-        self.confirmed = Some(now);
     }
 
     /// Adds a change. Readers see it once the store has confirmed that no other change of its
@@ -120,8 +142,8 @@
         self.pending.push(change);
     }
 
-    /// Applies the changes added since the last call: the store has told all changes so far.
-    pub fn confirm(&mut self, now: Timestamp) {
+    /// Applies the changes added since the last call: they are all that the store had at `as_of`.
+    pub fn confirm(&mut self, as_of: Timestamp) {
         for change in std::mem::take(&mut self.pending) {
             if change.revision() > self.revision {
                 self.apply(change);
@@ -129,21 +151,21 @@
         }
         let last = self.changes.back().map_or(0, Change::revision);
         self.revision = self.revision.max(last);
-        self.confirmed = Some(now);
+        self.confirmed = self.confirmed.max(Some(as_of));
     }
 
-    /// Notes that the store doesn't answer: until it does, the copy may be out of date.
+    /// Notes that the copy is no longer kept up to date, until it is confirmed again.
     pub fn suspend(&mut self) {
         self.pending.clear();
         self.confirmed = None;
     }
 
     /// Answers a reader that has all changes of the keys with a prefix up to the revision `after`,
-    /// or nothing if that is 0. Returns `None` if the copy may be out of date, or is older than
-    /// what the reader has.
+    /// or nothing if that is 0. A reader that is ahead of the copy gets no changes from it, only the
+    /// age of the confirmation. Returns `None` if the copy may be out of date.
     pub fn answer(&self, now: Timestamp, prefix: &str, after: u64) -> Option<Answer> {
         let age = now.since(self.confirmed?);
-        if after > self.revision || age > MAX_AGE {
+        if age > self.lifetime {
             return None;
         }
         let content = if after == 0 || after < self.floor {
--- a/marigoldway-core/src/replica/followers.rs
+++ b/marigoldway-core/src/replica/followers.rs
@@ -17,23 +17,31 @@
 /// the process `own` in `domain` asks them: those of the own domain first. Different processes
 /// start with different ones.
 pub fn followers(agents: &Agents, domain: NameKey, own: InstanceId) -> Vec<InstanceId> {
-    let mut followers: Vec<(bool, u64, InstanceId)> = Vec::new();
-    for service in agents.services() {
-        for (place, ring) in &service.domains {
-            let follower = ring.walk(RANK_HASH).find(|id| can_follow(agents, *id));
-            let Some(id) = follower else {
-                continue;
-            };
-            followers.push((*place != domain, mix(own.to_u64() ^ id.to_u64()), id));
-        }
-    }
-    followers.sort();
-    followers.into_iter().map(|(_, _, id)| id).collect()
+    let rank = |(place, id): &(NameKey, InstanceId)| {
+        (*place != domain, mix(own.to_u64() ^ id.to_u64()), *id)
+    };
+    sorted(agents, rank)
 }
 
-/// Whether the agent `own` follows the store for other processes, as far as it knows.
-pub fn is_follower(agents: &Agents, domain: NameKey, own: InstanceId) -> bool {
-    followers(agents, domain, own).contains(&own)
+/// The agents that follow the store, in the order in which they ask each other: that is the same in
+/// all processes that know the same agents.
+pub fn ranked(agents: &Agents) -> Vec<InstanceId> {
+    sorted(agents, |(_, id)| (mix(RANK_HASH ^ id.to_u64()), *id))
+}
+
+/// The followers with their failure domains, sorted by `rank`.
+fn sorted<K: Ord>(
+    agents: &Agents,
+    rank: impl FnMut(&(NameKey, InstanceId)) -> K,
+) -> Vec<InstanceId> {
+    let domains = agents.services().flat_map(|service| &service.domains);
+    let followers = domains.filter_map(|(domain, ring)| {
+        let follower = ring.walk(RANK_HASH).find(|id| can_follow(agents, *id))?;
+        Some((*domain, follower))
+    });
+    let mut followers: Vec<(NameKey, InstanceId)> = followers.collect();
+    followers.sort_by_key(rank);
+    followers.into_iter().map(|(_, id)| id).collect()
 }
 
 /// Whether an agent can follow the store: it is registered and won't leave soon.
--- /dev/null
+++ b/marigoldway-core/src/replica/timing.rs
@@ -0,0 +1,54 @@
+//! This module derives the timing of reads from the time within which a change has to take effect.
+//!
+//! A change passes from the store to the leading follower, from there to the other followers, and
+//! from a follower to its readers. What a process knows is confirmed along the same way. Each step
+//! gets a part of the limit, so that a process notices that a step fails, and asks the store itself,
+//! before a change is late.
+
+use std::time::Duration;
+
+/// Part of the limit for which the store may hold a call of the leading follower.
+const HOLD_PART: f64 = 0.25;
+
+/// Part of the limit between two reads of a follower from another one.
+const RELAY_PART: f64 = 0.125;
+
+/// Part of the limit after which a follower asks the store itself.
+const FOLLOWER_PART: f64 = 0.5;
+
+/// Part of the limit after which any other process asks the store itself. It is longer than all
+/// steps of the usual way together.
+const READER_PART: f64 = 0.72;
+
+/// `Timing` holds the times of reads for one limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Maximum time for which the store may hold a call while nothing changes. An answer then
+    /// confirms what the caller knows.
+    pub hold: Duration,
+    /// Interval between two reads of a follower from another one.
+    pub relay: Duration,
+    /// Age of the last confirmation at which a follower asks the store itself.
+    pub follower: Duration,
+    /// Age of the last confirmation at which any other process asks the store itself.
+    pub reader: Duration,
+}
+
+impl Timing {
+    /// The timing by which a change takes effect within `limit` at each process that the store or a
+    /// follower answers.
+    pub fn new(limit: Duration) -> Timing {
+        Timing {
+            hold: limit.mul_f64(HOLD_PART),
+            relay: limit.mul_f64(RELAY_PART),
+            follower: limit.mul_f64(FOLLOWER_PART),
+            reader: limit.mul_f64(READER_PART),
+        }
+    }
+
+    /// Time after which a call to the store counts as lost, beyond the time for which the store may
+    /// hold it.
+    pub fn call_timeout(&self) -> Duration {
+        self.hold
+    }
+}
--- a/marigoldway-net/src/wire/replica.rs
+++ b/marigoldway-net/src/wire/replica.rs
@@ -73,7 +73,8 @@
         };
         AnswerWire {
             revision: answer.revision,
-            age_ms: u32::try_from(answer.age.as_millis()).unwrap_or(u32::MAX),
+            // Rounded up: a confirmation must not look newer than it is.
+            age_ms: u32::try_from(answer.age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
             snapshot,
             items,
         }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -31,6 +31,7 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::sources::Role;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
@@ -77,10 +78,6 @@
 /// agent that doesn't know which agent holds a flow queries other agents.
 const AGENTS_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Pause between two calls of a follower's watch, so that several changes arrive in one answer. It
-/// is a small part of the seconds within which a change has to be known everywhere.
-const REPLICA_PAUSE: Duration = Duration::from_millis(500);
-
 /// Interval between two requests of a starting agent to its contacts: the instances
 /// that its settings name for this.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
@@ -198,24 +195,26 @@
         let on_packet = |datagram: &mut [u8], _| shared.on_target_packet(datagram);
         node::receive(&shared.outbound, on_packet).await;
     });
-    let store = agent.node.store_client(AGENTS_INTERVAL, node::WATCH_WAIT);
     let asking = agent.clone();
     let feed = Feed {
         node: agent.node.clone(),
-        store: store.clone(),
+        store: agent.node.feed_client(),
         prefix: agents::service_prefix(agent.flows.borrow().service()),
+        role: Role::Reader,
         interval: AGENTS_INTERVAL,
         followers: move || asking.followers(),
     };
     let shared = agent.clone();
     task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
     for prefix in [config::CONFIG_KEY, agents::AGENTS_PREFIX] {
-        let store = agent.node.store_client(REPLICA_PAUSE, node::CONFIG_WAIT);
         let shared = agent.clone();
         let is_follower = move || shared.is_follower();
+        let shared = agent.clone();
+        let followers = move || shared.ranked_followers();
         let node = agent.node.clone();
-        task::spawn_local(replicate::replicate(node, store, prefix, is_follower));
+        task::spawn_local(replicate::replicate(node, prefix, is_follower, followers));
     }
+    let store = agent.node.store_client();
     task::spawn_local(Registrar::new(agent.clone(), store).run());
     task::spawn_local(target::find_listener(agent.clone()));
     task::spawn_local(tick(agent.clone()));
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -61,16 +61,24 @@
                     None => {}
                 },
             },
-            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
+            StoreEvent::Confirmed(_) => {}
         }
     }
 
     /// Whether this agent follows the store for other processes.
     pub(super) fn is_follower(&self) -> bool {
-        let settings = &self.node.settings;
-        let domain = NameKey::from(settings.domain.as_str());
-        let flows = self.flows.borrow();
-        !self.node.leaving.get() && followers::is_follower(flows.agents(), domain, settings.data)
+        let followers = followers::ranked(self.flows.borrow().agents());
+        !self.node.leaving.get() && followers.contains(&self.node.settings.data)
+    }
+
+    /// The followers in the order that they have in common: those of all services, or those of the
+    /// own service while others aren't known.
+    pub(super) fn ranked_followers(&self) -> Vec<InstanceId> {
+        let all = self.node.replicas.followers();
+        if all.contains(&self.node.settings.data) {
+            return all;
+        }
+        followers::ranked(self.flows.borrow().agents())
     }
 
     /// The followers of the service, in the order in which this agent asks them.
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -133,22 +133,14 @@
         node::receive(&shared.node.data, on_message).await;
     });
     let shared = entry.clone();
-    let feed = entry.feed(
-        config::CONFIG_KEY,
-        listing::CONFIG_INTERVAL,
-        node::CONFIG_WAIT,
-    );
+    let feed = entry.feed(config::CONFIG_KEY, listing::CONFIG_INTERVAL);
     let on_config = move |event| {
         shared.on_config(event);
         shared.forward_early();
     };
     task::spawn_local(feed::follow(feed, on_config));
     let shared = entry.clone();
-    let feed = entry.feed(
-        agents::AGENTS_PREFIX,
-        listing::AGENTS_INTERVAL,
-        node::WATCH_WAIT,
-    );
+    let feed = entry.feed(agents::AGENTS_PREFIX, listing::AGENTS_INTERVAL);
     let on_agents = move |event| {
         shared.on_agents(event);
         shared.forward_early();
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -11,6 +11,7 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::followers::followers;
+use marigoldway_core::replica::sources::Role;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_platform::config;
@@ -74,18 +75,18 @@
 }
 
 impl Entry {
-    /// A feed of the keys of a prefix. The store may hold a read of it for `wait`.
+    /// A feed of the keys of a prefix, with a read from a follower each `interval`.
     pub(super) fn feed(
         self: &Rc<Self>,
         prefix: &str,
         interval: Duration,
-        wait: Duration,
     ) -> Feed<impl Fn() -> Vec<InstanceId> + use<>> {
         let shared = self.clone();
         Feed {
             node: self.node.clone(),
-            store: self.node.store_client(interval, wait),
+            store: self.node.feed_client(),
             prefix: prefix.to_owned(),
+            role: Role::Reader,
             interval,
             followers: move || {
                 let settings = &shared.node.settings;
@@ -102,10 +103,9 @@
                 found.into_iter().find(|it| it.key == config::CONFIG_KEY)
             }
             StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
-            StoreEvent::Put(_) | StoreEvent::Deleted(..) | StoreEvent::Unreachable => None,
-            StoreEvent::UpToDate(age) => {
-                let now = self.node.clock.now();
-                self.confirm_routes(now, now.before(age));
+            StoreEvent::Put(_) | StoreEvent::Deleted(..) => None,
+            StoreEvent::Confirmed(as_of) => {
+                self.confirm_routes(self.node.clock.now(), as_of);
                 None
             }
         };
@@ -167,7 +167,7 @@
                     flows.remove_agent(id);
                 }
             }
-            StoreEvent::UpToDate(_) | StoreEvent::Unreachable => {}
+            StoreEvent::Confirmed(_) => {}
         }
     }
 }
--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -2,7 +2,7 @@
 //! itself, and passes each change on.
 //!
 //! A follower is an agent that follows the store for the other processes of its failure domain.
-//! Which source is read, and what an answer is worth, is decided by
+//! Which source is read, when, and what an answer is worth, is decided by
 //! `marigoldway_core::replica`.
 
 use std::net::SocketAddrV4;
@@ -16,28 +16,33 @@
 use marigoldway_core::replica;
 use marigoldway_core::replica::Answer;
 use marigoldway_core::replica::Content;
-use marigoldway_core::replica::sources::Source;
+use marigoldway_core::replica::position::Position;
+use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::sources::Sources;
+use marigoldway_core::replica::sources::Step;
+use marigoldway_core::replica::timing::Timing;
+use marigoldway_core::time::Timestamp;
+use marigoldway_net::platform::Change;
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
-use marigoldway_net::platform::backoff::Backoff;
+use marigoldway_net::platform::errors::Result;
 use marigoldway_net::wire;
+use marigoldway_platform::store::Changes;
 use marigoldway_platform::store::KvStore;
 
-use crate::packets::node::MAX_RETRY_WAIT;
 use crate::packets::node::Node;
 use crate::packets::peers;
 use crate::packets::store;
+use crate::packets::store::FirstRead;
 use crate::packets::store::Outage;
 use crate::packets::store::StoreEvent;
-use crate::packets::store::WatchEnd;
 
 /// Timeout of a read from a follower. It is in the same failure domain as a rule.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum wait between a follower's failure and the next read, drawn at random, so that processes
-/// that lose the same follower don't all read the store at the same moment.
+/// that lose the same follower don't all ask the next one at the same moment.
 const MAX_FAILURE_WAIT: Duration = Duration::from_millis(300);
 
 /// `Feed` says what to read, and where.
@@ -48,6 +53,8 @@
     pub(crate) store: Rc<KvStore>,
     /// Prefix of the keys.
     pub(crate) prefix: String,
+    /// What the process reads for.
+    pub(crate) role: Role,
     /// Time between two reads, so that several changes arrive in one answer.
     pub(crate) interval: Duration,
     /// Returns the known followers, in the order in which this process asks them.
@@ -59,33 +66,25 @@
     feed: Feed<F>,
     mut on_event: impl FnMut(StoreEvent),
 ) {
+    let timing = Timing::new(feed.node.settings.apply_limit);
     let mut reader = Reader {
-        revision: 0,
-        must_read: false,
-        backoff: Backoff::default(),
+        sources: Sources::new(feed.role, timing, feed.interval),
+        position: Position::default(),
+        must_read: true,
         outage: Outage::new(feed.prefix.clone()),
         feed,
     };
-    let mut sources = Sources::default();
-    reader.read_first(&mut on_event).await;
+    // A process that reads for itself can't do its work before. A follower may ask another one.
+    if reader.feed.role == Role::Reader {
+        reader.read_first(&mut on_event).await;
+    }
     loop {
         let now = reader.feed.node.clock.now();
         let followers = (reader.feed.followers)();
-        match sources.next(now, &followers) {
-            Source::Follower(id) => {
-                if reader.read_follower(id, &mut on_event).await {
-                    sources.on_answer();
-                    time::sleep(reader.feed.interval).await;
-                } else {
-                    sources.on_failure(reader.feed.node.clock.now(), id);
-                    time::sleep(rand::rng().random_range(Duration::ZERO..MAX_FAILURE_WAIT)).await;
-                }
-            }
-            Source::Store => {
-                reader.read_store(&mut on_event).await;
-                sources.on_answer();
-                time::sleep(reader.feed.interval).await;
-            }
+        match reader.sources.next(now, &followers) {
+            Step::Follower(id) => reader.read_follower(id, &mut on_event).await,
+            Step::Store(hold) => reader.read_store(hold, &mut on_event).await,
+            Step::Wait(until) => time::sleep(until.since(now)).await,
         }
     }
 }
@@ -93,98 +92,151 @@
 /// `Reader` is the state of a feed.
 struct Reader<F> {
     feed: Feed<F>,
-    /// Revision up to which all changes were passed on.
-    revision: u64,
-    /// Whether a watch of the store can't be resumed, so all keys must be read instead.
+    sources: Sources,
+    position: Position,
+    /// Whether the changes since the known revision may be lost, so that all keys must be read.
     must_read: bool,
-    backoff: Backoff,
     outage: Outage,
 }
 
 impl<F> Reader<F> {
+    fn now(&self) -> Timestamp {
+        self.feed.node.clock.now()
+    }
+
     /// Reads all keys from the store, for the first time.
     async fn read_first(&mut self, on_event: &mut impl FnMut(StoreEvent)) {
         let (feed, outage) = (&self.feed, &mut self.outage);
-        let read = store::first_read(&feed.store, &feed.prefix, outage, on_event).await;
-        if let Ok(read) = read {
-            self.on_read(read.found, read.revision, on_event);
-        }
+        let FirstRead { asked, read } =
+            store::first_read(&feed.node.clock, &feed.store, &feed.prefix, outage).await;
+        self.on_list(asked, read.found, read.revision, on_event);
     }
 
-    fn on_read(
+    /// Handles a list of all keys, which the store was asked for at `asked`.
+    fn on_list(
         &mut self,
+        asked: Timestamp,
         found: Vec<KeyValue>,
         revision: u64,
         on_event: &mut impl FnMut(StoreEvent),
     ) {
         self.outage.on_reachable();
-        self.backoff.reset();
+        self.sources.on_store_answer(self.now(), asked, asked, true);
         self.must_read = false;
         // The store's answers may overtake each other.
-        if revision < self.revision {
+        if revision < self.position.known() {
             return;
         }
-        self.revision = revision;
+        self.position.on_known(revision);
+        self.log_change("store", Duration::ZERO);
         on_event(StoreEvent::Snapshot(found, revision));
-        on_event(StoreEvent::UpToDate(Duration::ZERO));
+        on_event(StoreEvent::Confirmed(asked));
     }
 
-    /// Reads what is new from the store: waits for the next changes, or reads all keys if the last
-    /// wait failed.
-    async fn read_store(&mut self, on_event: &mut impl FnMut(StoreEvent)) {
-        let prefix = self.feed.prefix.clone();
-        if self.must_read {
-            match self.feed.store.get(Range::Prefix(&prefix)).await {
-                Ok(read) => self.on_read(read.found, read.revision, on_event),
-                Err(error) => {
-                    self.outage.on_unreachable(&error);
-                    on_event(StoreEvent::Unreachable);
-                    let wait = self.backoff.next_wait(&mut rand::rng());
-                    time::sleep(wait.min(MAX_RETRY_WAIT)).await;
+    /// Reads what is new from the store, which may hold the call for `hold`.
+    async fn read_store(&mut self, hold: Duration, on_event: &mut impl FnMut(StoreEvent)) {
+        self.feed.node.count("store-read");
+        if let Err(error) = self.try_store(hold, on_event).await {
+            self.outage.on_unreachable(&error);
+            // A store that has dropped its history may leave a call from before without a word.
+            self.must_read = true;
+            let jitter = rand::rng().random_range(0.0..1.0);
+            self.sources.on_store_failure(self.now(), jitter);
+        }
+    }
+
+    async fn try_store(
+        &mut self,
+        hold: Duration,
+        on_event: &mut impl FnMut(StoreEvent),
+    ) -> Result<()> {
+        let (store, prefix) = (self.feed.store.clone(), self.feed.prefix.clone());
+        if !self.must_read {
+            let asked = self.now();
+            let after = self.position.after(asked);
+            match store.changes(&prefix, after, hold).await? {
+                Changes::Found(changes, revision) => {
+                    self.on_changes(asked, hold, changes, revision, on_event);
+                    return Ok(());
                 }
+                Changes::HistoryLost => log::info!("event=store-history-lost prefix={prefix}"),
             }
-            return;
         }
-        let mut revision = self.revision;
-        let outage = &mut self.outage;
-        let store = &self.feed.store;
-        let mut pass_on = |event: StoreEvent| {
-            revision = revision.max(event.revision());
-            on_event(event);
-        };
-        let end = store::watch_once(store, &prefix, self.revision, outage, &mut pass_on).await;
-        self.revision = revision;
-        self.must_read = end == WatchEnd::Broken;
+        let asked = self.now();
+        let read = store.get(Range::Prefix(&prefix)).await?;
+        self.on_list(asked, read.found, read.revision, on_event);
+        Ok(())
     }
 
-    /// Reads what is new from a follower. Returns whether it gave a usable answer.
-    async fn read_follower(
+    /// Handles the store's answer to a call for changes made at `asked`.
+    fn on_changes(
         &mut self,
-        follower: InstanceId,
+        asked: Timestamp,
+        hold: Duration,
+        changes: Vec<Change>,
+        revision: u64,
         on_event: &mut impl FnMut(StoreEvent),
-    ) -> bool {
-        let path = wire::replica::path(&self.feed.prefix, self.revision);
-        let answer = read_answer(follower.0, &path).await;
-        let Some(answer) = answer.filter(|it| it.revision >= self.revision) else {
+    ) {
+        self.outage.on_reachable();
+        let now = self.now();
+        let changed = !changes.is_empty();
+        // A call that was held to the end confirms that nothing has changed until then.
+        let held = !changed && now.since(asked) >= hold;
+        let as_of = if held { asked + hold } else { asked };
+        self.sources.on_store_answer(now, asked, as_of, changed);
+        for event in changes.into_iter().filter_map(store_event) {
+            self.position.on_known(event.revision());
+            on_event(event);
+        }
+        self.position.on_answer(asked, revision);
+        if changed {
+            self.log_change("store", now.since(as_of));
+        }
+        on_event(StoreEvent::Confirmed(as_of));
+    }
+
+    /// Reads what is new from a follower.
+    async fn read_follower(&mut self, id: InstanceId, on_event: &mut impl FnMut(StoreEvent)) {
+        let path = wire::replica::path(&self.feed.prefix, self.position.known());
+        let asked = self.now();
+        let answer = read_answer(id.0, &path).await;
+        let now = self.now();
+        let Some(answer) = answer else {
             self.feed.node.count("follower-failed");
-            log::debug!("event=follower-failed follower={follower} path={path}");
-            return false;
+            log::debug!("event=follower-failed follower={id} path={path}");
+            let wait = rand::rng().random_range(Duration::ZERO..MAX_FAILURE_WAIT);
+            return self.sources.on_failure(now, id, wait);
+        };
+        let Some(as_of) = self.sources.on_answer(now, id, asked, answer.age) else {
+            self.feed.node.count("follower-late");
+            let age = answer.age.as_millis();
+            return log::debug!("event=follower-late follower={id} path={path} age-ms={age}");
         };
         self.outage.on_reachable();
-        self.revision = answer.revision;
+        self.position.on_known(answer.revision);
+        if !answer.content.is_empty() {
+            self.log_change(id, now.since(as_of));
+        }
         match answer.content {
             Content::Snapshot(items) => {
                 let found = items.into_iter().map(key_value).collect();
                 on_event(StoreEvent::Snapshot(found, answer.revision));
             }
-            Content::Changes(changes) => {
-                for change in changes {
-                    on_event(store_event(change));
-                }
-            }
+            Content::Changes(changes) => changes
+                .into_iter()
+                .map(replica_event)
+                .for_each(&mut *on_event),
         }
-        on_event(StoreEvent::UpToDate(answer.age));
-        true
+        on_event(StoreEvent::Confirmed(as_of));
+    }
+
+    /// Logs from whom the process has learnt of a change, and how old its confirmation is.
+    fn log_change(&self, source: impl std::fmt::Display, age: Duration) {
+        let (prefix, revision) = (&self.feed.prefix, self.position.known());
+        let age = age.as_millis();
+        log::info!(
+            "event=feed-changed prefix={prefix} revision={revision} source={source} age-ms={age}"
+        );
     }
 }
 
@@ -208,9 +260,18 @@
     }
 }
 
-fn store_event(change: replica::Change) -> StoreEvent {
+fn replica_event(change: replica::Change) -> StoreEvent {
     match change {
         replica::Change::Put(item) => StoreEvent::Put(key_value(item)),
         replica::Change::Deleted(key, revision) => StoreEvent::Deleted(key, revision),
     }
 }
+
+/// The change of a key that the store has told, or `None` for news of the store itself.
+fn store_event(change: Change) -> Option<StoreEvent> {
+    match change {
+        Change::Put(stored) => Some(StoreEvent::Put(stored)),
+        Change::Deleted { key, revision } => Some(StoreEvent::Deleted(key, revision)),
+        Change::UpToDate | Change::Unreachable(_) | Change::HistoryLost => None,
+    }
+}
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -25,6 +25,7 @@
 use tokio::time;
 
 use marigoldway_core::flow::routes::Routes;
+use marigoldway_core::replica::timing::Timing;
 use marigoldway_net::clock::Clock;
 use marigoldway_net::platform::calls::CallCounts;
 use marigoldway_net::platform::calls::CallKind;
@@ -54,16 +55,6 @@
 /// outage of the store have to be granted again within 2 s after the outage ends.
 pub(crate) const MAX_RETRY_WAIT: Duration = Duration::from_millis(700);
 
-/// Maximum time for which the store may hold a watch. It is close to the store's own
-/// maximum, because each answer costs a call. TCP keepalive probes detect a dead
-/// connection sooner.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(25);
-
-/// Maximum time for which the store may hold a watch of the configuration, or a watch of a follower.
-/// The store may never answer a call that it accepted while it was unresponsive. Until that call
-/// times out, only other processes report a change.
-pub(crate) const CONFIG_WAIT: Duration = Duration::from_secs(10);
-
 /// Interval between two log lines with the number of calls to the store.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -120,22 +111,30 @@
             histograms: Histograms::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
-            replicas: Replicas::default(),
+            replicas: Replicas::new(Timing::new(settings.apply_limit).reader),
             unreadable: RefCell::default(),
             document: RefCell::new(None),
             calls: RefCell::default(),
         })
     }
 
-    /// Creates a client of the store. The client pauses for `pause` between two calls of a watch,
-    /// so that several changes arrive in one answer. The store may hold a call of a watch for
-    /// `wait`.
-    pub(crate) fn store_client(&self, pause: Duration, wait: Duration) -> Rc<KvStore> {
+    /// Creates a client of the store for reads whose answers are only of use for a short time.
+    pub(crate) fn feed_client(&self) -> Rc<KvStore> {
+        let timing = Timing::new(self.settings.apply_limit);
+        self.client(timing.call_timeout().min(self.settings.platform.timeout))
+    }
+
+    /// Creates a client of the store for all other calls.
+    pub(crate) fn store_client(&self) -> Rc<KvStore> {
+        self.client(self.settings.platform.timeout)
+    }
+
+    fn client(&self, timeout: Duration) -> Rc<KvStore> {
         let store = KvStore::new(StoreOptions {
             address: SocketAddr::V4(self.settings.platform.address),
-            timeout: self.settings.platform.timeout,
-            wait,
-            pause,
+            timeout,
+            wait: Duration::ZERO,
+            pause: Duration::ZERO,
         });
         self.calls.borrow_mut().push(store.calls().clone());
         Rc::new(store)
