--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -5,6 +5,7 @@
 //! whether its target holds a flow, and how loaded the target is.
 
 mod actions;
+mod confirmation;
 mod early;
 mod locate;
 mod open;
@@ -41,7 +42,6 @@
 use crate::flow::message::Verdict;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
-use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
 use crate::ids::InstanceId;
@@ -151,32 +151,6 @@
         true
     }
 
-    /// Notes that the routes in use were the newest configuration at `as_of`, according to the
-    /// store. Returns the resets of flows that are known to be gone by this.
-    pub fn confirm_routes(&mut self, now: Timestamp, as_of: Timestamp) -> Vec<EntryAction> {
-        self.confirmed = self.confirmed.max(Some(as_of));
-        let mut resets = Vec::new();
-        for flow in std::mem::take(&mut self.unconfirmed) {
-            if let Some(reset) = self.conclude(now, &flow) {
-                resets.push(EntryAction::Reset(reset, ResetReason::NotHeld));
-            }
-        }
-        resets
-    }
-
-    /// Whether the routes in use were the newest configuration at `at` or later. Only then do they
-    /// have the route of each flow that was open at that time, unless it was dropped since.
-    fn is_confirmed_since(&self, at: Timestamp) -> bool {
-        self.confirmed >= Some(at)
-    }
-
-    /// Whether the routes in use may decide on new flows: a newer configuration doesn't have to be
-    /// in effect yet.
-    fn is_current(&self, now: Timestamp) -> bool {
-        let confirmed = self.confirmed;
-        confirmed.is_some_and(|at| now.since(at) <= self.options.apply_limit)
-    }
-
     /// Applies the complete list of agents from the store. Known agents that it lacks
     /// become unregistered.
     pub fn replace_agents(&mut self, now: Timestamp, records: &[AgentRecord]) {
@@ -288,41 +262,6 @@
         }
     }
 
-    /// Decides on a packet to an address without a route. Any packet but the first of a flow shows
-    /// that another entry may have had a route, by a newer configuration than this entry's. So the
-    /// packet is kept until the routes are confirmed for a time at which the flow was open.
-    fn on_unrouted(
-        &mut self,
-        now: Timestamp,
-        flow: FlowKey,
-        segment: &Segment,
-        routes: &Routes,
-    ) -> EntryAction {
-        if routes.partial {
-            return EntryAction::Drop(DropReason::Unrouted);
-        }
-        // The `ack` of an opening packet counts its earlier copies.
-        if segment.opens() && segment.ack == 0 {
-            if !self.is_current(now) {
-                return EntryAction::Drop(DropReason::Unrouted);
-            }
-            return EntryAction::Reset(Reset { flow, seq: 0 }, ResetReason::Unrouted);
-        }
-        let since = match self.flows.touch(now, &flow) {
-            Some(FlowState::Unrouted(since)) => *since,
-            _ => {
-                self.flows.insert(now, flow, FlowState::Unrouted(now));
-                now
-            }
-        };
-        if !self.is_confirmed_since(since) {
-            return EntryAction::Keep;
-        }
-        self.flows.remove(&flow);
-        let seq = if segment.opens() { 0 } else { segment.ack };
-        EntryAction::Reset(Reset { flow, seq }, ResetReason::Unrouted)
-    }
-
     /// Forwards a packet that doesn't open a flow: to the agent that is known to hold
     /// the flow, whatever the service of the present route is, or to directory agents.
     fn forward(&mut self, now: Timestamp, flow: FlowKey, route: &Route, acked: u32) -> EntryAction {
