Let a decision demand a confirmation of the present

Cause: the usual way confirms a moment that lies 0.2 to 0.7 of the limit back.

A reader that finds no working follower asks the store itself.

Tests: demand_is_met_soon_by_few_calls, demand_that_is_not_met_costs_few_calls (tests/freshness.rs).

--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -93,6 +93,8 @@
     confirmed: Option<Timestamp>,
     /// Flows that no target holds under `routes`, until these are confirmed.
     unconfirmed: IndexSet<FlowKey>,
+    /// Whether a flow was added to `unconfirmed` since the last [`EntryFlows::take_demand`].
+    demands: bool,
     agents: Agents,
     views: AgentViews,
     addr_services: AddrServices,
@@ -108,6 +110,7 @@
             routes: None,
             confirmed: None,
             unconfirmed: IndexSet::new(),
+            demands: false,
             agents: Agents::default(),
             views: AgentViews::default(),
             addr_services: AddrServices::new(options.idle_timeout),
--- a/marigoldway-core/src/flow/entry/confirmation.rs
+++ b/marigoldway-core/src/flow/entry/confirmation.rs
@@ -29,6 +29,12 @@
         resets
     }
 
+    /// Whether a flow waits to be reset until the routes are confirmed for the present. False if that
+    /// was told before of the same flows.
+    pub fn take_demand(&mut self) -> bool {
+        std::mem::take(&mut self.demands)
+    }
+
     /// Whether the routes in use were the newest configuration at `at` or later. Only then do they
     /// have the route of each flow that was open at that time, unless it was dropped since.
     pub(super) fn is_confirmed_since(&self, at: Timestamp) -> bool {
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -166,7 +166,7 @@
         }
         if !self.is_confirmed_since(state.since) {
             if self.unconfirmed.len() < MAX_UNCONFIRMED {
-                self.unconfirmed.insert(*flow);
+                self.demands |= self.unconfirmed.insert(*flow);
             }
             return None;
         }
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -7,6 +7,9 @@
 //! nothing, since the store may never answer it. A confirmation that no source renews in time makes
 //! the process ask the store itself. So each process, whatever it reads and from whom, learns of a
 //! change within the limit, or knows that it may be late.
+//!
+//! A decision may need a confirmation of the present. The process then demands one of its follower,
+//! and this one of the leading follower, which asks the store once for all.
 
 use std::time::Duration;
 
@@ -40,14 +43,26 @@
 /// `Step` is what a process does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Read from this follower.
-    Follower(InstanceId),
+    /// Read from this follower, of which a confirmation of the present is demanded or not.
+    Follower(InstanceId, Freshness),
     /// Ask the store, which may hold the call for this long while nothing changes.
     Store(Duration),
     /// Do nothing before this time.
     Wait(Timestamp),
 }
 
+/// `Freshness` tells what a reader demands of a follower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// What the follower has.
+    Known,
+    /// That the follower confirms what it has as soon as it can. The reader asks again for it.
+    Now,
+}
+
+/// Maximum number of times that the interval between the reads of a demand doubles.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// `Sources` chooses the source of each read of one prefix.
 #[derive(Clone, Debug)]
 pub struct Sources {
@@ -65,6 +80,12 @@
     next_call: Timestamp,
     /// Number of calls to the store that failed one after the other.
     failures: u32,
+    /// Time for which a confirmation is needed.
+    demand: Option<Timestamp>,
+    /// Time of the last demand to a follower or call to the store.
+    demanded: Timestamp,
+    /// Number of reads since then.
+    reads: u32,
 }
 
 impl Sources {
@@ -80,9 +101,17 @@
             next_read: Timestamp::ZERO,
             next_call: Timestamp::ZERO,
             failures: 0,
+            demand: None,
+            demanded: Timestamp::ZERO,
+            reads: 0,
         }
     }
 
+    /// Notes that a decision needs a confirmation for the time `at`.
+    pub fn demand(&mut self, at: Timestamp) {
+        self.demand = self.demand.max(Some(at));
+    }
+
     /// Time as of which the process is known to lack no change, or `None` before the first answer.
     pub fn confirmed(&self) -> Option<Timestamp> {
         self.confirmed
@@ -96,29 +125,60 @@
             .take_while(|id| self.role != Role::Follower(**id))
             .find(|id| !self.failed.contains_key(*id));
         let leads = usable.is_none() && self.role != Role::Reader;
-        let patience = if leads {
-            Duration::ZERO
-        } else {
-            self.patience()
+        let demand = self.open_demand();
+        let patience = match usable {
+            // No one else can meet the demand.
+            None if leads || demand.is_some() => Duration::ZERO,
+            Some(_) | None => self.patience(),
         };
         let due = self.confirmed.map_or(Timestamp::ZERO, |at| at + patience);
         let due = due.max(self.next_call);
         if now >= due {
-            let age = self.confirmed.map_or(self.timing.hold, |at| now.since(at));
-            let hold = if leads {
-                self.timing.hold
-            } else {
-                Duration::ZERO
-            };
-            return Step::Store(hold.saturating_sub(age));
+            return Step::Store(self.hold(now, leads && demand.is_none()));
         }
-        match usable {
-            Some(id) if now >= self.next_read => Step::Follower(*id),
-            Some(_) => Step::Wait(due.min(self.next_read)),
-            None => Step::Wait(due),
+        let Some(id) = usable else {
+            return Step::Wait(due);
+        };
+        // One demand is made for all decisions of a while.
+        let next_demand = self.demanded + self.timing.relay;
+        let is_new = demand.is_some_and(|at| at > self.demanded);
+        if is_new && now >= next_demand {
+            self.demanded = now;
+            self.reads = 0;
+            return Step::Follower(*id, Freshness::Now);
+        }
+        let next_read = match demand {
+            Some(_) if is_new => self.next_read.min(next_demand),
+            Some(_) if self.reads <= MAX_DOUBLINGS => {
+                let factor = (2 << self.reads) - 1;
+                self.next_read
+                    .min(self.demanded + self.timing.demand * factor)
+            }
+            Some(_) | None => self.next_read,
+        };
+        if now < next_read {
+            return Step::Wait(due.min(next_read));
+        }
+        self.reads += 1;
+        Step::Follower(*id, Freshness::Known)
+    }
+
+    /// Time for which the store may hold a call made now. `may_wait` tells whether it may at all.
+    fn hold(&self, now: Timestamp, may_wait: bool) -> Duration {
+        let age = self.confirmed.map(|at| now.since(at));
+        match age {
+            Some(age) if may_wait => self.timing.hold.saturating_sub(age),
+            _ => Duration::ZERO,
         }
     }
 
+    /// The time for which a confirmation is needed and not there yet.
+    fn open_demand(&mut self) -> Option<Timestamp> {
+        let confirmed = self.confirmed;
+        self.demand = self.demand.filter(|at| confirmed < Some(*at));
+        self.demand
+    }
+
     /// Notes the answer of a follower that was asked at `asked`: the store confirmed what it says
     /// `age` before. Returns the time as of which the process lacks no change, or `None` if the
     /// answer is too old to be used, which counts as a failure.
--- a/marigoldway-core/src/replica/timing.rs
+++ b/marigoldway-core/src/replica/timing.rs
@@ -20,6 +20,9 @@
 /// steps of the usual way together.
 const READER_PART: f64 = 0.72;
 
+/// Part of the limit between the first two reads of a process that needs a confirmation now.
+const DEMAND_PART: f64 = 0.02;
+
 /// `Timing` holds the times of reads for one limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -32,6 +35,9 @@
     pub follower: Duration,
     /// Age of the last confirmation at which any other process asks the store itself.
     pub reader: Duration,
+    /// Interval between the first two reads of a process that needs a confirmation now. It doubles
+    /// with each further read.
+    pub demand: Duration,
 }
 
 impl Timing {
@@ -43,6 +49,7 @@
             relay: limit.mul_f64(RELAY_PART),
             follower: limit.mul_f64(FOLLOWER_PART),
             reader: limit.mul_f64(READER_PART),
+            demand: limit.mul_f64(DEMAND_PART),
         }
     }
 
--- a/marigoldway-core/tests/freshness.rs
+++ b/marigoldway-core/tests/freshness.rs
@@ -15,6 +15,7 @@
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
 use marigoldway_core::replica::Replica;
+use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::sources::Sources;
 use marigoldway_core::replica::sources::Step;
@@ -67,7 +68,11 @@
         lost: bool,
     },
     /// To a follower.
-    Follower { asked: Timestamp, id: InstanceId },
+    Follower {
+        asked: Timestamp,
+        id: InstanceId,
+        freshness: Freshness,
+    },
 }
 
 struct Process {
@@ -94,6 +99,8 @@
     readers: Vec<Process>,
     /// Calls to the store by followers and by readers.
     calls: [usize; 2],
+    /// Reads from followers.
+    reads: usize,
     rng: StdRng,
 }
 
@@ -140,6 +147,7 @@
             followers: (0..followers).map(follower).collect(),
             readers: Vec::new(),
             calls: [0, 0],
+            reads: 0,
             rng: StdRng::seed_from_u64(seed),
         };
         for _ in 0..readers {
@@ -152,6 +160,7 @@
         }
         model.advance(Duration::from_secs(8));
         model.calls = [0, 0];
+        model.reads = 0;
         model
     }
 
@@ -249,11 +258,17 @@
                 let (asked, lost) = (now, !store_up || fault == Fault::CutFromStore);
                 process.call = match process.sources.next(now, &order) {
                     Step::Wait(_) => None,
-                    Step::Follower(id) => Some(Call::Follower { asked, id }),
+                    Step::Follower(id, freshness) => Some(Call::Follower {
+                        asked,
+                        id,
+                        freshness,
+                    }),
                     Step::Store(hold) => Some(Call::Store { asked, hold, lost }),
                 };
-                if let Some(Call::Store { .. }) = process.call {
-                    self.calls[usize::from(follower.is_none())] += 1;
+                match process.call {
+                    Some(Call::Store { .. }) => self.calls[usize::from(follower.is_none())] += 1,
+                    Some(Call::Follower { .. }) => self.reads += 1,
+                    None => {}
                 }
             }
             Some(Call::Store { asked, hold, lost }) => {
@@ -274,7 +289,11 @@
                     process.learn(revision, as_of);
                 }
             }
-            Some(Call::Follower { asked, id }) => {
+            Some(Call::Follower {
+                asked,
+                id,
+                freshness,
+            }) => {
                 let age = now.since(asked);
                 let known = process.revision;
                 let source = &self.followers[&id];
@@ -282,6 +301,10 @@
                 if silent && age < READ_TIMEOUT || age < ROUND_TRIP {
                     return;
                 }
+                if freshness == Freshness::Now && !silent {
+                    self.followers[&id].demand(now);
+                }
+                let source = &self.followers[&id];
                 let replica = source.replica.as_ref().filter(|_| !silent);
                 let answer = replica.and_then(|it| it.answer(now, "a", known));
                 let wait = Duration::from_millis((jitter * 300.0) as u64);
@@ -311,6 +334,16 @@
 }
 
 impl Process {
+    /// Demands a confirmation of the present, for which a held call isn't waited for.
+    fn demand(&mut self, now: Timestamp) {
+        self.sources.demand(now);
+        if let Some(Call::Store { hold, .. }) = self.call
+            && hold > Duration::ZERO
+        {
+            self.call = None;
+        }
+    }
+
     /// Notes that the process has all changes up to a revision, and lacks none as of `as_of`.
     fn learn(&mut self, revision: u64, as_of: Timestamp) {
         if let Some(replica) = &mut self.replica {
@@ -448,6 +481,41 @@
     assert_eq!((model.late_readers(), model.calls[1]), (0, calls));
 }
 
+#[test]
+fn demand_is_met_soon_by_few_calls() {
+    let mut model = Model::new(40, 5, 200);
+    model.advance(Duration::from_secs(6));
+    let usual = model.calls[0];
+    let demanded = model.now;
+    for reader in &mut model.readers {
+        reader.demand(demanded);
+    }
+    model.advance(Duration::from_millis(500));
+    let is_met = |it: &Process| it.sources.confirmed() >= Some(demanded);
+    let met = model.readers.iter().filter(|it| is_met(it)).count();
+    assert_eq!(met, 200);
+    assert_eq!(model.calls[1], 0);
+    let calls = model.calls[0] - usual;
+    assert!(calls <= 5, "{calls} calls");
+}
+
+/// Readers that demand all the time, of a leading follower that the store doesn't answer.
+#[test]
+fn demand_that_is_not_met_costs_few_calls() {
+    let mut model = Model::new(41, 5, 50);
+    model.set_store(false);
+    for _ in 0..100 {
+        let now = model.now;
+        for reader in &mut model.readers {
+            reader.demand(now);
+        }
+        model.advance(Duration::from_millis(50));
+    }
+    assert!(model.calls[0] <= 5 * 10, "{} calls", model.calls[0]);
+    assert!(model.calls[1] <= 50 * 3, "{} calls", model.calls[1]);
+    assert!(model.reads <= 50 * 5 * 10, "{} reads", model.reads);
+}
+
 #[test]
 fn limit_sets_the_age_at_which_a_process_asks_the_store() {
     for limit in [Duration::from_secs(3), Duration::from_secs(6)] {
@@ -462,7 +530,10 @@
             Step::Store(_)
         ));
         let before = at(0) + timing.reader.saturating_sub(STEP);
-        assert_eq!(sources.next(before, &[id]), Step::Follower(id));
+        assert_eq!(
+            sources.next(before, &[id]),
+            Step::Follower(id, Freshness::Known)
+        );
         assert!(matches!(sources.next(before, &[]), Step::Wait(_)));
     }
 }
--- a/marigoldway-net/src/wire/replica.rs
+++ b/marigoldway-net/src/wire/replica.rs
@@ -10,6 +10,7 @@
 use marigoldway_core::replica::Change;
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
+use marigoldway_core::replica::sources::Freshness;
 
 use crate::errors::Result;
 use crate::wire;
@@ -17,6 +18,9 @@
 /// First part of the path at which a follower serves changes.
 const PATH: &str = "/changes/";
 
+/// First part of the path by which a reader also demands a confirmation of the present.
+const DEMAND_PATH: &str = "/demand/";
+
 /// `AnswerWire` is the CBOR form of an [`Answer`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerWire {
@@ -42,16 +46,40 @@
     revision: u64,
 }
 
-/// The path at which a reader that has all changes up to the revision `after` reads the later ones
-/// of the keys with a prefix.
-pub fn path(prefix: &str, after: u64) -> String {
-    format!("{PATH}{after}/{prefix}")
+/// `Request` is what a reader asks of a follower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request<'a> {
+    /// Prefix of the keys.
+    pub prefix: &'a str,
+    /// Revision up to which the reader has all changes.
+    pub after: u64,
+    /// What the reader demands.
+    pub freshness: Freshness,
+}
+
+impl Request<'_> {
+    /// The path of the request.
+    pub fn path(&self) -> String {
+        let Request { prefix, after, .. } = self;
+        match self.freshness {
+            Freshness::Known => format!("{PATH}{after}/{prefix}"),
+            Freshness::Now => format!("{DEMAND_PATH}{after}/{prefix}"),
+        }
+    }
 }
 
-/// The prefix and the revision of a path made by [`path`]. Returns `None` for another path.
-pub fn parse_path(path: &str) -> Option<(&str, u64)> {
-    let (after, prefix) = path.strip_prefix(PATH)?.split_once('/')?;
-    Some((prefix, after.parse().ok()?))
+/// The request whose path this is. Returns `None` for another path.
+pub fn parse_path(path: &str) -> Option<Request<'_>> {
+    let (freshness, rest) = match path.strip_prefix(PATH) {
+        Some(rest) => (Freshness::Known, rest),
+        None => (Freshness::Now, path.strip_prefix(DEMAND_PATH)?),
+    };
+    let (after, prefix) = rest.split_once('/')?;
+    Some(Request {
+        prefix,
+        after: after.parse().ok()?,
+        freshness,
+    })
 }
 
 /// Encodes an answer. Fails if it can't be encoded.
--- a/marigoldway-net/tests/wire_replica.rs
+++ b/marigoldway-net/tests/wire_replica.rs
@@ -14,8 +14,10 @@
 use marigoldway_core::replica::Change;
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
+use marigoldway_core::replica::sources::Freshness;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::replica;
+use marigoldway_net::wire::replica::Request;
 
 fn arb_item() -> impl Strategy<Value = Item> {
     let value = prop::collection::vec(any::<u8>(), 0..80);
@@ -60,9 +62,11 @@
     }
 
     #[test]
-    fn parse_path_of_any_reader(prefix in "[a-z0-9:/]{0,40}", after: u64) {
-        let path = replica::path(&prefix, after);
-        prop_assert_eq!(replica::parse_path(&path), Some((prefix.as_str(), after)));
+    fn parse_path_of_any_reader(prefix in "[a-z0-9:/]{0,40}", after: u64, demands: bool) {
+        let freshness = if demands { Freshness::Now } else { Freshness::Known };
+        let request = Request { prefix: &prefix, after, freshness };
+        let path = request.path();
+        prop_assert_eq!(replica::parse_path(&path), Some(request));
     }
 }
 
@@ -74,6 +78,7 @@
         "/changes/x/agents/",
         "/changes/-1/a",
         "/changes/5",
+        "/demand/x/agents/",
     ] {
         assert_eq!(replica::parse_path(path), None, "{path}");
     }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -202,6 +202,7 @@
         prefix: agents::service_prefix(agent.flows.borrow().service()),
         role: Role::Reader,
         interval: AGENTS_INTERVAL,
+        demand: Rc::default(),
         followers: move || asking.followers(),
     };
     let shared = agent.clone();
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -36,6 +36,7 @@
 
 use crate::errors::Result;
 use crate::packets::feed;
+use crate::packets::feed::Demand;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::node::Signals;
@@ -71,6 +72,8 @@
     buffer: RefCell<Vec<u8>>,
     /// Whether any agents were learned, from the store or from a peer.
     agents_loaded: Cell<bool>,
+    /// Raised when a flow can only be reset by a confirmation of the routes.
+    config_demand: Rc<Demand>,
     /// Time of the last packet from a client.
     last_packet: Cell<Timestamp>,
     /// Whether a newer configuration is being fetched from another process.
@@ -94,6 +97,7 @@
         early: RefCell::default(),
         buffer: RefCell::new(Vec::new()),
         agents_loaded: Cell::new(false),
+        config_demand: Rc::default(),
         last_packet: Cell::new(Timestamp::ZERO),
         fetching: Cell::new(false),
         node,
@@ -133,14 +137,22 @@
         node::receive(&shared.node.data, on_message).await;
     });
     let shared = entry.clone();
-    let feed = entry.feed(config::CONFIG_KEY, listing::CONFIG_INTERVAL);
+    let feed = entry.feed(
+        config::CONFIG_KEY,
+        listing::CONFIG_INTERVAL,
+        entry.config_demand.clone(),
+    );
     let on_config = move |event| {
         shared.on_config(event);
         shared.forward_early();
     };
     task::spawn_local(feed::follow(feed, on_config));
     let shared = entry.clone();
-    let feed = entry.feed(agents::AGENTS_PREFIX, listing::AGENTS_INTERVAL);
+    let feed = entry.feed(
+        agents::AGENTS_PREFIX,
+        listing::AGENTS_INTERVAL,
+        Rc::default(),
+    );
     let on_agents = move |event| {
         shared.on_agents(event);
         shared.forward_early();
@@ -252,7 +264,11 @@
     fn on_flow_report(&self, now: Timestamp, from: InstanceId, report: &FlowReport) {
         let mut flows = self.flows.borrow_mut();
         let action = flows.on_flow_report(now, from, report);
+        let needs_confirmation = flows.take_demand();
         drop(flows);
+        if needs_confirmation {
+            self.config_demand.raise();
+        }
         self.log_report(now, from, report);
         if let Some(action) = action {
             self.log_action(now, &report.flow, 0, &action);
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -18,6 +18,7 @@
 
 use crate::packets::agent_records;
 use crate::packets::entry::Entry;
+use crate::packets::feed::Demand;
 use crate::packets::feed::Feed;
 use crate::packets::peers;
 use crate::packets::store::StoreEvent;
@@ -75,11 +76,13 @@
 }
 
 impl Entry {
-    /// A feed of the keys of a prefix, with a read from a follower each `interval`.
+    /// A feed of the keys of a prefix, with a read from a follower each `interval`, or when
+    /// `demand` is raised.
     pub(super) fn feed(
         self: &Rc<Self>,
         prefix: &str,
         interval: Duration,
+        demand: Rc<Demand>,
     ) -> Feed<impl Fn() -> Vec<InstanceId> + use<>> {
         let shared = self.clone();
         Feed {
@@ -88,6 +91,7 @@
             prefix: prefix.to_owned(),
             role: Role::Reader,
             interval,
+            demand,
             followers: move || {
                 let settings = &shared.node.settings;
                 let domain = NameKey::from(settings.domain.as_str());
--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -5,11 +5,13 @@
 //! Which source is read, when, and what an answer is worth, is decided by
 //! `marigoldway_core::replica`.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::time;
 
 use marigoldway_core::ids::InstanceId;
@@ -17,6 +19,7 @@
 use marigoldway_core::replica::Answer;
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::position::Position;
+use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::sources::Sources;
 use marigoldway_core::replica::sources::Step;
@@ -28,6 +31,7 @@
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::errors::Result;
 use marigoldway_net::wire;
+use marigoldway_net::wire::replica::Request;
 use marigoldway_platform::store::Changes;
 use marigoldway_platform::store::KvStore;
 
@@ -45,6 +49,21 @@
 /// that lose the same follower don't all ask the next one at the same moment.
 const MAX_FAILURE_WAIT: Duration = Duration::from_millis(300);
 
+/// `Demand` tells a feed that a decision needs a confirmation of the present.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    is_raised: Cell<bool>,
+    wake: Notify,
+}
+
+impl Demand {
+    /// Demands a confirmation of the present.
+    pub(crate) fn raise(&self) {
+        self.is_raised.set(true);
+        self.wake.notify_one();
+    }
+}
+
 /// `Feed` says what to read, and where.
 pub(crate) struct Feed<F> {
     /// The reading process.
@@ -57,6 +76,8 @@
     pub(crate) role: Role,
     /// Time between two reads, so that several changes arrive in one answer.
     pub(crate) interval: Duration,
+    /// What the process's decisions demand.
+    pub(crate) demand: Rc<Demand>,
     /// Returns the known followers, in the order in which this process asks them.
     pub(crate) followers: F,
 }
@@ -78,13 +99,27 @@
     if reader.feed.role == Role::Reader {
         reader.read_first(&mut on_event).await;
     }
+    let demand = reader.feed.demand.clone();
     loop {
-        let now = reader.feed.node.clock.now();
+        let now = reader.now();
+        if demand.is_raised.take() {
+            reader.sources.demand(now);
+        }
         let followers = (reader.feed.followers)();
         match reader.sources.next(now, &followers) {
-            Step::Follower(id) => reader.read_follower(id, &mut on_event).await,
-            Step::Store(hold) => reader.read_store(hold, &mut on_event).await,
-            Step::Wait(until) => time::sleep(until.since(now)).await,
+            Step::Follower(id, freshness) => {
+                reader.read_follower(id, freshness, &mut on_event).await;
+            }
+            Step::Store(Duration::ZERO) => reader.read_store(Duration::ZERO, &mut on_event).await,
+            // A call that the store holds isn't waited for if a decision needs another one.
+            Step::Store(hold) => tokio::select! {
+                () = reader.read_store(hold, &mut on_event) => {}
+                () = demand.wake.notified() => {}
+            },
+            Step::Wait(until) => tokio::select! {
+                () = time::sleep(until.since(now)) => {}
+                () = demand.wake.notified() => {}
+            },
         }
     }
 }
@@ -196,8 +231,18 @@
     }
 
     /// Reads what is new from a follower.
-    async fn read_follower(&mut self, id: InstanceId, on_event: &mut impl FnMut(StoreEvent)) {
-        let path = wire::replica::path(&self.feed.prefix, self.position.known());
+    async fn read_follower(
+        &mut self,
+        id: InstanceId,
+        freshness: Freshness,
+        on_event: &mut impl FnMut(StoreEvent),
+    ) {
+        let request = Request {
+            prefix: &self.feed.prefix,
+            after: self.position.known(),
+            freshness,
+        };
+        let path = request.path();
         let asked = self.now();
         let answer = read_answer(id.0, &path).await;
         let now = self.now();
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -15,6 +15,7 @@
 use marigoldway_core::replica::Item;
 use marigoldway_core::replica::Replica;
 use marigoldway_core::replica::followers;
+use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::timing::Timing;
 use marigoldway_core::time::Timestamp;
@@ -24,6 +25,7 @@
 
 use crate::packets::agent_records;
 use crate::packets::feed;
+use crate::packets::feed::Demand;
 use crate::packets::feed::Feed;
 use crate::packets::node::Node;
 use crate::packets::store::StoreEvent;
@@ -37,6 +39,8 @@
     /// Age of a confirmation from which on a replica gives no answer.
     lifetime: Duration,
     replicas: RefCell<IndexMap<&'static str, Replica>>,
+    /// What readers of each prefix demand.
+    demands: RefCell<IndexMap<&'static str, Rc<Demand>>>,
     /// The agents of all services, by the replica of their keys.
     agents: RefCell<Agents>,
 }
@@ -47,6 +51,7 @@
         Replicas {
             lifetime,
             replicas: RefCell::default(),
+            demands: RefCell::default(),
             agents: RefCell::default(),
         }
     }
@@ -54,10 +59,14 @@
     /// The encoded answer to a reader that has asked for `path`. Returns `None` for another path,
     /// and if this process has no replica that is up to date.
     pub(crate) fn answer(&self, now: Timestamp, path: &str) -> Option<Bytes> {
-        let (prefix, after) = wire::replica::parse_path(path)?;
+        let request = wire::replica::parse_path(path)?;
+        let prefix = request.prefix;
         let replicas = self.replicas.borrow();
-        let (_, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
-        let answer = replica.answer(now, prefix, after)?;
+        let (held, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
+        if request.freshness == Freshness::Now {
+            self.demand(held).raise();
+        }
+        let answer = replica.answer(now, prefix, request.after)?;
         match wire::replica::encode(&answer) {
             Ok(body) => Some(Bytes::from(body)),
             Err(error) => {
@@ -97,6 +106,10 @@
         }
     }
 
+    fn demand(&self, prefix: &'static str) -> Rc<Demand> {
+        self.demands.borrow_mut().entry(prefix).or_default().clone()
+    }
+
     fn update(&self, prefix: &'static str, update: impl FnOnce(&mut Replica)) {
         let mut replicas = self.replicas.borrow_mut();
         let replica = replicas.entry(prefix);
@@ -125,6 +138,7 @@
             prefix: prefix.to_owned(),
             role: Role::Follower(own),
             interval: timing.relay,
+            demand: node.replicas.demand(prefix),
             followers: &followers,
         };
         let stopped = async {
