--- a/marigoldway/tests/lists.rs
+++ b/marigoldway/tests/lists.rs
@@ -67,6 +67,8 @@
     let path = file.to_string_lossy();
     let args = ["put", "--author", author, list, &path];
     let output = run_lists(deployment.platform_addr, &args);
+    // Shown if the test fails.
+    eprint!("{}", String::from_utf8_lossy(&output.stderr));
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     (text, output.status.code().unwrap())
 }
