Hold demands for a confirmation at followers

Cause: the demand was raised only after the search; a demand was sent once per eighth of the limit (0.6 s at 5 s), as were the calls of the leading follower; a follower that had just started refused and wasn't asked again for 5 s.

Change: a follower holds a demand until it has the confirmation, for at most 350 ms. The demand states the age of the decision, so a call to the store made since meets it. The leading follower calls at once, with 50 ms between two calls. A refusal counts for 0.3 s while a demand is open, a process without a working follower calls each 0.1 s. An agent that doesn't know yet whether it is a follower holds demands too, and it checks as soon as it has read its list.

The model of tests/freshness.rs holds demands as the follower does, and tells refusals from silence; its assertions are the same.

--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -25,6 +25,7 @@
 pub use crate::flow::entry::actions::EntryAction;
 pub use crate::flow::entry::actions::Forwarding;
 pub use crate::flow::entry::actions::ResetReason;
+use crate::flow::entry::confirmation::Demands;
 pub use crate::flow::entry::early::EarlyPackets;
 use crate::flow::entry::locate::Locating;
 use crate::flow::entry::views::AgentViews;
@@ -93,8 +94,9 @@
     confirmed: Option<Timestamp>,
     /// Flows that no target holds under `routes`, until these are confirmed.
     unconfirmed: IndexSet<FlowKey>,
-    /// Whether a flow was added to `unconfirmed` since the last [`EntryFlows::take_demand`].
-    demands: bool,
+    demands: Demands,
+    /// Times from the first packets of flows to their resets, until they are taken.
+    reset_times: Vec<Duration>,
     agents: Agents,
     views: AgentViews,
     addr_services: AddrServices,
@@ -110,7 +112,8 @@
             routes: None,
             confirmed: None,
             unconfirmed: IndexSet::new(),
-            demands: false,
+            demands: Demands::default(),
+            reset_times: Vec::new(),
             agents: Agents::default(),
             views: AgentViews::default(),
             addr_services: AddrServices::new(options.idle_timeout),
@@ -246,8 +249,19 @@
         self.routes.is_none() || (self.agents.is_empty() && !self.agents.is_loaded())
     }
 
-    /// Decides how to handle a client's packet.
+    /// Decides how to handle a client's packet that arrives now.
     pub fn on_packet(&mut self, now: Timestamp, segment: &Segment) -> EntryAction {
+        self.on_kept_packet(now, now, segment)
+    }
+
+    /// Decides how to handle a client's packet that arrived at `arrived` and may have been kept since
+    /// then.
+    pub fn on_kept_packet(
+        &mut self,
+        now: Timestamp,
+        arrived: Timestamp,
+        segment: &Segment,
+    ) -> EntryAction {
         if self.is_starting() {
             return EntryAction::Keep;
         }
@@ -256,18 +270,25 @@
         };
         let flow = segment.inbound_flow();
         let Some(route) = routes.by_addr.get(&flow.server) else {
-            return self.on_unrouted(now, flow, segment, &routes);
+            return self.on_unrouted(now, arrived, flow, segment, &routes);
         };
         if segment.opens() {
             self.open(now, flow, route)
         } else {
-            self.forward(now, flow, route, segment.ack)
+            self.forward(now, arrived, flow, route, segment.ack)
         }
     }
 
     /// Forwards a packet that doesn't open a flow: to the agent that is known to hold
     /// the flow, whatever the service of the present route is, or to directory agents.
-    fn forward(&mut self, now: Timestamp, flow: FlowKey, route: &Route, acked: u32) -> EntryAction {
+    fn forward(
+        &mut self,
+        now: Timestamp,
+        arrived: Timestamp,
+        flow: FlowKey,
+        route: &Route,
+        acked: u32,
+    ) -> EntryAction {
         if let Some(FlowState::Located { agent, service }) = self.flows.touch(now, &flow) {
             let (agent, service) = (*agent, *service);
             if self.is_of_service(agent, service) {
@@ -275,7 +296,7 @@
                 return EntryAction::Forward(vec![Forwarding { agent, header }]);
             }
         }
-        self.locate(now, flow, route, acked)
+        self.locate(now, arrived, flow, route, acked)
     }
 
     /// Whether an agent is known and belongs to the service. An agent's address may be
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -29,7 +29,7 @@
 /// `Locating` is what an entry knows about an open flow that no agent is known to hold.
 #[derive(Clone, Debug)]
 pub(super) struct Locating {
-    /// Time of the first packet that was forwarded to a directory agent. The flow was open then.
+    /// Arrival of the first packet that was forwarded to a directory agent. The flow was open then.
     since: Timestamp,
     /// Number of packets that were forwarded to directory agents.
     queries: u32,
@@ -42,9 +42,9 @@
 }
 
 impl Locating {
-    fn new(now: Timestamp) -> Locating {
+    fn new(since: Timestamp) -> Locating {
         Locating {
-            since: now,
+            since,
             queries: 0,
             acked: 0,
             unknown: IndexMap::new(),
@@ -54,11 +54,12 @@
 }
 
 impl EntryFlows {
-    /// Forwards a packet to a directory agent of each service that may hold the flow. If the flow
-    /// is already known to be gone, resets it.
+    /// Forwards a packet, which arrived at `arrived`, to a directory agent of each service that may
+    /// hold the flow. If the flow is already known to be gone, resets it.
     pub(super) fn locate(
         &mut self,
         now: Timestamp,
+        arrived: Timestamp,
         flow: FlowKey,
         route: &Route,
         acked: u32,
@@ -67,10 +68,10 @@
             Some(FlowState::Locating(state)) => state.clone(),
             Some(FlowState::Unrouted(since)) => Locating::new(*since),
             Some(FlowState::Located { .. } | FlowState::Opening { .. }) | None => {
-                Locating::new(now)
+                Locating::new(arrived)
             }
         };
-        let queries = state.queries;
+        let (since, queries) = (state.since, state.queries);
         state.queries += 1;
         state.acked = acked;
         let services = self.services(now, &flow, route);
@@ -99,6 +100,9 @@
         if forwardings.is_empty() {
             return EntryAction::Drop(DropReason::Unserved);
         }
+        if queries == 0 {
+            self.demands.on_unknown(since, flow);
+        }
         EntryAction::Forward(forwardings)
     }
 
@@ -165,12 +169,14 @@
             return None;
         }
         if !self.is_confirmed_since(state.since) {
+            self.demands.on_unconfirmed(state.since);
             if self.unconfirmed.len() < MAX_UNCONFIRMED {
-                self.demands |= self.unconfirmed.insert(*flow);
+                self.unconfirmed.insert(*flow);
             }
             return None;
         }
         let seq = state.acked;
+        self.reset_times.push(now.since(state.since));
         self.flows.remove(flow);
         Some(Reset { flow: *flow, seq })
     }
--- a/marigoldway-core/src/replica.rs
+++ b/marigoldway-core/src/replica.rs
@@ -154,6 +154,11 @@
         self.confirmed = self.confirmed.max(Some(as_of));
     }
 
+    /// Time as of which the copy is known to lack no change. `None` if it isn't kept up to date.
+    pub fn confirmed(&self) -> Option<Timestamp> {
+        self.confirmed
+    }
+
     /// Notes that the copy is no longer kept up to date, until it is confirmed again.
     pub fn suspend(&mut self) {
         self.pending.clear();
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -8,20 +8,29 @@
 //! the process ask the store itself. So each process, whatever it reads and from whom, learns of a
 //! change within the limit, or knows that it may be late.
 //!
-//! A decision may need a confirmation of the present. The process then demands one of its follower,
-//! and this one of the leading follower, which asks the store once for all.
+//! A decision may need a later confirmation than there is. The process then demands one of its
+//! follower, and this one of the leading follower, which asks the store once for all. A follower
+//! holds a demand until it has the confirmation. A process has one demand outstanding at a time, and
+//! further decisions share the next one.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::ids::InstanceId;
+use crate::replica::timing::DEMAND_SPACING;
+use crate::replica::timing::DIRECT_SPACING;
+use crate::replica::timing::REFUSAL_RETRY;
 use crate::replica::timing::Timing;
 use crate::time::Timestamp;
 
 /// Time for which a follower that failed isn't asked again.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Time for which other followers are preferred to one that held a demand in vain. The store may
+/// not answer this one, or it follows another one that the store doesn't answer.
+const UNMET_TIME: Duration = Duration::from_secs(1);
+
 /// Part of a process's patience after which it repeats a failed call to the store for the first
 /// time, and beyond which the wait doesn't grow.
 const RETRY_PARTS: (f64, f64) = (0.25, 0.6);
@@ -43,7 +52,7 @@
 /// `Step` is what a process does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Read from this follower, of which a confirmation of the present is demanded or not.
+    /// Read from this follower, of which a confirmation is demanded or not.
     Follower(InstanceId, Freshness),
     /// Ask the store, which may hold the call for this long while nothing changes.
     Store(Duration),
@@ -56,12 +65,43 @@
 pub enum Freshness {
     /// What the follower has.
     Known,
-    /// That the follower confirms what it has as soon as it can. The reader asks again for it.
-    Now,
+    /// A confirmation for a time this long before the request. The follower holds the request until
+    /// it has one, for at most [`DEMAND_HOLD`](crate::replica::timing::DEMAND_HOLD). The time is that
+    /// of the decision, so a call to the store that was made since meets the demand, although the
+    /// demand arrived later.
+    AsOf(Duration),
 }
 
-/// Maximum number of times that the interval between the reads of a demand doubles.
-const MAX_DOUBLINGS: u32 = 4;
+/// Maximum number of times that the time between two demands doubles while none is met, so that it
+/// stays below half a second.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// `Failure` is the last failure of a follower.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    /// The follower didn't answer, or its answer was of no use.
+    Silent(Timestamp),
+    /// The follower answered at once that it has no copy, or no process listens there.
+    Refused(Timestamp),
+    /// The follower held a demand and didn't meet it.
+    Unmet(Timestamp),
+}
+
+impl Failure {
+    /// Whether the follower isn't asked at `now`. `demanding` tells whether a demand is open.
+    fn excludes(self, now: Timestamp, demanding: bool) -> bool {
+        match self {
+            Failure::Refused(at) if demanding => now.since(at) < REFUSAL_RETRY,
+            Failure::Silent(at) | Failure::Refused(at) => now.since(at) < RETRY_AFTER,
+            Failure::Unmet(at) => demanding && now.since(at) < UNMET_TIME,
+        }
+    }
+
+    /// Whether a reader, which never leads, asks the follower if all are excluded.
+    fn is_unmet(self) -> bool {
+        matches!(self, Failure::Unmet(_))
+    }
+}
 
 /// `Sources` chooses the source of each read of one prefix.
 #[derive(Clone, Debug)]
@@ -72,20 +112,24 @@
     interval: Duration,
     /// Time as of which the process is known to lack no change. `None` before the first answer.
     confirmed: Option<Timestamp>,
-    /// Followers that failed, with the time of the last failure.
-    failed: IndexMap<InstanceId, Timestamp>,
+    /// Followers that failed, with the last failure of each.
+    failed: IndexMap<InstanceId, Failure>,
     /// Time of the next read from a follower.
     next_read: Timestamp,
-    /// Earliest time of the next call to the store.
+    /// Earliest time of the next call to the store that no demand needs.
     next_call: Timestamp,
+    /// Time at which the last call that the store answered was made.
+    last_call: Option<Timestamp>,
     /// Number of calls to the store that failed one after the other.
     failures: u32,
     /// Time for which a confirmation is needed.
     demand: Option<Timestamp>,
-    /// Time of the last demand to a follower or call to the store.
-    demanded: Timestamp,
-    /// Number of reads since then.
-    reads: u32,
+    /// Time of the last demand to the follower that is asked.
+    demanded: Option<Timestamp>,
+    /// Whether the last read from a follower was a demand.
+    is_demanding: bool,
+    /// Number of demands since the last one that brought a later confirmation.
+    unmet: u32,
 }
 
 impl Sources {
@@ -100,10 +144,12 @@
             failed: IndexMap::new(),
             next_read: Timestamp::ZERO,
             next_call: Timestamp::ZERO,
+            last_call: None,
             failures: 0,
             demand: None,
-            demanded: Timestamp::ZERO,
-            reads: 0,
+            demanded: None,
+            is_demanding: false,
+            unmet: 0,
         }
     }
 
@@ -119,48 +165,76 @@
 
     /// The next step of a process that knows these followers, in the order in which it asks them.
     pub fn next(&mut self, now: Timestamp, followers: &[InstanceId]) -> Step {
-        self.failed.retain(|_, at| now.since(*at) < RETRY_AFTER);
-        let usable = followers
-            .iter()
-            .take_while(|id| self.role != Role::Follower(**id))
-            .find(|id| !self.failed.contains_key(*id));
-        let leads = usable.is_none() && self.role != Role::Reader;
         let demand = self.open_demand();
-        let patience = match usable {
+        let usable = self.usable(now, followers, demand.is_some());
+        let leads = usable.is_none() && self.role != Role::Reader;
+        let due = match usable {
             // No one else can meet the demand.
-            None if leads || demand.is_some() => Duration::ZERO,
-            Some(_) | None => self.patience(),
+            None if demand.is_some() => self.due_demanded_call(leads),
+            None if leads => self.next_call,
+            Some(_) | None => {
+                let aged = self.confirmed.map(|at| at + self.patience());
+                aged.unwrap_or(Timestamp::ZERO).max(self.next_call)
+            }
         };
-        let due = self.confirmed.map_or(Timestamp::ZERO, |at| at + patience);
-        let due = due.max(self.next_call);
         if now >= due {
             return Step::Store(self.hold(now, leads && demand.is_none()));
         }
         let Some(id) = usable else {
             return Step::Wait(due);
         };
-        // One demand is made for all decisions of a while.
-        let next_demand = self.demanded + self.timing.relay;
-        let is_new = demand.is_some_and(|at| at > self.demanded);
-        if is_new && now >= next_demand {
-            self.demanded = now;
-            self.reads = 0;
-            return Step::Follower(*id, Freshness::Now);
-        }
-        let next_read = match demand {
-            Some(_) if is_new => self.next_read.min(next_demand),
-            Some(_) if self.reads <= MAX_DOUBLINGS => {
-                let factor = (2 << self.reads) - 1;
-                self.next_read
-                    .min(self.demanded + self.timing.demand * factor)
+        self.is_demanding = demand.is_some();
+        if let Some(at) = demand {
+            let spacing = DEMAND_SPACING * (1 << self.unmet.min(MAX_DOUBLINGS));
+            let next_demand = self.demanded.map_or(now, |at| at + spacing);
+            if now < next_demand {
+                return Step::Wait(due.min(next_demand));
             }
-            Some(_) | None => self.next_read,
+            self.demanded = Some(now);
+            return Step::Follower(id, Freshness::AsOf(now.since(at)));
+        }
+        if now < self.next_read {
+            return Step::Wait(due.min(self.next_read));
+        }
+        Step::Follower(id, Freshness::Known)
+    }
+
+    /// The first of the followers that works. `demanding` tells whether a demand is open: a reader
+    /// then prefers those that can meet it.
+    fn usable(
+        &mut self,
+        now: Timestamp,
+        followers: &[InstanceId],
+        demanding: bool,
+    ) -> Option<InstanceId> {
+        self.failed
+            .retain(|_, failure| failure.excludes(now, false) || failure.excludes(now, true));
+        let failed = &self.failed;
+        let others = followers
+            .iter()
+            .take_while(|id| self.role != Role::Follower(**id));
+        let excluding = |id: &InstanceId| {
+            let failure = failed.get(id)?;
+            failure.excludes(now, demanding).then_some(*failure)
         };
-        if now < next_read {
-            return Step::Wait(due.min(next_read));
+        let is_reader = self.role == Role::Reader;
+        let may_ask = |id: &&InstanceId| excluding(id).is_none_or(Failure::is_unmet);
+        let works = others.clone().find(|id| excluding(id).is_none());
+        let unmet = others.filter(|_| is_reader).find(may_ask);
+        works.or(unmet).copied()
+    }
+
+    /// Time of the next call to the store by a process whose demand no follower meets.
+    fn due_demanded_call(&self, leads: bool) -> Timestamp {
+        let spacing = if leads {
+            DEMAND_SPACING
+        } else {
+            DIRECT_SPACING
+        };
+        match self.last_call {
+            Some(at) if self.failures == 0 => at + spacing,
+            Some(_) | None => self.next_call,
         }
-        self.reads += 1;
-        Step::Follower(*id, Freshness::Known)
     }
 
     /// Time for which the store may hold a call made now. `may_wait` tells whether it may at all.
@@ -191,10 +265,10 @@
     ) -> Option<Timestamp> {
         let as_of = asked.before(age);
         if now.since(as_of) >= self.patience() {
-            self.on_failure(now, follower, Duration::ZERO);
+            self.on_refusal(now, follower, Duration::ZERO);
             return None;
         }
-        let confirmed = self.confirm(as_of);
+        let confirmed = self.confirm_by(now, follower, as_of);
         // The followers are asked once more before the process has to ask the store.
         let last = confirmed + self.patience().saturating_sub(self.timing.relay);
         let earliest = now + self.timing.relay / 2;
@@ -202,11 +276,37 @@
         Some(as_of)
     }
 
+    /// Notes the confirmation by a follower's answer. A follower that answers a demand without a later
+    /// confirmation isn't the first choice for a while.
+    fn confirm_by(&mut self, now: Timestamp, follower: InstanceId, as_of: Timestamp) -> Timestamp {
+        let advances = self.confirmed < Some(as_of);
+        let confirmed = self.confirm(as_of);
+        if self.is_demanding && !advances {
+            self.unmet += 1;
+            self.failed.insert(follower, Failure::Unmet(now));
+        } else {
+            self.unmet = 0;
+            self.failed.swap_remove(&follower);
+        }
+        confirmed
+    }
+
     /// Notes that a follower didn't answer, or that its answer is of no use. The next read is due
-    /// after `wait`.
+    /// after `wait`, or at once if a demand is open.
     pub fn on_failure(&mut self, now: Timestamp, follower: InstanceId, wait: Duration) {
-        self.failed.insert(follower, now);
+        self.fail(now, follower, Failure::Silent(now), wait);
+    }
+
+    /// Notes that a follower answered that it has no copy, or that no process listens at its
+    /// address. The next read is due after `wait`, or at once if a demand is open.
+    pub fn on_refusal(&mut self, now: Timestamp, follower: InstanceId, wait: Duration) {
+        self.fail(now, follower, Failure::Refused(now), wait);
+    }
+
+    fn fail(&mut self, now: Timestamp, follower: InstanceId, failure: Failure, wait: Duration) {
+        self.failed.insert(follower, failure);
         self.next_read = now + wait;
+        self.demanded = None;
     }
 
     /// Notes the store's answer to a call made at `asked`, by which the process lacks no change as of
@@ -220,6 +320,7 @@
     ) {
         self.confirm(as_of);
         self.failures = 0;
+        self.last_call = Some(asked);
         let pause = if changed { PAUSE_PART } else { 0.0 };
         let earliest = asked + self.timing.relay;
         self.next_call = earliest.max(now + self.timing.hold.mul_f64(pause));
--- a/marigoldway-core/src/replica/timing.rs
+++ b/marigoldway-core/src/replica/timing.rs
@@ -20,8 +20,23 @@
 /// steps of the usual way together.
 const READER_PART: f64 = 0.72;
 
-/// Part of the limit between the first two reads of a process that needs a confirmation now.
-const DEMAND_PART: f64 = 0.02;
+/// Minimum time between the starts of two demands of one process, and of two calls of the leading
+/// follower that meet demands. With a call of 20 ms, a demand is met within 70 ms at 20 calls per
+/// second.
+pub const DEMAND_SPACING: Duration = Duration::from_millis(50);
+
+/// Minimum time between the starts of two calls by which a process without a working follower meets
+/// its own demands.
+pub const DIRECT_SPACING: Duration = Duration::from_millis(100);
+
+/// Maximum time for which a follower holds a demand until it has a confirmation. It is shorter than
+/// the 400 ms after which the reader gives the follower up, so that a follower that the store
+/// doesn't answer isn't taken for one that can't be reached.
+pub const DEMAND_HOLD: Duration = Duration::from_millis(350);
+
+/// Time for which a follower that refused a demand isn't asked again while one is outstanding. A
+/// follower that has just started refuses until its first reads of the store have ended.
+pub const REFUSAL_RETRY: Duration = Duration::from_millis(300);
 
 /// `Timing` holds the times of reads for one limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,9 +50,6 @@
     pub follower: Duration,
     /// Age of the last confirmation at which any other process asks the store itself.
     pub reader: Duration,
-    /// Interval between the first two reads of a process that needs a confirmation now. It doubles
-    /// with each further read.
-    pub demand: Duration,
 }
 
 impl Timing {
@@ -49,7 +61,6 @@
             relay: limit.mul_f64(RELAY_PART),
             follower: limit.mul_f64(FOLLOWER_PART),
             reader: limit.mul_f64(READER_PART),
-            demand: limit.mul_f64(DEMAND_PART),
         }
     }
 
--- a/marigoldway-core/tests/freshness.rs
+++ b/marigoldway-core/tests/freshness.rs
@@ -19,6 +19,7 @@
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::sources::Sources;
 use marigoldway_core::replica::sources::Step;
+use marigoldway_core::replica::timing::DEMAND_HOLD;
 use marigoldway_core::replica::timing::Timing;
 use marigoldway_core::time::Timestamp;
 
@@ -301,17 +302,26 @@
                 if silent && age < READ_TIMEOUT || age < ROUND_TRIP {
                     return;
                 }
-                if freshness == Freshness::Now && !silent {
-                    self.followers[&id].demand(now);
+                let mut arrived = now;
+                if let Freshness::AsOf(need) = freshness
+                    && !silent
+                {
+                    arrived = asked + ROUND_TRIP;
+                    if self.holds(id, arrived, arrived.before(need)) {
+                        return;
+                    }
                 }
                 let source = &self.followers[&id];
                 let replica = source.replica.as_ref().filter(|_| !silent);
-                let answer = replica.and_then(|it| it.answer(now, "a", known));
+                let answer = replica.and_then(|it| it.answer(arrived, "a", known));
                 let wait = Duration::from_millis((jitter * 300.0) as u64);
                 let process = self.process(follower, n);
                 process.call = None;
                 let Some(answer) = answer else {
-                    return process.sources.on_failure(now, id, wait);
+                    return match silent {
+                        true => process.sources.on_failure(now, id, wait),
+                        false => process.sources.on_refusal(now, id, wait),
+                    };
                 };
                 let Some(as_of) = process.sources.on_answer(now, id, asked, answer.age) else {
                     return;
@@ -326,6 +336,18 @@
         }
     }
 
+    /// Whether a follower holds a demand for the time `at`, which arrived at `arrived`.
+    fn holds(&mut self, id: InstanceId, arrived: Timestamp, at: Timestamp) -> bool {
+        let now = self.now;
+        let source = &mut self.followers[&id];
+        let confirmed = source.replica.as_ref().and_then(Replica::confirmed);
+        let holds = confirmed < Some(at) && now.since(arrived) < DEMAND_HOLD;
+        if holds {
+            source.demand(at);
+        }
+        holds
+    }
+
     fn late_readers(&self) -> usize {
         let revision = self.revision();
         let late = self.readers.iter().filter(|it| it.revision < revision);
@@ -334,9 +356,9 @@
 }
 
 impl Process {
-    /// Demands a confirmation of the present, for which a held call isn't waited for.
-    fn demand(&mut self, now: Timestamp) {
-        self.sources.demand(now);
+    /// Demands a confirmation for a time, for which a held call isn't waited for.
+    fn demand(&mut self, at: Timestamp) {
+        self.sources.demand(at);
         if let Some(Call::Store { hold, .. }) = self.call
             && hold > Duration::ZERO
         {
--- a/marigoldway-net/src/wire/replica.rs
+++ b/marigoldway-net/src/wire/replica.rs
@@ -18,7 +18,7 @@
 /// First part of the path at which a follower serves changes.
 const PATH: &str = "/changes/";
 
-/// First part of the path by which a reader also demands a confirmation of the present.
+/// First part of the path by which a reader also demands a confirmation.
 const DEMAND_PATH: &str = "/demand/";
 
 /// `AnswerWire` is the CBOR form of an [`Answer`].
@@ -63,7 +63,10 @@
         let Request { prefix, after, .. } = self;
         match self.freshness {
             Freshness::Known => format!("{PATH}{after}/{prefix}"),
-            Freshness::Now => format!("{DEMAND_PATH}{after}/{prefix}"),
+            // Rounded down: the demanded time must not look earlier than it is.
+            Freshness::AsOf(age) => {
+                format!("{DEMAND_PATH}{}/{after}/{prefix}", age.as_millis())
+            }
         }
     }
 }
@@ -72,7 +75,13 @@
 pub fn parse_path(path: &str) -> Option<Request<'_>> {
     let (freshness, rest) = match path.strip_prefix(PATH) {
         Some(rest) => (Freshness::Known, rest),
-        None => (Freshness::Now, path.strip_prefix(DEMAND_PATH)?),
+        None => {
+            let (age, rest) = path.strip_prefix(DEMAND_PATH)?.split_once('/')?;
+            (
+                Freshness::AsOf(Duration::from_millis(age.parse().ok()?)),
+                rest,
+            )
+        }
     };
     let (after, prefix) = rest.split_once('/')?;
     Some(Request {
--- a/marigoldway-net/tests/wire_replica.rs
+++ b/marigoldway-net/tests/wire_replica.rs
@@ -62,8 +62,9 @@
     }
 
     #[test]
-    fn parse_path_of_any_reader(prefix in "[a-z0-9:/]{0,40}", after: u64, demands: bool) {
-        let freshness = if demands { Freshness::Now } else { Freshness::Known };
+    fn parse_path_of_any_reader(prefix in "[a-z0-9:/]{0,40}", after: u64, demands: bool, age_ms: u32) {
+        let age = Duration::from_millis(u64::from(age_ms));
+        let freshness = if demands { Freshness::AsOf(age) } else { Freshness::Known };
         let request = Request { prefix: &prefix, after, freshness };
         let path = request.path();
         prop_assert_eq!(replica::parse_path(&path), Some(request));
@@ -79,6 +80,8 @@
         "/changes/-1/a",
         "/changes/5",
         "/demand/x/agents/",
+        "/demand/5/agents/",
+        "/demand/-1/5/agents/",
     ] {
         assert_eq!(replica::parse_path(path), None, "{path}");
     }
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -38,6 +38,7 @@
                     .set(own.as_ref().map_or(0, |it| it.revision));
                 flows.set_listed_addrs(own.map(|it| it.addrs).unwrap_or_default());
                 self.agents_loaded.set(true);
+                self.node.replicas.check_roles();
             }
             StoreEvent::Put(stored) => {
                 if let Some(record) = agent_records::decode(&self.node, &stored) {
@@ -65,10 +66,15 @@
         }
     }
 
-    /// Whether this agent follows the store for other processes.
-    pub(super) fn is_follower(&self) -> bool {
-        let followers = followers::ranked(self.flows.borrow().agents());
-        !self.node.leaving.get() && followers.contains(&self.node.settings.data)
+    /// Whether this agent follows the store for other processes. `None` before the first list of
+    /// agents from the store.
+    pub(super) fn is_follower(&self) -> Option<bool> {
+        let flows = self.flows.borrow();
+        if !flows.agents().is_loaded() {
+            return None;
+        }
+        let followers = followers::ranked(flows.agents());
+        Some(!self.node.leaving.get() && followers.contains(&self.node.settings.data))
     }
 
     /// The followers in the order that they have in common: those of all services, or those of the
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -15,6 +15,7 @@
 
 use http::StatusCode;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::task;
 use tokio::time;
 
@@ -74,6 +75,8 @@
     agents_loaded: Cell<bool>,
     /// Raised when a flow can only be reset by a confirmation of the routes.
     config_demand: Rc<Demand>,
+    /// Wakes the task that demands confirmations for flows that stay unknown.
+    flow_unknown: Notify,
     /// Time of the last packet from a client.
     last_packet: Cell<Timestamp>,
     /// Whether a newer configuration is being fetched from another process.
@@ -98,6 +101,7 @@
         buffer: RefCell::new(Vec::new()),
         agents_loaded: Cell::new(false),
         config_demand: Rc::default(),
+        flow_unknown: Notify::new(),
         last_packet: Cell::new(Timestamp::ZERO),
         fetching: Cell::new(false),
         node,
@@ -159,6 +163,7 @@
     };
     task::spawn_local(feed::follow(feed, on_agents));
     task::spawn_local(tick(entry.clone()));
+    task::spawn_local(demand_confirmations(entry.clone()));
     task::spawn_local(listing::fetch_from_contacts(entry.clone()));
     Ok(())
 }
@@ -176,6 +181,19 @@
     }
 }
 
+/// Demands confirmations of the routes for flows that stay unknown. Never returns.
+async fn demand_confirmations(entry: Rc<Entry>) {
+    loop {
+        let due = entry.flows.borrow().demand_due();
+        let Some(due) = due else {
+            entry.flow_unknown.notified().await;
+            continue;
+        };
+        time::sleep(due.since(entry.node.clock.now())).await;
+        entry.demand_confirmation(entry.node.clock.now());
+    }
+}
+
 impl Entry {
     /// Whether routers may send packets: the entry has a configuration and knows agents, and isn't
     /// leaving.
@@ -213,7 +231,13 @@
         let Some(segment) = packet::decode(datagram) else {
             return self.node.count("packet-unreadable");
         };
-        let action = self.flows.borrow_mut().on_packet(now, &segment);
+        let mut flows = self.flows.borrow_mut();
+        let action = flows.on_kept_packet(now, arrived, &segment);
+        let is_unknown = flows.demand_due().is_some();
+        drop(flows);
+        if is_unknown {
+            self.flow_unknown.notify_one();
+        }
         if action == EntryAction::Keep {
             self.early.borrow_mut().push(arrived, &segment, datagram);
         }
@@ -262,13 +286,8 @@
 
     /// Handles an agent's report about a flow.
     fn on_flow_report(&self, now: Timestamp, from: InstanceId, report: &FlowReport) {
-        let mut flows = self.flows.borrow_mut();
-        let action = flows.on_flow_report(now, from, report);
-        let needs_confirmation = flows.take_demand();
-        drop(flows);
-        if needs_confirmation {
-            self.config_demand.raise();
-        }
+        let action = self.flows.borrow_mut().on_flow_report(now, from, report);
+        self.demand_confirmation(now);
         self.log_report(now, from, report);
         if let Some(action) = action {
             self.log_action(now, &report.flow, 0, &action);
@@ -276,6 +295,15 @@
         }
     }
 
+    /// Demands a confirmation of the routes if the reset of a flow may need one.
+    fn demand_confirmation(&self, now: Timestamp) {
+        let at = self.flows.borrow_mut().take_demand(now);
+        if let Some(at) = at {
+            self.node.count("demand-raised");
+            self.config_demand.raise(at);
+        }
+    }
+
     /// Handles a message from another process of the system.
     fn on_message(self: &Rc<Self>, datagram: &[u8], from: SocketAddrV4) {
         let now = self.node.clock.now();
--- a/marigoldway/src/packets/entry/log_actions.rs
+++ b/marigoldway/src/packets/entry/log_actions.rs
@@ -66,6 +66,9 @@
 
     fn log_reset(&self, now: Timestamp, flow: &FlowKey, reason: ResetReason) {
         self.node.count("flow-reset");
+        for age in self.flows.borrow_mut().take_reset_times() {
+            self.node.histograms.flow_reset.observe(age.as_secs_f64());
+        }
         if self.node.log_limiter.allows(now, "flow-reset") {
             let (reason, version) = (reason.as_str(), self.node.version());
             log::info!("event=flow-reset flow={flow} reason={reason} version={version}");
--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::time;
+use tokio::time::error::Elapsed;
 
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica;
@@ -49,19 +50,28 @@
 /// that lose the same follower don't all ask the next one at the same moment.
 const MAX_FAILURE_WAIT: Duration = Duration::from_millis(300);
 
-/// `Demand` tells a feed that a decision needs a confirmation of the present.
+/// `Demand` tells a feed that a decision needs a confirmation.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
-    is_raised: Cell<bool>,
+    /// Latest time for which a confirmation is needed, until the feed takes it.
+    at: Cell<Option<Timestamp>>,
     wake: Notify,
 }
 
 impl Demand {
-    /// Demands a confirmation of the present.
-    pub(crate) fn raise(&self) {
-        self.is_raised.set(true);
+    /// Demands a confirmation for the time `at`.
+    pub(crate) fn raise(&self, at: Timestamp) {
+        self.at.set(self.at.get().max(Some(at)));
         self.wake.notify_one();
     }
+
+    /// Waits until a demand is there to be taken.
+    async fn raised(&self) {
+        // A wake-up may be left over from a demand that was taken.
+        while self.at.get().is_none() {
+            self.wake.notified().await;
+        }
+    }
 }
 
 /// `Feed` says what to read, and where.
@@ -102,8 +112,8 @@
     let demand = reader.feed.demand.clone();
     loop {
         let now = reader.now();
-        if demand.is_raised.take() {
-            reader.sources.demand(now);
+        if let Some(at) = demand.at.take() {
+            reader.sources.demand(at);
         }
         let followers = (reader.feed.followers)();
         match reader.sources.next(now, &followers) {
@@ -114,11 +124,11 @@
             // A call that the store holds isn't waited for if a decision needs another one.
             Step::Store(hold) => tokio::select! {
                 () = reader.read_store(hold, &mut on_event) => {}
-                () = demand.wake.notified() => {}
+                () = demand.raised() => {}
             },
             Step::Wait(until) => tokio::select! {
                 () = time::sleep(until.since(now)) => {}
-                () = demand.wake.notified() => {}
+                () = demand.raised() => {}
             },
         }
     }
@@ -243,14 +253,20 @@
             freshness,
         };
         let path = request.path();
+        if freshness != Freshness::Known {
+            self.feed.node.count("demand-sent");
+        }
         let asked = self.now();
         let answer = read_answer(id.0, &path).await;
         let now = self.now();
-        let Some(answer) = answer else {
+        let Ok(Some(answer)) = answer else {
             self.feed.node.count("follower-failed");
             log::debug!("event=follower-failed follower={id} path={path}");
             let wait = rand::rng().random_range(Duration::ZERO..MAX_FAILURE_WAIT);
-            return self.sources.on_failure(now, id, wait);
+            return match answer {
+                Ok(_) => self.sources.on_refusal(now, id, wait),
+                Err(_) => self.sources.on_failure(now, id, wait),
+            };
         };
         let Some(as_of) = self.sources.on_answer(now, id, asked, answer.age) else {
             self.feed.node.count("follower-late");
@@ -285,14 +301,20 @@
     }
 }
 
-async fn read_answer(follower: SocketAddrV4, path: &str) -> Option<Answer> {
-    let body = time::timeout(FOLLOWER_TIMEOUT, peers::fetch(follower, path)).await;
-    let body = body.ok().flatten()?;
+/// Reads from a follower. Returns `None` if it has no answer, or if no process listens there.
+async fn read_answer(
+    follower: SocketAddrV4,
+    path: &str,
+) -> std::result::Result<Option<Answer>, Elapsed> {
+    let body = time::timeout(FOLLOWER_TIMEOUT, peers::fetch(follower, path)).await?;
+    let Some(body) = body else {
+        return Ok(None);
+    };
     match wire::replica::decode(&body) {
-        Ok(answer) => Some(answer),
+        Ok(answer) => Ok(Some(answer)),
         Err(error) => {
             log::warn!("event=answer-unreadable follower={follower} error=\"{error}\"");
-            None
+            Ok(None)
         }
     }
 }
--- a/marigoldway/src/packets/histograms.rs
+++ b/marigoldway/src/packets/histograms.rs
@@ -23,6 +23,8 @@
     pub(crate) request_wait: Histogram,
     /// Time from forwarding a request to the target to its answer.
     pub(crate) target_response: Histogram,
+    /// Time from the first packet of a flow that no target holds to its reset.
+    pub(crate) flow_reset: Histogram,
     /// Delay of the ticks of the periodic work. A packet may be handled as late as a tick.
     pub(crate) tick_delay: Histogram,
 }
@@ -34,6 +36,11 @@
         Ok(Histograms {
             request_wait: histogram(&registry, "request_wait_seconds", "time held at the agent")?,
             target_response: histogram(&registry, "target_answer_seconds", "time at the target")?,
+            flow_reset: histogram(
+                &registry,
+                "flow_reset_seconds",
+                "time from a lost flow's first packet to its reset",
+            )?,
             tick_delay: histogram(
                 &registry,
                 "tick_delay_seconds",
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -90,7 +90,7 @@
     /// Whether the process is leaving.
     pub(crate) leaving: Cell<bool>,
     /// Copies of the store's keys that other processes read here.
-    pub(crate) replicas: Replicas,
+    pub(crate) replicas: Rc<Replicas>,
     /// Values of the store that couldn't be read and were logged.
     pub(crate) unreadable: RefCell<UnreadableKeys>,
     /// The configuration in force, or `None` before the first one.
@@ -111,7 +111,7 @@
             histograms: Histograms::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
-            replicas: Replicas::new(Timing::new(settings.apply_limit).reader),
+            replicas: Rc::new(Replicas::new(Timing::new(settings.apply_limit).reader)),
             unreadable: RefCell::default(),
             document: RefCell::new(None),
             calls: RefCell::default(),
@@ -265,7 +265,7 @@
     server::serve(node.settings.data.0, move |_, path, _| match path {
         peers::CONFIG_PATH => Answer::found(shared.document().map(|it| it.raw)),
         peers::AGENTS_PATH => Answer::found(Some(agents())),
-        _ => Answer::found(shared.replicas.answer(shared.clock.now(), path)),
+        _ => shared.replicas.respond(shared.clock, path),
     })?;
     task::spawn_local(node.clone().log_calls());
     let Some(addr) = node.settings.metrics else {
--- a/marigoldway/src/packets/server.rs
+++ b/marigoldway/src/packets/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,28 +33,39 @@
 /// Timeout for reading the header of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// `Answer` is the status and the body of an HTTP response.
-pub(crate) struct Answer {
-    status: StatusCode,
-    body: Bytes,
+/// `Answer` is the response to an HTTP request.
+pub(crate) enum Answer {
+    /// A status and a body.
+    Full(StatusCode, Bytes),
+    /// An answer that isn't known yet.
+    Held(Pin<Box<dyn Future<Output = Answer>>>),
 }
 
 impl Answer {
     /// An answer with an empty body.
     pub(crate) fn empty(status: StatusCode) -> Answer {
-        Answer {
-            status,
-            body: Bytes::new(),
+        Answer::Full(status, Bytes::new())
+    }
+
+    /// The answer that `answer` returns.
+    pub(crate) fn held(answer: impl Future<Output = Answer> + 'static) -> Answer {
+        Answer::Held(Box::pin(answer))
+    }
+
+    /// The status and the body, once they are known.
+    async fn wait(mut self) -> (StatusCode, Bytes) {
+        loop {
+            match self {
+                Answer::Full(status, body) => return (status, body),
+                Answer::Held(answer) => self = answer.await,
+            }
         }
     }
 
     /// 200 with `body`, or 404 without one.
     pub(crate) fn found(body: Option<Bytes>) -> Answer {
         match body {
-            Some(body) => Answer {
-                status: StatusCode::OK,
-                body,
-            },
+            Some(body) => Answer::Full(StatusCode::OK, body),
             None => Answer::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -118,8 +130,9 @@
                 Ok(body) => handler(&parts.method, parts.uri.path(), &body.to_bytes()),
                 Err(_) => Answer::empty(StatusCode::BAD_REQUEST),
             };
-            let mut response = Response::new(Full::new(answer.body));
-            *response.status_mut() = answer.status;
+            let (status, body) = answer.wait().await;
+            let mut response = Response::new(Full::new(body));
+            *response.status_mut() = status;
             Ok::<_, Infallible>(response)
         }
     });
