--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -18,6 +18,7 @@
 use indexmap::IndexMap;
 
 use crate::ids::InstanceId;
+use crate::replica::timing::DEMAND_HOLD;
 use crate::replica::timing::DEMAND_SPACING;
 use crate::replica::timing::DIRECT_SPACING;
 use crate::replica::timing::REFUSAL_RETRY;
@@ -27,10 +28,6 @@
 /// Time for which a follower that failed isn't asked again.
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Time for which other followers are preferred to one that held a demand in vain. The store may
-/// not answer this one, or it follows another one that the store doesn't answer.
-const UNMET_TIME: Duration = Duration::from_secs(1);
-
 /// Part of a process's patience after which it repeats a failed call to the store for the first
 /// time, and beyond which the wait doesn't grow.
 const RETRY_PARTS: (f64, f64) = (0.25, 0.6);
@@ -83,7 +80,8 @@
     Silent(Timestamp),
     /// The follower answered at once that it has no copy, or no process listens there.
     Refused(Timestamp),
-    /// The follower held a demand and didn't meet it.
+    /// The follower held a demand and didn't meet it: the store may not answer it. Other followers are
+    /// preferred for demands.
     Unmet(Timestamp),
 }
 
@@ -93,7 +91,7 @@
         match self {
             Failure::Refused(at) if demanding => now.since(at) < REFUSAL_RETRY,
             Failure::Silent(at) | Failure::Refused(at) => now.since(at) < RETRY_AFTER,
-            Failure::Unmet(at) => demanding && now.since(at) < UNMET_TIME,
+            Failure::Unmet(at) => demanding && now.since(at) < RETRY_AFTER,
         }
     }
 
@@ -128,7 +126,7 @@
     demanded: Option<Timestamp>,
     /// Whether the last read from a follower was a demand.
     is_demanding: bool,
-    /// Number of demands since the last one that brought a later confirmation.
+    /// Number of demands that weren't met, one after the other.
     unmet: u32,
 }
 
@@ -268,7 +266,7 @@
             self.on_refusal(now, follower, Duration::ZERO);
             return None;
         }
-        let confirmed = self.confirm_by(now, follower, as_of);
+        let confirmed = self.confirm_by(now, follower, asked, as_of);
         // The followers are asked once more before the process has to ask the store.
         let last = confirmed + self.patience().saturating_sub(self.timing.relay);
         let earliest = now + self.timing.relay / 2;
@@ -276,17 +274,26 @@
         Some(as_of)
     }
 
-    /// Notes the confirmation by a follower's answer. A follower that answers a demand without a later
-    /// confirmation isn't the first choice for a while.
-    fn confirm_by(&mut self, now: Timestamp, follower: InstanceId, as_of: Timestamp) -> Timestamp {
-        let advances = self.confirmed < Some(as_of);
+    /// Notes the confirmation by a follower's answer to a request made at `asked`. A follower that has
+    /// held a demand in vain, and has had no answer of the store for as long before, isn't the first
+    /// choice for a while. A store that is only slow doesn't count against it.
+    fn confirm_by(
+        &mut self,
+        now: Timestamp,
+        follower: InstanceId,
+        asked: Timestamp,
+        as_of: Timestamp,
+    ) -> Timestamp {
         let confirmed = self.confirm(as_of);
-        if self.is_demanding && !advances {
-            self.unmet += 1;
-            self.failed.insert(follower, Failure::Unmet(now));
-        } else {
+        let is_unmet = self.is_demanding && self.open_demand().is_some();
+        if !is_unmet {
             self.unmet = 0;
             self.failed.swap_remove(&follower);
+            return confirmed;
+        }
+        self.unmet += 1;
+        if as_of + DEMAND_HOLD < asked {
+            self.failed.insert(follower, Failure::Unmet(now));
         }
         confirmed
     }
@@ -334,6 +341,8 @@
         let growth = 2_f64.powi(self.failures.min(8) as i32);
         let part = (first * growth).min(last);
         self.failures += 1;
+        // The store doesn't answer this process either, so followers aren't at fault.
+        self.failed.retain(|_, failure| !failure.is_unmet());
         self.next_call = now + self.patience().mul_f64(part * (0.75 + jitter / 2.0));
     }
 
