Test when an entry demands confirmations

The tests hold that a demand is made 15 ms after the first packet of a flow that no agent holds, once for each flow, for none that is located or confirmed, and for flows beyond the bound at the end of their search. A packet that a starting entry kept counts from its arrival.

--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 //! start, stop and restart.
 
 mod candidates;
+mod demands;
 mod early;
 mod fleet;
 mod holders;
