Test the demands that a follower holds

The answer to a held demand has the change and no age; a process that turns out to be no follower refuses; the 513th demand is answered at once.

--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -65,10 +65,15 @@
         self.wake.notify_one();
     }
 
+    /// Whether a demand is there to be taken.
+    pub(crate) fn is_raised(&self) -> bool {
+        self.at.get().is_some()
+    }
+
     /// Waits until a demand is there to be taken.
     async fn raised(&self) {
         // A wake-up may be left over from a demand that was taken.
-        while self.at.get().is_none() {
+        while !self.is_raised() {
             self.wake.notified().await;
         }
     }
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -1,6 +1,9 @@
 //! Keeps replicas of keys of the platform's store at an agent that follows the store for the other
 //! processes, and serves them.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -211,6 +214,13 @@
         self.demands.borrow_mut().entry(prefix).or_default().clone()
     }
 
+    /// Notes that the replica of a prefix lacks no change as of `as_of`, and answers the demands that
+    /// wait for this.
+    fn confirm(&self, prefix: &'static str, as_of: Timestamp) {
+        self.update(prefix, |it| it.confirm(as_of));
+        self.changed.notify_waiters();
+    }
+
     fn update(&self, prefix: &'static str, update: impl FnOnce(&mut Replica)) {
         let mut replicas = self.replicas.borrow_mut();
         let replica = replicas.entry(prefix);
@@ -287,21 +297,22 @@
 }
 
 fn on_event(node: &Node, prefix: &'static str, event: StoreEvent) {
-    let is_confirmation = matches!(event, StoreEvent::Confirmed(_));
     if prefix == agents::AGENTS_PREFIX {
         node.replicas.update_agents(node, &event);
     }
-    node.replicas.update(prefix, |replica| match event {
+    let replicas = &node.replicas;
+    match event {
         StoreEvent::Snapshot(found, revision) => {
             let items = found.into_iter().map(item).collect();
-            replica.replace(items, revision);
+            replicas.update(prefix, |it| it.replace(items, revision));
+        }
+        StoreEvent::Put(stored) => {
+            replicas.update(prefix, |it| it.add(Change::Put(item(stored))));
+        }
+        StoreEvent::Deleted(key, revision) => {
+            replicas.update(prefix, |it| it.add(Change::Deleted(key, revision)));
         }
-        StoreEvent::Put(stored) => replica.add(Change::Put(item(stored))),
-        StoreEvent::Deleted(key, revision) => replica.add(Change::Deleted(key, revision)),
-        StoreEvent::Confirmed(as_of) => replica.confirm(as_of),
-    });
-    if is_confirmation {
-        node.replicas.changed.notify_waiters();
+        StoreEvent::Confirmed(as_of) => replicas.confirm(prefix, as_of),
     }
 }
 
--- a/marigoldway/src/packets/server.rs
+++ b/marigoldway/src/packets/server.rs
@@ -53,7 +53,7 @@
     }
 
     /// The status and the body, once they are known.
-    async fn wait(mut self) -> (StatusCode, Bytes) {
+    pub(crate) async fn wait(mut self) -> (StatusCode, Bytes) {
         loop {
             match self {
                 Answer::Full(status, body) => return (status, body),
