--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -179,7 +179,8 @@
             return Step::Store(self.hold(now, leads && demand.is_none()));
         }
         let Some(id) = usable else {
-            return Step::Wait(due);
+            let retry = self.next_retry(now).filter(|_| demand.is_some());
+            return Step::Wait(retry.map_or(due, |at| at.min(due)));
         };
         self.is_demanding = demand.is_some();
         if let Some(at) = demand {
@@ -222,6 +223,16 @@
         works.or(unmet).copied()
     }
 
+    /// Time at which the next follower that refused may be asked again for a demand.
+    fn next_retry(&self, now: Timestamp) -> Option<Timestamp> {
+        let retry = |failure: &Failure| match failure {
+            Failure::Refused(at) => Some(*at + REFUSAL_RETRY),
+            Failure::Silent(_) | Failure::Unmet(_) => None,
+        };
+        let retries = self.failed.values().filter_map(retry);
+        retries.filter(|at| *at > now).min()
+    }
+
     /// Time of the next call to the store by a process whose demand no follower meets.
     fn due_demanded_call(&self, leads: bool) -> Timestamp {
         let spacing = if leads {
--- a/marigoldway-core/tests/confirmation/main.rs
+++ b/marigoldway-core/tests/confirmation/main.rs
@@ -2,6 +2,7 @@
 //! together, and the number of calls to the store that it takes.
 
 mod model;
+mod steps;
 
 use std::time::Duration;
 
