Keep new flows out of drained failure domains in the core

Cause: operators have no means to keep new flows out of a failure domain.

Change: flow::drains::DrainedDomains, owned by Agents, holds the drained domains and those whose drain was lifted within a flow's lifetime. Candidates leave out targets in drained domains, and searches don't count targets that were passed over. An entry resets the first opening packet if all serving targets of the service are drained. An agent in a drained domain refuses opening packets and forwards them to an agent in another one.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -128,6 +128,8 @@
     leaving: bool,
     /// Whether the store's first list lacked this agent.
     joining: bool,
+    /// Whether no search may end before the drained failure domains are known.
+    awaits_drains: bool,
     /// Whether the store had no trace of this agent when the process started. No entry had then
     /// been told of the agent, so its target holds no flow that the process hasn't seen.
     unannounced: bool,
@@ -169,6 +171,7 @@
             hellos: (0, Timestamp::ZERO),
             leaving: false,
             joining: false,
+            awaits_drains: false,
             unannounced: false,
             found_no_target: false,
             inherited_start: None,
@@ -216,6 +219,12 @@
         }
     }
 
+    /// Ends no search before the drained failure domains are known, since flows may have been placed
+    /// past them.
+    pub fn await_drains(&mut self) {
+        self.awaits_drains = true;
+    }
+
     /// Number of flows of the own target, and of flows in the directory.
     pub fn counts(&self) -> (usize, usize) {
         (self.flows.len(), self.directory.len())
@@ -318,6 +327,8 @@
     /// expired state. Returns the unregistered agents to probe, to find out whether they are alive.
     pub fn tick(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) -> Vec<InstanceId> {
         self.agents.expire(now);
+        let lifetime = self.options.idle_timeout;
+        self.agents.drains_mut().expire(now, lifetime);
         self.note_strays(now);
         self.update_number(now);
         self.flows
--- a/marigoldway-core/src/flow/agent/listing.rs
+++ b/marigoldway-core/src/flow/agent/listing.rs
@@ -38,10 +38,12 @@
     }
 
     /// Whether every agent that may hold a flow is known. A joining agent doesn't know other
-    /// joining agents until the store has told it of them.
+    /// joining agents until the store has told it of them. An agent that doesn't know the drained
+    /// domains doesn't know which flows were placed past them.
     pub(super) fn knows_every_agent(&self, now: Timestamp) -> bool {
         let settled = !self.joining || now.since(self.options.started) >= JOIN_PERIOD;
-        settled && self.agents.is_loaded()
+        let knows_drains = !self.awaits_drains || self.agents.drains().is_known();
+        settled && knows_drains && self.agents.is_loaded()
     }
 
     /// Applies the store's list of the addresses for which the service may hold flows. Empty if the
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -48,6 +48,14 @@
             return self.refuse(now, header, flow, RefuseReason::Version, actions);
         }
         self.see_version(now, header.version);
+        if self.is_domain_drained() && !self.is_answered_copy(&flow, segment) {
+            let onward = self.to_other_agent(header, &flow);
+            let onward = onward.unwrap_or(Header {
+                other: None,
+                ..*header
+            });
+            return self.forward_or_refuse(now, &onward, flow, RefuseReason::Drained, actions);
+        }
         let reason = match self.state(now) {
             TargetState::Serving => None,
             TargetState::Draining => Some(RefuseReason::Draining),
@@ -83,6 +91,21 @@
         actions.push(AgentAction::ToTarget);
     }
 
+    /// Whether new flows must not go to the own target, since its failure domain is drained.
+    pub(super) fn is_domain_drained(&self) -> bool {
+        self.agents.drains().is_drained(self.options.domain)
+    }
+
+    /// Whether the packet is a copy of the opening packet of a flow that the target has answered,
+    /// and so holds open.
+    fn is_answered_copy(&self, flow: &FlowKey, segment: &Segment) -> bool {
+        let is_open = |it: &LocalFlow| {
+            matches!(it.phase, Phase::Answered | Phase::Open) && it.closed.is_none()
+        };
+        // The `ack` of an opening packet counts its earlier copies.
+        segment.ack > 0 && self.flows.peek(flow).is_some_and(is_open)
+    }
+
     /// Forwards an opening packet to the alternate agent, or drops it if the header names no other
     /// agent. Reports the refusal and its reason to the entry in both cases.
     pub(super) fn forward_or_refuse(
@@ -93,7 +116,7 @@
         reason: RefuseReason,
         actions: &mut Vec<AgentAction>,
     ) {
-        let Some(other) = header.other.filter(|id| *id != self.options.own) else {
+        let Some(other) = self.alternate(header, &flow) else {
             return self.refuse(now, header, flow, reason, actions);
         };
         self.report(now, header.entry, flow, Verdict::Refused(reason), actions);
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -47,7 +47,8 @@
         if own.1 <= threshold {
             return None;
         }
-        let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
+        let best = best.filter(|it| it.1 <= own.1 && !self.agents.is_drained(it.0));
+        let best = best.unwrap_or(own);
         let mut onward = Header {
             hops: header.hops.saturating_add(1),
             other: None,
@@ -70,20 +71,35 @@
         if header.hops >= MAX_REDIRECTS {
             onward.placement_hint.threshold = LoadLevel::MAX;
             onward.other = header.placement_hint.best.map(|it| it.0);
-        } else if header.other.is_none() {
+        } else if header.other.is_none_or(|id| self.agents.is_drained(id)) {
             onward.other = self.pick_peer(header, flow);
         }
-        let is_other = onward.other.is_some_and(|id| id != self.options.own);
+        let is_usable = |id| id != self.options.own && !self.agents.is_drained(id);
+        let is_other = onward.other.is_some_and(is_usable);
         is_other.then_some(onward)
     }
 
+    /// The agent to which a refused opening packet is forwarded: the alternate in its header, or
+    /// another candidate if the alternate is in a drained domain, which the sender didn't know.
+    /// Returns `None` if the header names no other agent.
+    pub(super) fn alternate(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
+        let other = header.other.filter(|id| *id != self.options.own)?;
+        if !self.agents.is_drained(other) {
+            return Some(other);
+        }
+        if header.hops >= MAX_REDIRECTS {
+            return None;
+        }
+        self.pick_peer(header, flow)
+    }
+
     /// Selects a serving agent other than this one and the least loaded one so far: the entry's
     /// alternate, else a registered one of the flow's candidates. Returns `None` if there is none.
     fn pick_peer(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
         let best = header.placement_hint.best.map(|it| it.0);
         let serves = |id: InstanceId| {
             let record = self.agents.record(id);
-            record.is_some_and(|it| it.state == TargetState::Serving)
+            record.is_some_and(|it| it.state == TargetState::Serving) && !self.agents.is_drained(id)
         };
         let fits = |id: &InstanceId| *id != self.options.own && Some(*id) != best && serves(*id);
         if let Some(other) = header.other.filter(fits) {
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::flow::drains::DrainedDomains;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
@@ -34,6 +35,7 @@
 pub struct Agents {
     known: IndexMap<InstanceId, KnownAgent>,
     services: IndexMap<NameKey, ServiceAgents>,
+    drains: DrainedDomains,
     epoch: u64,
     revision: u64,
     /// Whether the complete list of the store has been applied.
@@ -77,7 +79,7 @@
     /// A number that increases with each change of the agents that may receive or hold a
     /// flow.
     pub fn revision(&self) -> u64 {
-        self.revision
+        self.revision + self.drains.revision()
     }
 
     /// Whether the complete list of the store has been applied, so that every agent
@@ -131,6 +133,33 @@
         })
     }
 
+    /// The drained failure domains.
+    pub fn drains(&self) -> &DrainedDomains {
+        &self.drains
+    }
+
+    /// The drained failure domains, for updates by the caller that learns of them.
+    pub fn drains_mut(&mut self) -> &mut DrainedDomains {
+        &mut self.drains
+    }
+
+    /// Whether an agent is in a drained failure domain. False for an unknown agent.
+    pub fn is_drained(&self, id: InstanceId) -> bool {
+        let record = self.record(id);
+        record.is_some_and(|it| self.drains.is_drained(it.domain))
+    }
+
+    /// Names of drained domains without a known agent. Each drain is checked once, after the
+    /// complete list of the store has been applied.
+    pub fn take_unserved_drains(&mut self) -> Vec<String> {
+        if !self.loaded {
+            return Vec::new();
+        }
+        let services = &self.services;
+        let has_agents = |domain| services.values().any(|it| it.domains.contains_key(&domain));
+        self.drains.take_unserved(has_agents)
+    }
+
     /// The services with known agents.
     pub(crate) fn services(&self) -> impl Iterator<Item = &ServiceAgents> {
         self.services.values()
--- a/marigoldway-core/src/flow/candidates.rs
+++ b/marigoldway-core/src/flow/candidates.rs
@@ -2,7 +2,8 @@
 //!
 //! The agents of a service have an order for each flow ([`Ring`]). Entries place the flow at one
 //! of the first [`CANDIDATES`] agents whose target serves, so only a few agents can hold it, and
-//! each process computes which ones they are. Uploads and downloads stay in the failure domain of
+//! each process computes which ones they are. Targets in drained failure domains are passed over.
+//! Uploads and downloads stay in the failure domain of
 //! their entry. They have [`DOMAIN_CANDIDATES`] candidates in each domain instead, since
 //! another entry in another domain may ask for them later.
 //!
@@ -37,7 +38,7 @@
     /// The agents that may receive a new flow, in the flow's order: the first [`CANDIDATES`] ones
     /// whose target serves. If none serves, the first ones in any state. For a flow whose data
     /// shouldn't cross failure domains, the first [`DOMAIN_CANDIDATES`] of `domain` if one of them
-    /// serves.
+    /// serves. None of them is in a drained domain.
     pub fn candidates(
         &self,
         service: NameKey,
@@ -56,11 +57,24 @@
                 return near;
             }
         }
-        let serving = self.serving(&agents.ring, hash, CANDIDATES);
-        if serving.is_empty() {
-            return agents.ring.walk(hash).take(CANDIDATES).collect();
+        let is_open = |domain: &NameKey| !self.drains().is_drained(*domain);
+        if agents.serving_domains().any(|it| is_open(&it)) {
+            return self.serving(&agents.ring, hash, CANDIDATES);
         }
-        serving
+        if !agents.domains.keys().any(is_open) {
+            return Vec::new();
+        }
+        let walk = agents.ring.walk(hash).filter(|id| !self.is_drained(*id));
+        walk.take(CANDIDATES).collect()
+    }
+
+    /// Whether the service has serving targets, and all of them are in drained domains.
+    pub fn is_service_drained(&self, service: NameKey) -> bool {
+        let Some(agents) = self.service(service) else {
+            return false;
+        };
+        let mut domains = agents.serving_domains().peekable();
+        domains.peek().is_some() && domains.all(|it| self.drains().is_drained(it))
     }
 
     /// The agents whose target may hold an open flow, in the flow's order. Targets that started
@@ -78,10 +92,13 @@
             return found;
         };
         let ages = AgeClasses::new(horizon, agents.oldest_start());
-        self.add_holders(&agents.ring, hash, CANDIDATES, ages, &mut found);
+        let counts = |it: &AgentRecord| !self.drains().was_passed_over(it.domain);
+        self.add_holders(&agents.ring, hash, CANDIDATES, ages, counts, &mut found);
         if class.is_bulk() {
             for ring in agents.domains.values() {
-                self.add_holders(ring, hash, DOMAIN_CANDIDATES, ages, &mut found);
+                // A flow is never placed past some targets of a drained domain at others of it.
+                let counts = |_: &AgentRecord| true;
+                self.add_holders(ring, hash, DOMAIN_CANDIDATES, ages, counts, &mut found);
             }
         }
         found.extend(agents.strays.iter().copied());
@@ -108,33 +125,30 @@
         };
         let ages = AgeClasses::new(horizon, agents.oldest_start());
         let age = ages.class(started_at);
+        let is_older = |it: &AgentRecord| it.started_at.is_some_and(|at| ages.class(at) <= age);
         let near = agents.domains.get(&record.domain);
         let near = near.filter(|_| class.is_bulk());
         agents.strays.contains(&id)
             || self.is_early(&agents.ring, hash, CANDIDATES, id, |it| {
-                ages.class(it) <= age
-            })
-            || near.is_some_and(|ring| {
-                self.is_early(ring, hash, DOMAIN_CANDIDATES, id, |it| {
-                    ages.class(it) <= age
-                })
+                is_older(it) && !self.drains().was_passed_over(it.domain)
             })
+            || near.is_some_and(|ring| self.is_early(ring, hash, DOMAIN_CANDIDATES, id, is_older))
     }
 
-    /// Whether fewer than `count` serving targets of which `counts` is true, by their start time,
-    /// precede the agent `id` on a ring.
+    /// Whether fewer than `count` serving targets of which `counts` is true precede the agent `id`
+    /// on a ring.
     fn is_early(
         &self,
         ring: &Ring,
         hash: u64,
         count: usize,
         id: InstanceId,
-        counts: impl Fn(u64) -> bool,
+        counts: impl Fn(&AgentRecord) -> bool,
     ) -> bool {
         let before = ring.walk(hash).take_while(|other| *other != id);
         let preceding = before
             .filter_map(|other| self.record(other))
-            .filter(|it| it.state == TargetState::Serving && it.started_at.is_some_and(&counts));
+            .filter(|it| it.state == TargetState::Serving && counts(it));
         preceding.take(count).count() < count
     }
 
@@ -154,11 +168,11 @@
             let walk = agents.ring.walk_back(hash).filter(is_other);
             for other in walk.filter_map(|id| self.record(id)) {
                 found.insert(other.id);
-                // Agents that may leave soon or have joined lately don't keep others from being
-                // candidates.
+                // Agents that may leave soon or have joined lately, and those in drained domains,
+                // don't keep others from being candidates.
                 let is_older = |start: u64| record.started_at.is_none_or(|own| start <= own);
                 if other.state == TargetState::Serving && other.started_at.is_some_and(is_older) {
-                    passed += 1;
+                    passed += usize::from(!self.drains().was_passed_over(other.domain));
                     passed_near += usize::from(other.domain == record.domain);
                 }
                 if passed >= CANDIDATES && passed_near >= DOMAIN_CANDIDATES {
@@ -169,23 +183,26 @@
         found
     }
 
-    /// The first `count` agents of a ring whose target serves.
+    /// The first `count` agents of a ring whose target serves and isn't in a drained domain.
     fn serving(&self, ring: &Ring, hash: u64, count: usize) -> Vec<InstanceId> {
         let serves = |id: &InstanceId| {
             let record = self.record(*id);
-            record.is_some_and(|it| it.state == TargetState::Serving)
+            record.is_some_and(|it| {
+                it.state == TargetState::Serving && !self.drains().is_drained(it.domain)
+            })
         };
         ring.walk(hash).filter(serves).take(count).collect()
     }
 
-    /// Adds the agents of a ring that may have been among the first `count` serving ones at some
-    /// time since the start of their target.
+    /// Adds the agents of a ring that may have been among the first `count` serving ones of which
+    /// `counts` is true, at some time since the start of their target.
     fn add_holders(
         &self,
         ring: &Ring,
         hash: u64,
         count: usize,
         ages: AgeClasses,
+        counts: impl Fn(&AgentRecord) -> bool,
         found: &mut IndexSet<InstanceId>,
     ) {
         let mut preceding = OldestPreceding::new(count);
@@ -202,7 +219,7 @@
             if !preceding.exclude(class) {
                 found.insert(record.id);
             }
-            if record.state == TargetState::Serving {
+            if record.state == TargetState::Serving && counts(record) {
                 preceding.add(class);
             }
             if preceding.exclude(ages.oldest) {
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -134,6 +134,12 @@
         &self.agents
     }
 
+    /// The known agents, for updates of the drained failure domains by the caller that learns of
+    /// them.
+    pub fn agents_mut(&mut self) -> &mut Agents {
+        &mut self.agents
+    }
+
     /// Number of flows in the table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -192,6 +198,9 @@
             self.views.remove(id);
         }
         self.addr_services.expire(now);
+        self.agents
+            .drains_mut()
+            .expire(now, self.options.idle_timeout);
         self.flows.sweep(now);
         self.agents.due_probes(now)
     }
@@ -259,7 +268,7 @@
             return self.on_unrouted(now, flow, segment, &routes);
         };
         if segment.opens() {
-            self.open(now, flow, route)
+            self.open(now, flow, route, segment.ack)
         } else {
             self.forward(now, flow, route, segment.ack)
         }
--- a/marigoldway-core/src/flow/entry/actions.rs
+++ b/marigoldway-core/src/flow/entry/actions.rs
@@ -15,6 +15,9 @@
     Unrouted,
     /// The entry knows no agent of the service that the flow belongs to.
     Unserved,
+    /// All serving targets of the service are in drained failure domains, and the flow may be
+    /// open already.
+    Drained,
 }
 
 impl DropReason {
@@ -24,6 +27,7 @@
             DropReason::Unconfigured => "unconfigured",
             DropReason::Unrouted => "unrouted",
             DropReason::Unserved => "unserved",
+            DropReason::Drained => "drained",
         }
     }
 }
@@ -35,6 +39,8 @@
     Unrouted,
     /// No target of a service that may hold the flow holds it.
     NotHeld,
+    /// All serving targets of the new flow's service are in drained failure domains.
+    Drained,
 }
 
 impl ResetReason {
@@ -43,6 +49,7 @@
         match self {
             ResetReason::Unrouted => "unrouted",
             ResetReason::NotHeld => "nobody-holds",
+            ResetReason::Drained => "drained",
         }
     }
 }
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -5,12 +5,14 @@
 use crate::flow::entry::FlowState;
 use crate::flow::entry::actions::DropReason;
 use crate::flow::entry::actions::Forwarding;
+use crate::flow::entry::actions::ResetReason;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::Intent;
 use crate::flow::message::LoadLevel;
 use crate::flow::routes::Route;
 use crate::flow::routes::Work;
+use crate::flow::segment::Reset;
 use crate::flow::selection;
 use crate::flow::selection::Candidate;
 use crate::flow::selection::Selection;
@@ -18,16 +20,24 @@
 use crate::time::Timestamp;
 
 impl EntryFlows {
-    /// Forwards an opening packet: to the agent that is known to hold the flow, or to
-    /// a newly selected agent that wasn't tried yet if possible.
-    pub(super) fn open(&mut self, now: Timestamp, flow: FlowKey, route: &Route) -> EntryAction {
+    /// Forwards an opening packet, of which the client sent `copies` before: to the agent that is
+    /// known to hold the flow, or to a newly selected agent that wasn't tried yet if possible.
+    pub(super) fn open(
+        &mut self,
+        now: Timestamp,
+        flow: FlowKey,
+        route: &Route,
+        copies: u32,
+    ) -> EntryAction {
         let tried = match self.flows.touch(now, &flow) {
             // The agent answers each copy of the opening packet, or has queued the
             // first copy.
             Some(FlowState::Located { agent, service }) => {
                 let (agent, service) = (*agent, *service);
-                // The present route applies to each copy of the opening packet.
-                if route.has_service(service) && self.is_of_service(agent, service) {
+                // The present route applies to each copy of the opening packet. A flow that is
+                // open stays in a drained domain; a first copy opens another flow.
+                let stays = copies > 0 || !self.agents.is_drained(agent);
+                if stays && route.has_service(service) && self.is_of_service(agent, service) {
                     self.views.expect_answer(now, agent);
                     let header = self.header(Intent::Open, service, route, None);
                     return EntryAction::Forward(vec![Forwarding { agent, header }]);
@@ -38,6 +48,9 @@
             Some(FlowState::Locating(_) | FlowState::Unrouted(_)) | None => Vec::new(),
         };
         let service = route.service(&flow);
+        if self.agents.is_service_drained(service) {
+            return self.on_drained_service(flow, copies);
+        }
         let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
         else {
             return EntryAction::Drop(DropReason::Unserved);
@@ -53,6 +66,20 @@
         EntryAction::Forward(vec![Forwarding { agent, header }])
     }
 
+    /// Decides on an opening packet for a service whose serving targets are all in drained domains.
+    /// The first copy of a flow that this entry doesn't know is reset, which rejects the flow. An
+    /// earlier copy may have opened the flow, and an open flow is never reset, so any other copy is
+    /// dropped. The packet is kept until the list of agents is complete: it may have other targets.
+    fn on_drained_service(&mut self, flow: FlowKey, copies: u32) -> EntryAction {
+        if copies > 0 || self.flows.peek(&flow).is_some() {
+            return EntryAction::Drop(DropReason::Drained);
+        }
+        if !self.agents.is_loaded() {
+            return EntryAction::Keep;
+        }
+        EntryAction::Reset(Reset { flow, seq: 0 }, ResetReason::Drained)
+    }
+
     /// Selects one of the candidates of a new flow, and returns it with the maximum load at
     /// which an agent accepts the flow at once. Agents in `tried` are considered only if
     /// there are no other ones. Returns `None` if the service has no known agent.
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -134,17 +134,20 @@
     Silent,
     /// The target returned the packet because it doesn't hold the flow.
     Bounced,
+    /// The failure domain of the target is drained.
+    Drained,
 }
 
 impl RefuseReason {
     /// All reasons, in the order in which counters list them.
-    pub const ALL: [RefuseReason; 6] = [
+    pub const ALL: [RefuseReason; 7] = [
         RefuseReason::Service,
         RefuseReason::Version,
         RefuseReason::Draining,
         RefuseReason::Absent,
         RefuseReason::Silent,
         RefuseReason::Bounced,
+        RefuseReason::Drained,
     ];
 
     /// The reason as it stands in logs and counters.
@@ -156,6 +159,7 @@
             RefuseReason::Absent => "absent",
             RefuseReason::Silent => "silent",
             RefuseReason::Bounced => "bounced",
+            RefuseReason::Drained => "drained",
         }
     }
 }
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -30,6 +30,7 @@
 pub mod agent;
 pub mod agents;
 pub mod candidates;
+pub mod drains;
 pub mod entry;
 pub mod key;
 pub mod message;
--- a/marigoldway-core/src/flow/service_agents.rs
+++ b/marigoldway-core/src/flow/service_agents.rs
@@ -7,6 +7,7 @@
 
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
+use crate::flow::message::TargetState;
 use crate::flow::ring::Ring;
 use crate::ids::InstanceId;
 
@@ -22,6 +23,8 @@
     pub(crate) domains: IndexMap<NameKey, Ring>,
     /// Agents that may hold flows for which they aren't candidates.
     pub(crate) strays: IndexSet<InstanceId>,
+    /// Number of serving targets by failure domain.
+    serving: IndexMap<NameKey, usize>,
     /// Number of targets by start time, in Unix milliseconds.
     starts: BTreeMap<u64, usize>,
 }
@@ -66,6 +69,11 @@
         self.starts.keys().next().copied().unwrap_or(0)
     }
 
+    /// The failure domains with serving targets.
+    pub(crate) fn serving_domains(&self) -> impl Iterator<Item = NameKey> {
+        self.serving.keys().copied()
+    }
+
     fn add_start(&mut self, record: &AgentRecord) {
         if let Some(started_at) = record.started_at {
             *self.starts.entry(started_at).or_default() += 1;
@@ -73,10 +81,21 @@
         if record.strays {
             self.strays.insert(record.id);
         }
+        if record.state == TargetState::Serving {
+            *self.serving.entry(record.domain).or_default() += 1;
+        }
     }
 
     fn remove_start(&mut self, record: &AgentRecord) {
         self.strays.swap_remove(&record.id);
+        if record.state == TargetState::Serving
+            && let Some(count) = self.serving.get_mut(&record.domain)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.serving.swap_remove(&record.domain);
+            }
+        }
         let Some(started_at) = record.started_at else {
             return;
         };
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -151,7 +151,7 @@
     #[test]
     fn decode_flow_report(
         flow in arb_flow(),
-        verdict in 0..10_usize,
+        verdict in 0..11_usize,
         load in arb_load(),
         version: u64,
     ) {
@@ -160,6 +160,7 @@
             1 => Verdict::PassedOn,
             8 => Verdict::Unknown,
             9 => Verdict::NotHeld,
+            10 => Verdict::Refused(RefuseReason::Drained),
             n => Verdict::Refused(RefuseReason::ALL[n - 2]),
         };
         let report = FlowReport { flow, verdict, load, version };
