Learn of drained domains from the store, followers and peers

Cause: nothing tells processes which domains the operators drain.

Followers hold a replica of op/, the entries' configuration feed reads op/, and agents read the drain prefix from followers alone (Role::FollowersOnly). Processes tell the set to starting peers at /drains. An agent that would announce strays first asks an entry for the set, since entries learn of a drain sooner and place flows past it.

The daemon isn't built yet.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -140,6 +140,8 @@
     /// Until when the record says that the target may hold strays: flows that other processes
     /// don't look for here.
     stray_until: Option<Timestamp>,
+    /// When the flows are next checked for strays, after one is suspected.
+    stray_check: Option<Timestamp>,
     /// Revision of `agents` at which the flows were last checked for strays.
     checked_revision: u64,
     slot_queue: SlotQueue,
@@ -176,6 +178,7 @@
             found_no_target: false,
             inherited_start: None,
             stray_until: None,
+            stray_check: None,
             checked_revision: 0,
             slot_queue: SlotQueue::default(),
             health: Health::default(),
@@ -219,8 +222,8 @@
         }
     }
 
-    /// Ends no search before the drained failure domains are known, since flows may have been placed
-    /// past them.
+    /// Tells that the caller learns which failure domains are drained. Until it has, no search ends,
+    /// since flows may have been placed past them.
     pub fn await_drains(&mut self) {
         self.awaits_drains = true;
     }
@@ -329,7 +332,7 @@
         self.agents.expire(now);
         let lifetime = self.options.idle_timeout;
         self.agents.drains_mut().expire(now, lifetime);
-        self.note_strays(now);
+        self.note_strays(now, actions);
         self.update_number(now);
         self.flows
             .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFETIME));
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -85,7 +85,7 @@
             self.flows.insert(now, flow, local);
             self.openings.begin(now, flow);
             self.open_flows += 1;
-            self.note_stray(now, &flow, header.work.class);
+            self.note_stray(now, &flow, header, actions);
         }
         self.health.on_open(now);
         actions.push(AgentAction::ToTarget);
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -3,12 +3,14 @@
 
 use std::time::Duration;
 
+use crate::flow::agent::AgentAction;
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
+use crate::flow::message::Header;
 use crate::flow::message::Hello;
 use crate::flow::message::Load;
 use crate::flow::message::TargetState;
@@ -20,6 +22,10 @@
 /// matters for which agents may hold a flow. More than one, since clocks differ.
 const AGED_LIFETIMES: u32 = 2;
 
+/// Time from the first suspicion of a stray to the announcement. In between, an entry tells which
+/// domains are drained, over one connection.
+const STRAY_GRACE: Duration = Duration::from_millis(300);
+
 /// `PublishedState` is the part of an agent's record that depends on its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PublishedState {
@@ -177,38 +183,78 @@
         self.stray_until.is_some_and(|until| now < until)
     }
 
-    /// Announces from now on that the target may hold strays if it holds a flow that other
-    /// processes don't look for here. They aren't told of an agent that isn't listed.
-    pub(super) fn note_stray(&mut self, now: Timestamp, flow: &FlowKey, class: WorkClass) {
-        let own = self.options.own;
-        let (hash, horizon) = (flow.hash(), self.horizon(now));
-        let is_listed = self.agents.record(own).is_some();
-        if !is_listed || self.agents.may_be_held_by(own, hash, class, horizon) {
+    /// Announces from now on that the target may hold strays if a flow that an entry has placed
+    /// here is one that other processes don't look for here. They aren't told of an agent that
+    /// isn't listed.
+    pub(super) fn note_stray(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        header: &Header,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        if !self.is_stray(now, flow, header.work.class) {
             return;
         }
-        self.stray_until = Some(now + self.options.idle_timeout);
-        self.update_number(now);
+        if self.awaits_drains && !self.has_strays(now) {
+            return self.suspect_stray(now, header.entry, actions);
+        }
+        self.announce_strays(now);
     }
 
-    /// Checks for strays among all flows of the target, after a change of the known agents.
-    pub(super) fn note_strays(&mut self, now: Timestamp) {
-        if self.checked_revision == self.agents.revision() {
+    /// Checks for strays among all flows of the target, after a change of the known agents and
+    /// [`STRAY_GRACE`] after the first suspicion.
+    pub(super) fn note_strays(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
+        let is_due = self.stray_check.is_some_and(|at| now >= at);
+        if !is_due && self.checked_revision == self.agents.revision() {
             return;
         }
         self.checked_revision = self.agents.revision();
+        if is_due {
+            self.stray_check = None;
+        }
+        let entry = self.stray_entry(now).filter(|_| !self.has_strays(now));
+        let Some(entry) = entry else {
+            return;
+        };
+        if self.awaits_drains && !is_due {
+            return self.suspect_stray(now, entry, actions);
+        }
+        self.announce_strays(now);
+    }
+
+    /// The entry of any stray among the flows of the target, or `None` if there is none.
+    fn stray_entry(&self, now: Timestamp) -> Option<InstanceId> {
         let is_open = |flow: &LocalFlow| flow.phase != Phase::Visiting && flow.closed.is_none();
-        let open = self.flows.iter().filter(|(_, flow)| is_open(flow));
-        let open: Vec<(FlowKey, WorkClass)> = open
-            .map(|(key, flow)| (*key, flow.header.work.class))
-            .collect();
-        for (key, class) in open {
-            if self.has_strays(now) {
-                return;
-            }
-            self.note_stray(now, &key, class);
+        let mut open = self.flows.iter().filter(|(_, flow)| is_open(flow));
+        let stray = open.find(|(key, flow)| self.is_stray(now, key, flow.header.work.class));
+        stray.map(|(_, flow)| flow.header.entry)
+    }
+
+    /// Whether other processes don't look here for a flow that the target holds, by what this one
+    /// knows.
+    fn is_stray(&self, now: Timestamp, flow: &FlowKey, class: WorkClass) -> bool {
+        let own = self.options.own;
+        let is_listed = self.agents.record(own).is_some();
+        let (hash, horizon) = (flow.hash(), self.horizon(now));
+        is_listed && !self.agents.may_be_held_by(own, hash, class, horizon)
+    }
+
+    /// Asks an entry for the drained domains before a flow counts as a stray. Entries learn of a
+    /// drain sooner than agents. Without this, most agents of a service would announce strays at
+    /// each drain, and every search would ask all of them.
+    fn suspect_stray(&mut self, now: Timestamp, entry: InstanceId, actions: &mut Vec<AgentAction>) {
+        if self.stray_check.is_none() {
+            self.stray_check = Some(now + STRAY_GRACE);
+            actions.push(AgentAction::AskDrains(entry));
         }
     }
 
+    fn announce_strays(&mut self, now: Timestamp) {
+        self.stray_until = Some(now + self.options.idle_timeout);
+        self.update_number(now);
+    }
+
     /// Takes over what a record of an earlier process of this agent says of the target.
     fn inherit(&mut self, now: Timestamp, earlier: &AgentRecord) {
         self.inherited_start = self.inherited_start.or(earlier.started_at);
--- a/marigoldway-core/src/flow/drains.rs
+++ b/marigoldway-core/src/flow/drains.rs
@@ -27,7 +27,7 @@
     /// The domain isn't drained any more.
     Lift(String),
     /// What another process knows. Its set applies only if none is known, since it may be
-    /// older.
+    /// older. Otherwise, its domains only count as passed over.
     Learn(SharedDrains),
 }
 
@@ -112,7 +112,12 @@
             DrainUpdate::Drain(name) => self.drain(name, &mut changes),
             DrainUpdate::Lift(name) => self.lift(now, NameKey::from(name.as_str()), &mut changes),
             DrainUpdate::Learn(shared) => {
-                if !self.known {
+                if self.known {
+                    // The other process places flows past these domains, or has lately.
+                    for name in shared.drained {
+                        self.remember_lift(now, name);
+                    }
+                } else {
                     self.replace(now, shared.drained, &mut changes);
                 }
                 for (name, age) in shared.lifted {
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -35,6 +35,8 @@
 pub enum Role {
     /// The process reads for itself.
     Reader,
+    /// The process reads for itself, but never from the store.
+    FollowersOnly,
     /// The process with this ID also answers others. All followers know each other in one order, and
     /// the first that works is the leading one: it alone asks the store all the time.
     Follower(InstanceId),
@@ -119,11 +121,15 @@
 
     /// The next step of a process that knows these followers, in the order in which it asks them.
     pub fn next(&mut self, now: Timestamp, followers: &[InstanceId]) -> Step {
-        self.failed.retain(|_, at| now.since(*at) < RETRY_AFTER);
+        let retry = self.retry_after();
+        self.failed.retain(|_, at| now.since(*at) < retry);
         let usable = followers
             .iter()
             .take_while(|id| self.role != Role::Follower(**id))
             .find(|id| !self.failed.contains_key(*id));
+        if self.role == Role::FollowersOnly {
+            return self.next_from_followers(now, usable.copied());
+        }
         let leads = usable.is_none() && self.role != Role::Reader;
         let demand = self.open_demand();
         let patience = match usable {
@@ -163,6 +169,24 @@
         Step::Follower(*id, Freshness::Known)
     }
 
+    /// The next step of a process that never asks the store. `usable` is the follower to ask.
+    fn next_from_followers(&self, now: Timestamp, usable: Option<InstanceId>) -> Step {
+        match usable {
+            Some(id) if now >= self.next_read => Step::Follower(id, Freshness::Known),
+            Some(_) => Step::Wait(self.next_read),
+            None => Step::Wait(now + self.timing.relay),
+        }
+    }
+
+    /// Time for which a follower that failed isn't asked again.
+    fn retry_after(&self) -> Duration {
+        match self.role {
+            Role::Reader | Role::Follower(_) => RETRY_AFTER,
+            // There is no other source if all followers have failed.
+            Role::FollowersOnly => self.timing.hold,
+        }
+    }
+
     /// Time for which the store may hold a call made now. `may_wait` tells whether it may at all.
     fn hold(&self, now: Timestamp, may_wait: bool) -> Duration {
         let age = self.confirmed.map(|at| now.since(at));
@@ -240,7 +264,7 @@
     /// answer, and from which on an answer is of no use.
     fn patience(&self) -> Duration {
         match self.role {
-            Role::Reader => self.timing.reader,
+            Role::Reader | Role::FollowersOnly => self.timing.reader,
             Role::Follower(_) => self.timing.follower,
         }
     }
--- /dev/null
+++ b/marigoldway-core/tests/flow/drained_sets.rs
@@ -0,0 +1,278 @@
+//! The set of drained domains, and the agents that may receive or hold a flow under it.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use marigoldway_core::flow::agents::Agents;
+use marigoldway_core::flow::candidates::CANDIDATES;
+use marigoldway_core::flow::candidates::DOMAIN_CANDIDATES;
+use marigoldway_core::flow::drains::DrainChange;
+use marigoldway_core::flow::drains::DrainUpdate;
+use marigoldway_core::flow::drains::DrainedDomains;
+use marigoldway_core::flow::drains::SharedDrains;
+use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::message::TargetState;
+use marigoldway_core::flow::routes::WorkClass;
+use marigoldway_core::ids::InstanceId;
+use marigoldway_core::time::Timestamp;
+
+use crate::fleet::flow;
+
+/// Names of the failure domains.
+const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// Lifetime of a flow.
+const LIFETIME: Duration = Duration::from_secs(60);
+
+/// Unix milliseconds before which all targets count as equally old.
+const HORIZON: u64 = 1_000_000;
+
+fn record(n: u32) -> AgentRecord {
+    AgentRecord {
+        id: InstanceId::new(Ipv4Addr::from_bits(0x0a00_0000 + n), 7_000),
+        incarnation: 1,
+        number: 1,
+        service: NameKey::from("orders"),
+        domain: NameKey::from(DOMAINS[n as usize % DOMAINS.len()]),
+        state: TargetState::Serving,
+        slots: 2,
+        complete: true,
+        started_at: Some(1),
+        strays: false,
+        vacant: false,
+    }
+}
+
+fn agents(count: u32) -> Agents {
+    let records: Vec<AgentRecord> = (0..count).map(record).collect();
+    let mut agents = Agents::default();
+    agents.replace(Timestamp::ZERO, &records);
+    agents
+}
+
+fn apply(agents: &mut Agents, at: u64, update: DrainUpdate) -> Vec<DrainChange> {
+    let now = Timestamp::from_millis(at);
+    agents.drains_mut().apply(now, update)
+}
+
+fn drain(name: &str) -> DrainUpdate {
+    DrainUpdate::Drain(name.to_owned())
+}
+
+fn lift(name: &str) -> DrainUpdate {
+    DrainUpdate::Lift(name.to_owned())
+}
+
+fn candidates(agents: &Agents, hash: u64, class: WorkClass, domain: &str) -> Vec<InstanceId> {
+    let (service, domain) = (NameKey::from("orders"), NameKey::from(domain));
+    agents.candidates(service, hash, class, domain)
+}
+
+fn may_hold(agents: &Agents, hash: u64, class: WorkClass) -> Vec<InstanceId> {
+    let service = NameKey::from("orders");
+    let found = agents.may_hold(service, hash, class, HORIZON);
+    found.into_iter().collect()
+}
+
+/// Guards against a set that keeps a lifted drain, or loses another one.
+#[test]
+fn replace_drains_and_lifts_the_difference() {
+    let mut drains = DrainedDomains::default();
+    assert!(!drains.is_known());
+    let names = |names: &[&str]| names.iter().map(|it| (*it).to_owned()).collect();
+    drains.apply(Timestamp::ZERO, DrainUpdate::Replace(names(&["a", "b"])));
+    assert!(drains.is_known());
+    let replace = DrainUpdate::Replace(names(&["b", "c"]));
+    let changes = drains.apply(Timestamp::from_millis(5), replace);
+    let expected = [
+        DrainChange::Lifted("a".into()),
+        DrainChange::Drained("c".into()),
+    ];
+    assert_eq!(changes, expected);
+    assert!(!drains.is_drained(NameKey::from("a")));
+    assert!(drains.was_passed_over(NameKey::from("a")));
+    assert!(drains.is_drained(NameKey::from("b")));
+}
+
+/// Guards against a search that misses flows of which the lifted drain was forgotten too early,
+/// and against one that asks more agents forever.
+#[test]
+fn lifted_drain_is_remembered_for_a_lifetime() {
+    let mut drains = DrainedDomains::default();
+    let key = NameKey::from("a");
+    drains.apply(Timestamp::ZERO, drain("a"));
+    drains.apply(Timestamp::from_millis(1_000), lift("a"));
+    drains.expire(Timestamp::from_millis(1_000) + LIFETIME, LIFETIME);
+    assert!(drains.was_passed_over(key));
+    let revision = drains.revision();
+    drains.expire(Timestamp::from_millis(12_000) + LIFETIME, LIFETIME);
+    assert!(!drains.was_passed_over(key));
+    assert!(drains.revision() > revision);
+}
+
+/// Guards against a peer that is behind and undoes or repeats a change that the store has told.
+#[test]
+fn learn_does_not_change_a_known_set() {
+    let mut drains = DrainedDomains::default();
+    drains.apply(Timestamp::ZERO, DrainUpdate::Replace(vec!["a".into()]));
+    let shared = SharedDrains {
+        drained: vec!["b".into()],
+        lifted: vec![
+            ("a".into(), Duration::from_secs(1)),
+            ("c".into(), Duration::ZERO),
+        ],
+    };
+    let changes = drains.apply(Timestamp::from_millis(2_000), DrainUpdate::Learn(shared));
+    assert_eq!(changes, []);
+    assert!(drains.is_drained(NameKey::from("a")));
+    for name in ["b", "c"] {
+        assert!(!drains.is_drained(NameKey::from(name)));
+        assert!(drains.was_passed_over(NameKey::from(name)));
+    }
+}
+
+/// Guards against a starting process that doesn't learn the drains and lifts of its peer.
+#[test]
+fn share_tells_a_starting_process_all() {
+    let mut drains = DrainedDomains::default();
+    assert_eq!(drains.share(Timestamp::ZERO), None);
+    let both = vec!["a".to_owned(), "b".to_owned()];
+    drains.apply(Timestamp::ZERO, DrainUpdate::Replace(both));
+    drains.apply(Timestamp::from_millis(4_000), lift("a"));
+    let shared = drains.share(Timestamp::from_millis(9_000)).unwrap();
+    assert_eq!(shared.lifted, [("a".to_owned(), Duration::from_secs(5))]);
+    let mut starting = DrainedDomains::default();
+    starting.apply(Timestamp::from_millis(9_000), DrainUpdate::Learn(shared));
+    assert!(starting.is_known());
+    assert!(starting.is_drained(NameKey::from("b")));
+    assert!(starting.was_passed_over(NameKey::from("a")));
+}
+
+/// Guards against a drain of an unknown domain that is dropped, or logged again and again.
+#[test]
+fn drain_without_agents_is_told_once_and_kept() {
+    let mut agents = Agents::default();
+    apply(&mut agents, 0, drain("nowhere"));
+    apply(&mut agents, 0, drain("a"));
+    // The list isn't complete yet.
+    assert!(agents.take_unserved_drains().is_empty());
+    agents.replace(Timestamp::ZERO, &[record(0)]);
+    assert_eq!(agents.take_unserved_drains(), ["nowhere"]);
+    assert!(agents.take_unserved_drains().is_empty());
+    assert!(agents.drains().is_drained(NameKey::from("nowhere")));
+}
+
+/// Guards against a drained target among the candidates, in any class, and against fewer
+/// candidates than without the drain.
+#[test]
+fn candidates_are_outside_drained_domains() {
+    let mut agents = agents(500);
+    apply(&mut agents, 0, drain("b"));
+    for hash in (0..400).map(|client| flow(client, 443).hash()) {
+        for (class, domain, count) in [
+            (WorkClass::Safe, "a", CANDIDATES),
+            (WorkClass::Upload, "a", DOMAIN_CANDIDATES),
+            // The own domain is drained, so the flow may go to any other.
+            (WorkClass::Upload, "b", CANDIDATES),
+        ] {
+            let found = candidates(&agents, hash, class, domain);
+            assert_eq!(found.len(), count);
+            assert!(found.iter().all(|id| !agents.is_drained(*id)));
+        }
+    }
+}
+
+/// Guards against a flow that is placed in a drained domain since no other target serves.
+#[test]
+fn candidates_without_a_serving_target_are_outside_drained_domains() {
+    let mut agents = agents(20);
+    for n in (0..20).filter(|n| n % 5 != 1) {
+        let state = TargetState::Draining;
+        agents.register(AgentRecord {
+            state,
+            number: 2,
+            ..record(n)
+        });
+    }
+    assert!(!agents.is_service_drained(NameKey::from("orders")));
+    apply(&mut agents, 0, drain("b"));
+    assert!(agents.is_service_drained(NameKey::from("orders")));
+    let found = candidates(&agents, 7, WorkClass::Safe, "a");
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|id| !agents.is_drained(*id)));
+    for name in DOMAINS {
+        apply(&mut agents, 0, drain(name));
+    }
+    assert!(candidates(&agents, 7, WorkClass::Safe, "a").is_empty());
+}
+
+/// Guards against searches that ask far more agents during a drain, also among the candidates of
+/// the drained domain itself.
+#[test]
+fn may_hold_stays_small_during_a_drain() {
+    let mut agents = agents(5_000);
+    apply(&mut agents, 0, drain("b"));
+    let (mut safe, mut bulk) = (0, 0);
+    for hash in (0..400).map(|client| flow(client, 443).hash()) {
+        safe += may_hold(&agents, hash, WorkClass::Safe).len();
+        bulk += may_hold(&agents, hash, WorkClass::Upload).len();
+    }
+    // 8 of the 4 other domains, and 2 of the drained one between them.
+    assert!(safe <= 400 * 11, "{safe}");
+    assert!(
+        bulk <= 400 * (11 + DOMAINS.len() * DOMAIN_CANDIDATES),
+        "{bulk}"
+    );
+}
+
+/// One step of a history: which domain, whether its drain begins or ends, and how long before the
+/// next one.
+fn arb_step() -> impl Strategy<Value = (usize, bool, u64)> {
+    (0..DOMAINS.len(), any::<bool>(), 0..30_000_u64)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// Guards against a search that doesn't ask the holder of a flow that was placed past drained
+    /// targets, while or after they were drained. The entry that places it is one step behind the
+    /// searching agent or one ahead of the last lift.
+    #[test]
+    fn flow_opened_around_a_drain_is_found(
+        steps in prop::collection::vec(arb_step(), 1..14),
+        upload: bool,
+        home in 0..DOMAINS.len(),
+    ) {
+        let class = if upload { WorkClass::Upload } else { WorkClass::Safe };
+        let mut entry = agents(40);
+        let mut searcher = agents(40);
+        let hashes: Vec<u64> = (0..6).map(|client| flow(client, 443).hash()).collect();
+        let mut placed: Vec<(u64, u64, InstanceId)> = Vec::new();
+        let mut now = 0;
+        for (domain, begins, pause) in steps {
+            let name = DOMAINS[domain];
+            let update = if begins { drain(name) } else { lift(name) };
+            apply(&mut searcher, now, update.clone());
+            for before in [true, false] {
+                for hash in &hashes {
+                    let found = candidates(&entry, *hash, class, DOMAINS[home]);
+                    placed.extend(found.into_iter().map(|id| (now, *hash, id)));
+                }
+                if before {
+                    apply(&mut entry, now, update.clone());
+                }
+            }
+            now += pause;
+            searcher.drains_mut().expire(Timestamp::from_millis(now), LIFETIME);
+            let lifetime = LIFETIME.as_millis() as u64;
+            for (at, hash, id) in placed.iter().filter(|it| it.0 + lifetime >= now) {
+                let found = may_hold(&searcher, *hash, class);
+                prop_assert!(found.contains(id), "placed at {at}, searched at {now}");
+                prop_assert!(searcher.may_be_held_by(*id, *hash, class, HORIZON));
+            }
+        }
+    }
+}
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,6 +2,8 @@
 //! start, stop and restart.
 
 mod candidates;
+mod drained_sets;
+mod drains;
 mod early;
 mod fleet;
 mod holders;
--- a/marigoldway-net/src/wire/mod.rs
+++ b/marigoldway-net/src/wire/mod.rs
@@ -6,7 +6,7 @@
 //! Messages of the control channel have CBOR types of their own, so that the types of
 //! `marigoldway-core` don't determine the format. [`flows`] is a binary format for datagrams.
 //! [`agents`] is a JSON format for records in the platform's key-value store, and [`replica`] a
-//! CBOR format for copies of its keys.
+//! CBOR format for copies of its keys. [`drains`] is a JSON format for drained failure domains.
 
 use std::io;
 
@@ -18,6 +18,7 @@
 use crate::errors::Result;
 
 pub mod agents;
+pub mod drains;
 pub mod flows;
 pub mod lists;
 pub mod membership;
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -5,6 +5,7 @@
 //! to entries and to each other. A flow has two directory agents, or one in a service of a
 //! single agent. They are selected by a hash of the flow and keep which agent holds it.
 
+mod drains;
 mod execute;
 mod listing;
 mod log_actions;
@@ -36,9 +37,10 @@
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
 use marigoldway_platform::api::ApiRequest;
-use marigoldway_platform::config;
+use marigoldway_platform::drains::OPERATORS_PREFIX;
 
 use crate::errors::Result;
+use crate::packets::agent::drains::DrainAsker;
 use crate::packets::feed;
 use crate::packets::feed::Feed;
 use crate::packets::node;
@@ -105,6 +107,8 @@
     unregistered_at: Cell<Option<u64>>,
     /// Whether a newer configuration is being fetched from an entry.
     fetching: Cell<bool>,
+    /// Asks entries for the drained failure domains.
+    drain_asker: DrainAsker,
     /// Whether collected queries and replies are to be sent soon.
     flushing: Cell<bool>,
     /// Whether the list of agents was read, from the store or from a contact.
@@ -149,6 +153,7 @@
         record_dirty: Notify::new(),
         unregistered_at: Cell::new(None),
         fetching: Cell::new(false),
+        drain_asker: DrainAsker::default(),
         flushing: Cell::new(false),
         agents_loaded: Cell::new(false),
         presence_written: Cell::new(false),
@@ -169,8 +174,14 @@
 
 fn start(agent: &Rc<Agent>) -> Result<()> {
     let shared = agent.clone();
-    let agents = move || peers::encode_agents(shared.flows.borrow().agents());
-    node::serve_peers(&agent.node, agents)?;
+    let known = move |path: &str| {
+        peers::answer(
+            shared.node.clock.now(),
+            shared.flows.borrow().agents(),
+            path,
+        )
+    };
+    node::serve_peers(&agent.node, known)?;
     server::serve(
         agent.node.settings.ready,
         |method, path, _| match ApiRequest::parse(method, path) {
@@ -207,7 +218,8 @@
     };
     let shared = agent.clone();
     task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
-    for prefix in [config::CONFIG_KEY, agents::AGENTS_PREFIX] {
+    drains::start(agent);
+    for prefix in [OPERATORS_PREFIX, agents::AGENTS_PREFIX] {
         let shared = agent.clone();
         let is_follower = move || shared.is_follower();
         let shared = agent.clone();
--- a/marigoldway/src/packets/agent/messages.rs
+++ b/marigoldway/src/packets/agent/messages.rs
@@ -92,14 +92,15 @@
         self.execute(Some(&flow), packet, &actions);
     }
 
-    /// Keeps the entry of a packet for hellos, and fetches the entry's configuration if it is newer
-    /// than the own one.
+    /// Keeps the entry of a packet for hellos, and fetches the drained failure domains if they aren't
+    /// known, and the entry's configuration if it is newer than the own one.
     fn on_entry_packet(self: &Rc<Self>, now: Timestamp, header: &Header) {
         let mut entries = self.entries.borrow_mut();
         if entries.len() < MAX_ENTRIES || entries.contains_key(&header.entry) {
             entries.insert(header.entry, now);
         }
         drop(entries);
+        self.learn_drains(header.entry.0);
         if header.version <= self.node.version() || self.fetching.replace(true) {
             return;
         }
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -31,10 +31,11 @@
 use marigoldway_net::wire::flows;
 use marigoldway_net::wire::flows::Message;
 use marigoldway_platform::api::ApiRequest;
-use marigoldway_platform::config;
+use marigoldway_platform::drains::OPERATORS_PREFIX;
 use marigoldway_platform::packet;
 
 use crate::errors::Result;
+use crate::packets::drains;
 use crate::packets::feed;
 use crate::packets::feed::Demand;
 use crate::packets::node;
@@ -110,8 +111,14 @@
 
 fn start(entry: &Rc<Entry>) -> Result<()> {
     let shared = entry.clone();
-    let agents = move || peers::encode_agents(shared.flows.borrow().agents());
-    node::serve_peers(&entry.node, agents)?;
+    let known = move |path: &str| {
+        peers::answer(
+            shared.node.clock.now(),
+            shared.flows.borrow().agents(),
+            path,
+        )
+    };
+    node::serve_peers(&entry.node, known)?;
     let shared = entry.clone();
     server::serve(
         entry.node.settings.ready,
@@ -138,7 +145,7 @@
     });
     let shared = entry.clone();
     let feed = entry.feed(
-        config::CONFIG_KEY,
+        OPERATORS_PREFIX,
         listing::CONFIG_INTERVAL,
         entry.config_demand.clone(),
     );
@@ -170,6 +177,7 @@
         node::record_tick_delay(&entry.node, interval.tick().await);
         let now = entry.node.clock.now();
         let probes = entry.flows.borrow_mut().tick(now);
+        drains::log_unserved(&entry.node, entry.flows.borrow_mut().agents_mut());
         for agent in probes {
             entry.node.send(agent.0, &flows::encode_probe());
         }
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -1,5 +1,5 @@
-//! What an entry learns from the store, from followers and from contacts: the configuration and
-//! the agents.
+//! What an entry learns from the store, from followers and from contacts: the configuration, the
+//! drained failure domains and the agents.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -17,6 +17,7 @@
 use marigoldway_platform::config;
 
 use crate::packets::agent_records;
+use crate::packets::drains;
 use crate::packets::entry::Entry;
 use crate::packets::feed::Demand;
 use crate::packets::feed::Feed;
@@ -36,15 +37,21 @@
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Fetches the configuration and the agents from the contacts, one after the other, until the
-/// entry has both. A starting entry needs this while the store doesn't answer.
+/// entry has both, and the drained domains until a contact has told them. A starting entry needs
+/// this while the store doesn't answer. Only other processes know which drains were lifted before
+/// it started.
 pub(super) async fn fetch_from_contacts(entry: Rc<Entry>) {
     let contacts = entry.node.contacts();
+    let mut drains_told = false;
     for contact in contacts.iter().cycle() {
         time::sleep(CONTACT_INTERVAL).await;
         let configured = entry.node.version() > 0;
-        if configured && entry.agents_loaded.get() {
+        if configured && entry.agents_loaded.get() && drains_told {
             return;
         }
+        if !drains_told {
+            drains_told = fetch_drains(&entry, *contact).await;
+        }
         if !configured {
             fetch_config(&entry, *contact).await;
         }
@@ -64,8 +71,23 @@
     }
 }
 
-/// Fetches the configuration from a peer and applies it if it is newer.
+/// Fetches the drained domains from a peer and applies what it tells. Returns whether it knew them.
+async fn fetch_drains(entry: &Rc<Entry>, peer: SocketAddrV4) -> bool {
+    let Some(update) = drains::fetch(&entry.node, peer).await else {
+        return false;
+    };
+    let mut flows = entry.flows.borrow_mut();
+    drains::learn(&entry.node, flows.agents_mut(), update);
+    true
+}
+
+/// Fetches the configuration from a peer and applies it if it is newer. Before that, fetches the
+/// drained domains if they aren't known, since new flows are placed once there is a configuration.
 pub(super) async fn fetch_config(entry: &Rc<Entry>, peer: SocketAddrV4) {
+    let knows_drains = entry.flows.borrow().agents().drains().is_known();
+    if !knows_drains {
+        fetch_drains(entry, peer).await;
+    }
     if let Some(raw) = peers::fetch(peer, peers::CONFIG_PATH).await {
         let routes = entry.node.apply_config(raw, "peer");
         if let Some(routes) = routes {
@@ -100,8 +122,10 @@
         }
     }
 
-    /// Applies a change of the configuration's key in the store.
+    /// Applies a change of the operators' keys in the store: the drains, and then the configuration,
+    /// without which no flow is placed.
     pub(super) fn on_config(&self, event: StoreEvent) {
+        drains::on_event(&self.node, self.flows.borrow_mut().agents_mut(), &event);
         let stored = match event {
             StoreEvent::Snapshot(found, _) => {
                 found.into_iter().find(|it| it.key == config::CONFIG_KEY)
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 mod agent_records;
+mod drains;
 pub mod entry;
 mod feed;
 mod histograms;
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -257,15 +257,19 @@
     }
 }
 
-/// Serves the configuration and the known agents to peers, and the metrics if an address
+/// Serves the configuration and what else `known` returns by path to peers, and the metrics if an address
 /// is configured for them. Starts the periodic log line on calls to the store. Returns
 /// [`Error::Bind`] if an address can't be bound.
-pub(crate) fn serve_peers(node: &Rc<Node>, agents: impl Fn() -> Bytes + 'static) -> Result<()> {
+pub(crate) fn serve_peers(
+    node: &Rc<Node>,
+    known: impl Fn(&str) -> Option<Bytes> + 'static,
+) -> Result<()> {
     let shared = node.clone();
     server::serve(node.settings.data.0, move |_, path, _| match path {
         peers::CONFIG_PATH => Answer::found(shared.document().map(|it| it.raw)),
-        peers::AGENTS_PATH => Answer::found(Some(agents())),
-        _ => Answer::found(shared.replicas.answer(shared.clock.now(), path)),
+        _ => {
+            Answer::found(known(path).or_else(|| shared.replicas.answer(shared.clock.now(), path)))
+        }
     })?;
     task::spawn_local(node.clone().log_calls());
     let Some(addr) = node.settings.metrics else {
--- a/marigoldway/src/packets/peers.rs
+++ b/marigoldway/src/packets/peers.rs
@@ -1,5 +1,5 @@
-//! Data that processes of the system fetch from each other: the configuration document
-//! and the list of known agents. Each process serves them by HTTP at its data address.
+//! Data that processes of the system fetch from each other: the configuration document,
+//! the list of known agents and the drained failure domains. Each process serves them by HTTP at its data address.
 
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -12,8 +12,10 @@
 
 use marigoldway_core::flow::agents::Agents;
 use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::time::Timestamp;
 use marigoldway_net::platform::transport;
 use marigoldway_net::wire::agents;
+use marigoldway_net::wire::drains;
 
 /// Path of the configuration document.
 pub(crate) const CONFIG_PATH: &str = "/config";
@@ -21,6 +23,9 @@
 /// Path of the list of known agents.
 pub(crate) const AGENTS_PATH: &str = "/agents";
 
+/// Path of the drained failure domains.
+pub(crate) const DRAINS_PATH: &str = "/drains";
+
 /// Timeout of a request to a peer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,8 +50,21 @@
     }
 }
 
+/// The answer to a request for what a process knows of agents and drained domains. Returns `None`
+/// for another path, and for domains that aren't known.
+pub(crate) fn answer(now: Timestamp, agents: &Agents, path: &str) -> Option<Bytes> {
+    match path {
+        AGENTS_PATH => Some(encode_agents(agents)),
+        DRAINS_PATH => {
+            let shared = agents.drains().share(now)?;
+            Some(Bytes::from(drains::encode(&shared)))
+        }
+        _ => None,
+    }
+}
+
 /// Encodes the records of the known agents, one on each line.
-pub(crate) fn encode_agents(agents: &Agents) -> Bytes {
+fn encode_agents(agents: &Agents) -> Bytes {
     let lines: Vec<Vec<u8>> = agents.records().map(agents::encode).collect();
     Bytes::from(lines.join(&b'\n'))
 }
