--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -128,6 +128,8 @@
     leaving: bool,
     /// Whether the store's first list lacked this agent.
     joining: bool,
+    /// Whether no search may end before the drained failure domains are known.
+    awaits_drains: bool,
     /// Whether the store had no trace of this agent when the process started. No entry had then
     /// been told of the agent, so its target holds no flow that the process hasn't seen.
     unannounced: bool,
@@ -138,6 +140,8 @@
     /// Until when the record says that the target may hold strays: flows that other processes
     /// don't look for here.
     stray_until: Option<Timestamp>,
+    /// When the flows are next checked for strays, after one is suspected.
+    stray_check: Option<Timestamp>,
     /// Revision of `agents` at which the flows were last checked for strays.
     checked_revision: u64,
     slot_queue: SlotQueue,
@@ -169,10 +173,12 @@
             hellos: (0, Timestamp::ZERO),
             leaving: false,
             joining: false,
+            awaits_drains: false,
             unannounced: false,
             found_no_target: false,
             inherited_start: None,
             stray_until: None,
+            stray_check: None,
             checked_revision: 0,
             slot_queue: SlotQueue::default(),
             health: Health::default(),
@@ -216,6 +222,12 @@
         }
     }
 
+    /// Tells that the caller learns which failure domains are drained. Until it has, no search ends,
+    /// since flows may have been placed past them.
+    pub fn await_drains(&mut self) {
+        self.awaits_drains = true;
+    }
+
     /// Number of flows of the own target, and of flows in the directory.
     pub fn counts(&self) -> (usize, usize) {
         (self.flows.len(), self.directory.len())
@@ -318,7 +330,9 @@
     /// expired state. Returns the unregistered agents to probe, to find out whether they are alive.
     pub fn tick(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) -> Vec<InstanceId> {
         self.agents.expire(now);
-        self.note_strays(now);
+        let lifetime = self.options.idle_timeout;
+        self.agents.drains_mut().expire(now, lifetime);
+        self.note_strays(now, actions);
         self.update_number(now);
         self.flows
             .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFETIME));
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -41,6 +41,8 @@
 pub enum Role {
     /// The process reads for itself.
     Reader,
+    /// The process reads for itself, but never from the store.
+    FollowersOnly,
     /// The process with this ID also answers others. All followers know each other in one order, and
     /// the first that works is the leading one: it alone asks the store all the time.
     Follower(InstanceId),
@@ -164,7 +166,12 @@
     /// The next step of a process that knows these followers, in the order in which it asks them.
     pub fn next(&mut self, now: Timestamp, followers: &[InstanceId]) -> Step {
         let demand = self.open_demand();
-        let usable = self.usable(now, followers, demand.is_some());
+        // A process that reads from followers alone has no other source.
+        let is_urgent = demand.is_some() || self.role == Role::FollowersOnly;
+        let usable = self.usable(now, followers, is_urgent);
+        if self.role == Role::FollowersOnly {
+            return self.next_from_followers(now, usable);
+        }
         let leads = usable.is_none() && self.role != Role::Reader;
         let due = match usable {
             // No one else can meet the demand.
@@ -246,6 +253,15 @@
         }
     }
 
+    /// The next step of a process that never asks the store. `usable` is the follower to ask.
+    fn next_from_followers(&self, now: Timestamp, usable: Option<InstanceId>) -> Step {
+        match usable {
+            Some(id) if now >= self.next_read => Step::Follower(id, Freshness::Known),
+            Some(_) => Step::Wait(self.next_read),
+            None => Step::Wait(now + self.timing.relay),
+        }
+    }
+
     /// Time for which the store may hold a call made now. `may_wait` tells whether it may at all.
     fn hold(&self, now: Timestamp, may_wait: bool) -> Duration {
         let age = self.confirmed.map(|at| now.since(at));
@@ -361,7 +377,7 @@
     /// answer, and from which on an answer is of no use.
     fn patience(&self) -> Duration {
         match self.role {
-            Role::Reader => self.timing.reader,
+            Role::Reader | Role::FollowersOnly => self.timing.reader,
             Role::Follower(_) => self.timing.follower,
         }
     }
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -3,6 +3,8 @@
 
 mod candidates;
 mod demands;
+mod drained_sets;
+mod drains;
 mod early;
 mod fleet;
 mod holders;
