Decode the rate limits of services in slow start

Cause: the operators' document may state for each service the rate that a target can handle during its slow start. The services weren't decoded.

How long the slow start lasts stays the target's word.

--- a/marigoldway-core/src/flow/routes.rs
+++ b/marigoldway-core/src/flow/routes.rs
@@ -2,6 +2,7 @@
 //! services. A service is a group of targets that serve the same requests.
 
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -95,6 +96,9 @@
     pub version: u64,
     /// The routes by the address and port that clients connect to.
     pub by_addr: IndexMap<SocketAddrV4, Route>,
+    /// The maximum number of opening packets that a target in slow start receives in any
+    /// second, by service. Services without a limit are missing.
+    pub ramps: IndexMap<NameKey, NonZeroU32>,
     /// Idle timeout: time without a packet after which a flow may be removed from
     /// the tables of entries and agents.
     pub idle: Duration,
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -211,8 +211,9 @@
             let event = fault.kind.as_str();
             self.count(event);
             if self.log_limiter.allows(self.clock.now(), event) {
-                let (route, kind) = (&fault.route, &fault.kind);
-                log::warn!("event={event} version={version} route={route:?} error=\"{kind}\"");
+                let (item, kind) = (&fault.item, &fault.kind);
+                let field = fault.kind.log_field();
+                log::warn!("event={event} version={version} {field}={item:?} error=\"{kind}\"");
             }
         }
     }
