Carry the slow start's rate limit in the header of opening packets

Cause: agents have no configuration that they could rely on, and the limit is the entry's knowledge.

Change: Header has the limit of the service, set by entries for opening packets, and the time that the packet has waited in queues of agents, so that an agent further on knows how long the client still waits.

--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -178,6 +178,8 @@
                 timeout: self.options.idle_timeout,
             },
             placement_hint: PlacementHint::default(),
+            ramp: None,
+            waited: Duration::ZERO,
         }
     }
 }
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -12,6 +12,7 @@
 mod views;
 
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -309,9 +310,17 @@
                 threshold: LoadLevel::MAX,
                 best: None,
             },
+            ramp: self.ramp(intent, service),
+            waited: Duration::ZERO,
         }
     }
 
+    /// The rate limit of a target of the service in slow start, for an opening packet.
+    fn ramp(&self, intent: Intent, service: NameKey) -> Option<NonZeroU32> {
+        let routes = self.routes.as_ref().filter(|_| intent == Intent::Open)?;
+        routes.ramps.get(&service).copied()
+    }
+
     /// Prefers other agents for new flows after a refusal, and for the refused flow.
     /// Removes the agent if its target belongs to another service.
     fn on_refusal(
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -4,6 +4,7 @@
 //! process beside one target. The directory agents of a flow are the two agents of
 //! its service that keep which agent holds the flow.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -52,6 +53,11 @@
     pub work: Work,
     /// How agents decide which of them accepts a new flow.
     pub placement_hint: PlacementHint,
+    /// For an opening packet, the maximum number of them that a target of the service
+    /// in slow start receives in any second. `None` if there is no limit.
+    pub ramp: Option<NonZeroU32>,
+    /// Time that an opening packet has spent in queues of agents.
+    pub waited: Duration,
 }
 
 /// `PlacementHint` helps agents decide which of them accepts a new flow. It
@@ -107,7 +113,8 @@
     pub running: u16,
     /// Number of requests that wait at the agent for a slot of the target.
     pub waiting: u16,
-    /// Number of newly accepted flows whose first request hasn't arrived yet.
+    /// Number of newly accepted flows whose first request hasn't arrived yet, and of
+    /// opening packets that wait for the target's slow start.
     pub opening: u16,
     /// Number of flows that the target holds open.
     pub flows: u32,
--- a/marigoldway-net/src/wire/flows/layout.rs
+++ b/marigoldway-net/src/wire/flows/layout.rs
@@ -1,5 +1,7 @@
 //! Fixed layouts of the messages about flows, and their conversion from and to core types.
 
+mod header;
+
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -17,19 +19,16 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::flow::message::FlowReport;
-use marigoldway_core::flow::message::Header;
 use marigoldway_core::flow::message::Hello;
-use marigoldway_core::flow::message::Intent;
 use marigoldway_core::flow::message::Load;
-use marigoldway_core::flow::message::LoadLevel;
-use marigoldway_core::flow::message::PlacementHint;
 use marigoldway_core::flow::message::RefuseReason;
 use marigoldway_core::flow::message::TargetState;
 use marigoldway_core::flow::message::Verdict;
-use marigoldway_core::flow::routes::Work;
 use marigoldway_core::flow::routes::WorkClass;
 use marigoldway_core::ids::InstanceId;
 
+pub(super) use crate::wire::flows::layout::header::WireHeader;
+
 /// `InvalidValue` is the error for a received number that stands for no enum variant.
 pub(super) struct InvalidValue;
 
@@ -47,28 +46,6 @@
     pub(super) server: WireAddr,
 }
 
-#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-pub(super) struct WireHeader {
-    pub(super) intent: u8,
-    pub(super) hops: u8,
-    pub(super) class: u8,
-    /// 1 if directory agents search for the flow.
-    pub(super) search: u8,
-    pub(super) priority: u8,
-    pub(super) service: U64,
-    pub(super) version: U64,
-    pub(super) entry: WireAddr,
-    /// Another agent, which [`Header::other`] describes; port 0 means none.
-    pub(super) other: WireAddr,
-    pub(super) objective_ms: U32,
-    pub(super) timeout_ms: U32,
-    pub(super) threshold: U16,
-    /// Least loaded agent that forwarded the flow; port 0 means none.
-    pub(super) best: WireAddr,
-    pub(super) best_load: U16,
-}
-
 #[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
 #[repr(C)]
 pub(super) struct WireLoad {
@@ -161,70 +138,6 @@
     }
 }
 
-impl From<&Header> for WireHeader {
-    fn from(header: &Header) -> WireHeader {
-        let none = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
-        let best = header.placement_hint.best;
-        let best = best.map_or((none, LoadLevel::default()), |(id, load)| (id.0, load));
-        WireHeader {
-            intent: match header.intent {
-                Intent::Open => 0,
-                Intent::Owned => 1,
-                Intent::Locate => 2,
-                Intent::Search => 3,
-            },
-            hops: header.hops,
-            class: class_code(header.work.class),
-            search: u8::from(header.search),
-            priority: header.work.priority,
-            service: header.service.0.into(),
-            version: header.version.into(),
-            entry: header.entry.0.into(),
-            other: header.other.map_or(none, |other| other.0).into(),
-            objective_ms: millis(header.work.objective),
-            timeout_ms: millis(header.work.timeout),
-            threshold: header.placement_hint.threshold.0.into(),
-            best: best.0.into(),
-            best_load: best.1.0.into(),
-        }
-    }
-}
-
-impl TryFrom<&WireHeader> for Header {
-    type Error = InvalidValue;
-
-    fn try_from(wire: &WireHeader) -> Result<Header, InvalidValue> {
-        let other = SocketAddrV4::from(wire.other);
-        let best = SocketAddrV4::from(wire.best);
-        let best_load = LoadLevel(wire.best_load.get());
-        Ok(Header {
-            intent: match wire.intent {
-                0 => Intent::Open,
-                1 => Intent::Owned,
-                2 => Intent::Locate,
-                3 => Intent::Search,
-                _ => return Err(InvalidValue),
-            },
-            hops: wire.hops,
-            service: NameKey(wire.service.get()),
-            version: wire.version.get(),
-            entry: InstanceId(wire.entry.into()),
-            other: (other.port() > 0).then_some(InstanceId(other)),
-            search: wire.search == 1,
-            work: Work {
-                class: decode_class(wire.class)?,
-                priority: wire.priority,
-                objective: duration(wire.objective_ms),
-                timeout: duration(wire.timeout_ms),
-            },
-            placement_hint: PlacementHint {
-                threshold: LoadLevel(wire.threshold.get()),
-                best: (best.port() > 0).then_some((InstanceId(best), best_load)),
-            },
-        })
-    }
-}
-
 impl From<&Load> for WireLoad {
     fn from(load: &Load) -> WireLoad {
         WireLoad {
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -3,6 +3,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -78,8 +79,15 @@
     let placement_hint = (any::<u16>().prop_map(LoadLevel), best);
     let placement_hint =
         placement_hint.prop_map(|(threshold, best)| PlacementHint { threshold, best });
+    let slow_start = (any::<u32>().prop_map(NonZeroU32::new), arb_millis());
+    let rest = (rest, slow_start);
     (intent, rest, others, placement_hint).prop_map(
-        |(intent, (hops, service, version, search), (entry, other, work), placement_hint)| Header {
+        |(
+            intent,
+            ((hops, service, version, search), (ramp, waited)),
+            (entry, other, work),
+            placement_hint,
+        )| Header {
             intent,
             hops,
             service: NameKey(service),
@@ -89,6 +97,8 @@
             search,
             work,
             placement_hint,
+            ramp,
+            waited,
         },
     )
 }
