Cap a slow start at a minute, and doubt a late announcement of an end

Cause: a target could state a slow start without end. And of a target that restarts under its earlier ID, the announcement of the earlier incarnation's end names only the ID: if it is read after the new incarnation's first heartbeat, it ended the new one for good, since all its later heartbeats counted as late.

Change: a slow start lasts 60 s at most from an incarnation's first heartbeat. If an incarnation replaced one of the same ID that hadn't announced its end, an announcement is doubtful: if heartbeats keep arriving for 0.6 of an interval after the first one, the incarnation is the current one again, and its flows stay. Every other announcement is final, as before.

Checked by new tests, without a fault found: records, an entry's list of agents, searches and claims go by the start time.

The leave case wasn't run against the code before.

--- a/marigoldway-core/src/flow/target.rs
+++ b/marigoldway-core/src/flow/target.rs
@@ -14,9 +14,18 @@
 /// intervals. One heartbeat may be late by half an interval.
 const ABSENT_INTERVALS: f64 = 1.6;
 
+/// Time for which heartbeats must arrive after the doubtful announcement of a stop until it counts
+/// as that of an earlier incarnation, in heartbeat intervals. The last heartbeat before a true one
+/// may be late by half an interval.
+const REVIVAL_INTERVALS: f64 = 0.6;
+
 /// Maximum number of earlier incarnations whose late heartbeats are recognized.
 const MAX_ENDED: usize = 8;
 
+/// Maximum time from the first heartbeat of an incarnation for which the target counts as in slow
+/// start, whatever its heartbeats state.
+const MAX_SLOW_START: Duration = Duration::from_secs(60);
+
 /// `Heartbeat` is a target's periodic report about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -59,12 +68,27 @@
     interval: Duration,
     current: Option<Heartbeat>,
     last_heartbeat: Timestamp,
+    /// When the first heartbeat of the current incarnation arrived.
+    started: Timestamp,
     /// Name and start time of incarnations that were replaced or that announced
     /// their stop, in the order in which they ended.
     ended: Vec<(String, u64)>,
+    /// Whether the current incarnation replaced one of the same name that hadn't announced its
+    /// stop. A late announcement would name the current one too.
+    unannounced_end: bool,
+    /// The incarnation whose stop was announced under a name that fits an earlier one too.
+    doubtful: Option<DoubtfulEnd>,
     incarnations: u64,
 }
 
+/// An incarnation that ended by an announcement which may be that of an earlier one.
+#[derive(Debug)]
+struct DoubtfulEnd {
+    last: Heartbeat,
+    /// When the first heartbeat after the announcement arrived.
+    heard: Option<Timestamp>,
+}
+
 impl Target {
     /// Creates the state for a target that sends a heartbeat every `interval`. The
     /// target is absent until its first heartbeat.
@@ -73,7 +97,10 @@
             interval,
             current: None,
             last_heartbeat: Timestamp::ZERO,
+            started: Timestamp::ZERO,
             ended: Vec::new(),
+            unannounced_end: false,
+            doubtful: None,
             incarnations: 0,
         }
     }
@@ -109,21 +136,22 @@
         TargetState::Serving
     }
 
-    /// Remaining time of the target's slow start; zero if the slow start is over or
-    /// there is no current incarnation.
+    /// Remaining time of the target's slow start, at most [`MAX_SLOW_START`] from the first
+    /// heartbeat on; zero if the slow start is over or there is no current incarnation.
     pub fn slow_start(&self, now: Timestamp) -> Duration {
         let remaining = self
             .current
             .as_ref()
             .map_or(Duration::ZERO, |it| it.slow_start);
-        remaining.saturating_sub(self.age(now))
+        let left = MAX_SLOW_START.saturating_sub(now.since(self.started));
+        remaining.saturating_sub(self.age(now)).min(left)
     }
 
     /// Processes a heartbeat, and returns how it changed the state.
     pub fn on_heartbeat(&mut self, now: Timestamp, heartbeat: Heartbeat) -> HeartbeatOutcome {
         let Some(current) = &self.current else {
             if self.has_ended(&heartbeat) {
-                return HeartbeatOutcome::Late;
+                return self.review_end(now, heartbeat);
             }
             return self.start(now, heartbeat);
         };
@@ -165,10 +193,42 @@
         if self.current.as_ref().is_none_or(|current| current.id != id) {
             return false;
         }
+        let last = self.current.clone().filter(|_| self.unannounced_end);
+        self.doubtful = last.map(|last| DoubtfulEnd { last, heard: None });
         self.end();
         true
     }
 
+    /// Processes a heartbeat of an ended incarnation while there is no current one. If the
+    /// announcement of its stop may be that of an earlier incarnation, and heartbeats keep arriving,
+    /// the incarnation is the current one again.
+    fn review_end(&mut self, now: Timestamp, heartbeat: Heartbeat) -> HeartbeatOutcome {
+        let Some(doubtful) = &mut self.doubtful else {
+            return HeartbeatOutcome::Late;
+        };
+        let last = &doubtful.last;
+        let is_same = last.id == heartbeat.id && last.started_at == heartbeat.started_at;
+        if !is_same || heartbeat.number <= last.number {
+            return HeartbeatOutcome::Late;
+        }
+        // One heartbeat may have been sent before the announcement.
+        let heard = *doubtful.heard.get_or_insert(now);
+        if now.since(heard) < self.interval.mul_f64(REVIVAL_INTERVALS) {
+            return HeartbeatOutcome::Late;
+        }
+        let draining = last.draining || heartbeat.draining;
+        self.doubtful = None;
+        self.unannounced_end = false;
+        self.last_heartbeat = now;
+        self.ended
+            .retain(|(id, at)| *id != heartbeat.id || *at != heartbeat.started_at);
+        self.current = Some(Heartbeat {
+            draining,
+            ..heartbeat
+        });
+        HeartbeatOutcome::Changed
+    }
+
     /// Whether the heartbeat is from one of the remembered ended incarnations.
     fn has_ended(&self, heartbeat: &Heartbeat) -> bool {
         self.ended
@@ -178,8 +238,12 @@
 
     /// Replaces the current incarnation by the one that sent the heartbeat.
     fn start(&mut self, now: Timestamp, heartbeat: Heartbeat) -> HeartbeatOutcome {
+        let replaced = self.current.as_ref().map(|it| it.id.clone());
+        self.unannounced_end = replaced.as_ref() == Some(&heartbeat.id);
+        self.doubtful = None;
         self.end();
         self.last_heartbeat = now;
+        self.started = now;
         self.incarnations += 1;
         self.current = Some(heartbeat);
         HeartbeatOutcome::Started
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -5,6 +5,7 @@
 mod early;
 mod fleet;
 mod holders;
+mod incarnation;
 mod load;
 mod locate;
 mod moved;
