Keep opening packets to a target in slow start within the ramp

Cause: a target that has just started got as many new flows as its load allowed, also when thousands of clients returned at once.

Change: the agent counts the opening packets that it sends, and in slow start sends no more in any window of one second than the header states. A new agent process sends nothing in its first second. Waiting packets count in the load; before they are sent, version, service, state and silence are checked again, and they move to another candidate or are reset if the target drains or has ended. Copies of packets that the target has received are never reset. Without a ramp nothing is counted against a limit. An agent over its ramp adds the wait to the load that redirection compares: without it, a loaded target returned flows to one whose ramp was used up (seen in open_over_the_ramp_goes_to_another_candidate, flow 9 of 60 had to wait).

Counters and lines: opening-passed-on, -queued, -released, -moved, -dropped, -rejected; flow-reset with reason=slow-start.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -16,6 +16,7 @@
 mod openings;
 mod outbound;
 mod peer_messages;
+pub mod ramp;
 mod record;
 mod redirect;
 mod register;
@@ -23,17 +24,21 @@
 mod searcher;
 mod served_addrs;
 pub mod slot_queue;
+mod slow_start;
 
 use std::time::Duration;
 
 pub use crate::flow::agent::actions::AgentAction;
 pub use crate::flow::agent::actions::DropReason;
+pub use crate::flow::agent::actions::ReleasedOpening;
 pub use crate::flow::agent::actions::ResetReason;
 use crate::flow::agent::health::Health;
 use crate::flow::agent::local::LocalFlow;
 pub use crate::flow::agent::local::Phase;
 use crate::flow::agent::openings::Openings;
 pub use crate::flow::agent::peer_messages::FLUSH_INTERVAL;
+use crate::flow::agent::ramp::OpeningQueue;
+use crate::flow::agent::ramp::RampLimiter;
 use crate::flow::agent::record::PublishedState;
 use crate::flow::agent::search::Searches;
 use crate::flow::agent::served_addrs::ServedAddrs;
@@ -143,6 +148,10 @@
     slot_queue: SlotQueue,
     health: Health,
     openings: Openings,
+    /// Limits the opening packets that are sent to a target in slow start.
+    limiter: RampLimiter,
+    /// Opening packets that wait for the limiter.
+    opening_queue: OpeningQueue,
     searches: Searches,
     served_addrs: ServedAddrs,
     /// Number of flows that are open or whose first request is still expected.
@@ -177,6 +186,8 @@
             slot_queue: SlotQueue::default(),
             health: Health::default(),
             openings: Openings::default(),
+            limiter: RampLimiter::new(options.started),
+            opening_queue: OpeningQueue::default(),
             searches: Searches::default(),
             served_addrs: ServedAddrs::default(),
             open_flows: 0,
@@ -306,8 +317,12 @@
         if header.service != self.service {
             return self.refuse(now, header, flow, RefuseReason::Service, actions);
         }
+        let cancels_opening = segment.flags.rst && self.opening_queue.remove(&flow).is_some();
+        if cancels_opening && self.flows.peek(&flow).is_none() {
+            return actions.push(AgentAction::Drop(DropReason::Closed));
+        }
         match header.intent {
-            Intent::Open => self.open(now, header, segment, actions),
+            Intent::Open => self.open(now, header, segment, packet, actions),
             Intent::Owned | Intent::Locate | Intent::Search => {
                 self.route_packet(now, header, segment, packet, actions);
             }
@@ -332,6 +347,8 @@
         self.flush_searches(now, actions);
         self.expire_requests(now, actions);
         self.release(now, actions);
+        self.review_openings(now, actions);
+        self.release_openings(now, actions);
         if self.epoch != self.agents.epoch() {
             self.epoch = self.agents.epoch();
             self.register_all(now, actions);
--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -26,6 +26,19 @@
     Queue,
     /// Send the packets of a queued request to the target.
     Release(ReleasedRequest),
+    /// The current opening packet exceeds the limit of the target's slow start, and is sent to
+    /// another agent.
+    OpeningPassedOn,
+    /// The opening packet of the flow exceeds the limit of the target's slow start, and is queued
+    /// for about this long.
+    OpeningQueued(FlowKey, Duration),
+    /// Send a queued opening packet to the target.
+    ReleaseOpening(ReleasedOpening),
+    /// Send a queued opening packet to another agent, with this header.
+    MoveOpening(InstanceId, Header, FlowKey, Vec<u8>),
+    /// A copy of an opening packet was dropped: the target has received another copy, and this one
+    /// would exceed the limit of its slow start for too long.
+    OpeningDropped(FlowKey),
     /// The target hasn't answered a request of the flow for so long that the request is assumed
     /// lost.
     Unanswered(FlowKey),
@@ -57,13 +70,30 @@
     Drop(DropReason),
 }
 
-/// `ResetReason` states how an agent knows that a flow no longer exists.
+/// `ReleasedOpening` is a queued opening packet that is sent to the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleasedOpening {
+    /// Flow that the packet opens.
+    pub flow: FlowKey,
+    /// Time that the packet spent in the queue.
+    pub waited: Duration,
+    /// The whole packet.
+    pub packet: Vec<u8>,
+}
+
+/// `ResetReason` states why an agent resets a flow: how it knows that the flow no longer exists,
+/// or why it rejects a flow that isn't open yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ResetReason {
     /// A heartbeat of a later incarnation of the target arrived.
     TargetRestarted,
     /// The target returned a packet of a flow that it had answered.
     TargetForgot,
+    /// The opening packet would have to wait for the target's slow start for longer than its client
+    /// waits.
+    SlowStart,
+    /// The queued opening packet may no longer be sent to the target, and there is no other agent.
+    Refused(RefuseReason),
 }
 
 impl ResetReason {
@@ -72,6 +102,8 @@
         match self {
             ResetReason::TargetRestarted => "target-restarted",
             ResetReason::TargetForgot => "target-forgot",
+            ResetReason::SlowStart => "slow-start",
+            ResetReason::Refused(reason) => reason.as_str(),
         }
     }
 }
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -39,28 +39,24 @@
         now: Timestamp,
         header: &Header,
         segment: &Segment,
+        packet: &[u8],
         actions: &mut Vec<AgentAction>,
     ) {
         let flow = segment.inbound_flow();
-        // Entries receive a new version at slightly different times.
-        let grace_over = now.since(self.version_since) > VERSION_GRACE;
-        if header.version < self.version && grace_over {
-            return self.refuse(now, header, flow, RefuseReason::Version, actions);
-        }
         self.see_version(now, header.version);
-        let reason = match self.state(now) {
-            TargetState::Serving => None,
-            TargetState::Draining => Some(RefuseReason::Draining),
-            TargetState::Absent => Some(RefuseReason::Absent),
-        };
-        if let Some(reason) = reason {
+        if let Some(reason) = self.refusal(now, header) {
+            self.opening_queue.remove(&flow);
+            if reason == RefuseReason::Version {
+                return self.refuse(now, header, flow, reason, actions);
+            }
             return self.forward_or_refuse(now, header, flow, reason, actions);
         }
+        self.limiter.set_ramp(header.version, header.ramp);
         if self.health.is_silent(now)
             && let Some(header) = self.to_other_agent(header, &flow)
         {
             self.forward_or_refuse(now, &header, flow, RefuseReason::Silent, actions);
-            if !self.health.take_trial(now) {
+            if self.is_over_ramp(now) || !self.health.take_trial(now) {
                 return;
             }
         } else if self.flows.peek(&flow).is_none()
@@ -69,10 +65,43 @@
             self.report(now, header.entry, flow, Verdict::PassedOn, actions);
             return actions.push(AgentAction::ToAgents(vec![next], onward));
         }
+        if self.is_over_ramp(now) {
+            return self.hold_opening(now, header, segment, packet, actions);
+        }
+        let waiting_since = first_sent_at(now, segment.ack).before(header.waited);
+        self.opening_queue.remove(&flow);
+        self.accept(now, header, flow, waiting_since);
+        actions.push(AgentAction::ToTarget);
+    }
+
+    /// Why an opening packet isn't accepted, or `None` if it may go to the target.
+    pub(super) fn refusal(&self, now: Timestamp, header: &Header) -> Option<RefuseReason> {
+        if header.service != self.service {
+            return Some(RefuseReason::Service);
+        }
+        // Entries receive a new version at slightly different times.
+        let grace_over = now.since(self.version_since) > VERSION_GRACE;
+        if header.version < self.version && grace_over {
+            return Some(RefuseReason::Version);
+        }
+        match self.state(now) {
+            TargetState::Serving => None,
+            TargetState::Draining => Some(RefuseReason::Draining),
+            TargetState::Absent => Some(RefuseReason::Absent),
+        }
+    }
+
+    /// Records that an opening packet goes to the target. Adds its flow if it is new.
+    pub(super) fn accept(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        waiting_since: Timestamp,
+    ) {
         if let Some(local) = self.flows.touch(now, &flow) {
             local.header = *header;
         } else {
-            let waiting_since = first_sent_at(now, segment.ack);
             let local = LocalFlow::new(Phase::Opening, *header, waiting_since);
             self.flows.insert(now, flow, local);
             self.openings.begin(now, flow);
@@ -80,7 +109,7 @@
             self.note_stray(now, &flow, header.work.class);
         }
         self.health.on_open(now);
-        actions.push(AgentAction::ToTarget);
+        self.limiter.record(now);
     }
 
     /// Forwards an opening packet to the alternate agent, or drops it if the header names no other
@@ -139,7 +168,7 @@
 
 /// When the client sent its first opening packet, estimated from the number of retransmissions.
 /// More than two count as two.
-fn first_sent_at(now: Timestamp, retransmissions: u32) -> Timestamp {
+pub(super) fn first_sent_at(now: Timestamp, retransmissions: u32) -> Timestamp {
     let ago = match retransmissions {
         0 => Duration::ZERO,
         1 => FIRST_RETRANSMIT,
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -62,7 +62,7 @@
             slots: self.slots(),
             running: saturate(self.slot_queue.running()),
             waiting: saturate(self.slot_queue.waiting()),
-            opening: saturate(self.openings.len()),
+            opening: saturate(self.openings.len() + self.opening_queue.len()),
             flows: self.open_flows,
             failing: self.health.failing(now),
             slow_start: self.target.slow_start(now),
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -16,14 +16,13 @@
 use crate::flow::message::LoadLevel;
 use crate::flow::message::PlacementHint;
 use crate::flow::message::TargetState;
-use crate::flow::selection;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
 /// Number of forwardings of a new flow after which the next agent above the threshold no longer
 /// forwards it to a further peer but to the least loaded agent so far. Each forwarding costs a
 /// trip between domains, and comparing more than a few agents gains little.
-const MAX_REDIRECTS: u8 = 3;
+pub(super) const MAX_REDIRECTS: u8 = 3;
 
 impl AgentFlows {
     /// Returns the agent to forward a new flow to, with the header to send. Returns `None` if this
@@ -40,10 +39,7 @@
         if header.work.class.is_bulk() {
             return None;
         }
-        let own = (
-            self.options.own,
-            selection::load_level(&self.load(now), header.work.class),
-        );
+        let own = (self.options.own, self.offered_level(now, header.work.class));
         if own.1 <= threshold {
             return None;
         }
@@ -79,7 +75,7 @@
 
     /// Selects a serving agent other than this one and the least loaded one so far: the entry's
     /// alternate, else a registered one of the flow's candidates. Returns `None` if there is none.
-    fn pick_peer(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
+    pub(super) fn pick_peer(&self, header: &Header, flow: &FlowKey) -> Option<InstanceId> {
         let best = header.placement_hint.best.map(|it| it.0);
         let serves = |id: InstanceId| {
             let record = self.agents.record(id);
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -108,6 +108,7 @@
     Arc::new(Routes {
         version,
         by_addr: by_addr.collect(),
+        ramps: IndexMap::new(),
         idle: Duration::from_secs(15),
         partial: false,
     })
@@ -150,6 +151,10 @@
     /// Flows of which at least one packet arrived.
     pub seen: IndexSet<FlowKey>,
     pub mode: Mode,
+    /// Until when the target is in slow start.
+    pub slow_until: Timestamp,
+    /// When each opening packet arrived.
+    pub openings: Vec<Timestamp>,
     /// Number of octets in all answers so far.
     sent: u32,
 }
@@ -362,11 +367,38 @@
             open: IndexMap::new(),
             seen: IndexSet::new(),
             mode: Mode::Healthy,
+            slow_until: Timestamp::ZERO,
+            openings: Vec::new(),
             sent: 0,
         });
         self.heartbeat(n);
     }
 
+    /// Starts a new target beside agent `n`, which is in slow start for `span`.
+    pub fn start_slow_target(&mut self, n: u16, name: &str, span: Duration) {
+        self.start_target(n, name);
+        let node = self.agents.get_mut(&agent_id(n)).unwrap();
+        node.target.as_mut().unwrap().slow_until = self.now + span;
+        self.heartbeat(n);
+    }
+
+    /// The target beside agent `n`.
+    pub fn target(&self, n: u16) -> &Target {
+        self.agents[&agent_id(n)].target.as_ref().unwrap()
+    }
+
+    /// Every agent sends the queued opening packets that it may send by now.
+    pub fn release_openings(&mut self) {
+        let ids: Vec<InstanceId> = self.agents.keys().copied().collect();
+        for id in ids {
+            let mut actions = Vec::new();
+            let node = self.agents.get_mut(&id).unwrap();
+            node.flows.release_openings(self.now, &mut actions);
+            self.carry_out(id, None, actions);
+        }
+        self.deliver_all();
+    }
+
     /// Starts a new process of agent `n` after its target and its process have ended. It finds that
     /// no target is running.
     pub fn start_without_target(&mut self, n: u16, name: &str) {
@@ -407,7 +439,7 @@
             service: target.service,
             draining: false,
             slots: 4,
-            slow_start: Duration::ZERO,
+            slow_start: target.slow_until.since(now),
         };
         let mut actions = Vec::new();
         node.flows.on_heartbeat(now, heartbeat, &mut actions);
@@ -789,10 +821,20 @@
                 AgentAction::ToDirectory(other, update) => {
                     self.queue.push(Datagram::DirectoryUpdate(other, update));
                 }
+                AgentAction::ReleaseOpening(release) => {
+                    self.deliver_to_target(agent, syn(release.flow, 0));
+                }
+                AgentAction::MoveOpening(other, header, flow, _) => {
+                    self.queue
+                        .push(Datagram::Packet(other, header, syn(flow, 0)));
+                }
                 AgentAction::Reset(reset, _) => {
                     self.received.push((reset.flow, Received::Reset(reset.seq)));
                 }
                 AgentAction::Queue
+                | AgentAction::OpeningPassedOn
+                | AgentAction::OpeningQueued(..)
+                | AgentAction::OpeningDropped(_)
                 | AgentAction::SearchWaits(..)
                 | AgentAction::Release(_)
                 | AgentAction::TimedOut(_)
@@ -819,6 +861,9 @@
             return self.deliver_from_target(agent, answer(key, flags, segment.ack, 0));
         };
         target.seen.insert(key);
+        if segment.opens() {
+            target.openings.push(self.now);
+        }
         let mode = target.mode;
         if mode == Mode::Silent || (mode == Mode::Mute && segment.len > 0) {
             return;
@@ -883,6 +928,8 @@
         search: true,
         work: routes(1, &[(443, "orders")]).by_addr[&server(443)].work,
         placement_hint: PlacementHint::default(),
+        ramp: None,
+        waited: Duration::ZERO,
     }
 }
 
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -3,6 +3,7 @@
 //! target holds is never reset, and no packet reaches another service. The first one
 //! also holds while the address of the flows moves between services.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -96,20 +97,25 @@
     let ids = (1..9_u16, prop::option::of(0..9_u16));
     let hint = (any::<u16>(), prop::option::of((0..9_u16, any::<u16>())));
     let rest = (any::<u8>(), any::<u64>(), any::<bool>());
+    let rest = (rest, any::<u32>(), any::<u32>());
     (prop::sample::select(intents.to_vec()), ids, hint, rest).prop_map(
-        |(intent, (entry, other), (threshold, best), (hops, version, search))| Header {
-            intent,
-            hops,
-            service: service("orders"),
-            version,
-            entry: agent_id(entry),
-            other: other.map(agent_id),
-            search,
-            work: routes(1, &[(443, "orders")]).by_addr[&server(443)].work,
-            placement_hint: PlacementHint {
-                threshold: LoadLevel(threshold),
-                best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
-            },
+        |(intent, (entry, other), (threshold, best), ((hops, version, search), ramp, waited))| {
+            Header {
+                intent,
+                hops,
+                service: service("orders"),
+                version,
+                entry: agent_id(entry),
+                other: other.map(agent_id),
+                search,
+                work: routes(1, &[(443, "orders")]).by_addr[&server(443)].work,
+                placement_hint: PlacementHint {
+                    threshold: LoadLevel(threshold),
+                    best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
+                },
+                ramp: NonZeroU32::new(ramp),
+                waited: Duration::from_millis(u64::from(waited)),
+            }
         },
     )
 }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -107,6 +107,8 @@
     fetching: Cell<bool>,
     /// Whether collected queries and replies are to be sent soon.
     flushing: Cell<bool>,
+    /// Whether queued opening packets are to be sent soon.
+    releasing: Cell<bool>,
     /// Whether the list of agents was read, from the store or from a contact.
     agents_loaded: Cell<bool>,
     /// Whether the store has the own presence key.
@@ -150,6 +152,7 @@
         unregistered_at: Cell::new(None),
         fetching: Cell::new(false),
         flushing: Cell::new(false),
+        releasing: Cell::new(false),
         agents_loaded: Cell::new(false),
         presence_written: Cell::new(false),
         record_removed: Cell::new(false),
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -29,6 +29,15 @@
                         self.node.send_on(&self.outbound, target, queued);
                     }
                 }
+                AgentAction::ReleaseOpening(release) => {
+                    let target = self.settings.borrow().target;
+                    self.node.send_on(&self.outbound, target, &release.packet);
+                }
+                AgentAction::MoveOpening(agent, header, _, queued) => {
+                    let mut buffer = self.buffer.borrow_mut();
+                    flows::write_packet(header, queued, &mut buffer);
+                    self.node.send(agent.0, &buffer);
+                }
                 AgentAction::ToClient => {
                     if let Some(flow) = flow {
                         self.node.send_client(&self.outbound, flow.client, packet);
@@ -68,6 +77,9 @@
                     self.node.send_client(&self.outbound, client, &reset_packet);
                 }
                 AgentAction::Queue
+                | AgentAction::OpeningPassedOn
+                | AgentAction::OpeningQueued(..)
+                | AgentAction::OpeningDropped(_)
                 | AgentAction::SearchWaits(..)
                 | AgentAction::Request(_)
                 | AgentAction::Answered(..)
--- a/marigoldway/src/packets/agent/log_actions.rs
+++ b/marigoldway/src/packets/agent/log_actions.rs
@@ -1,6 +1,7 @@
 //! Counters and log lines of the actions of an agent.
 
 use marigoldway_core::flow::agent::AgentAction;
+use marigoldway_core::flow::agent::ResetReason;
 use marigoldway_core::flow::agent::slot_queue::QueueDecision;
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::message::Intent;
@@ -36,6 +37,11 @@
                 let waited = format!("waited-ms={}", release.waited.as_millis());
                 return self.log_flow(event, &release.flow, &waited);
             }
+            AgentAction::OpeningPassedOn
+            | AgentAction::OpeningQueued(..)
+            | AgentAction::ReleaseOpening(_)
+            | AgentAction::MoveOpening(..)
+            | AgentAction::OpeningDropped(_) => return self.log_opening(action),
             AgentAction::TimedOut(flow) => {
                 let event = "request-given-up";
                 self.node.count(event);
@@ -115,6 +121,9 @@
             AgentAction::Reset(reset, reason) => {
                 let event = "flow-reset";
                 self.node.count(event);
+                if matches!(reason, ResetReason::SlowStart | ResetReason::Refused(_)) {
+                    self.node.count("opening-rejected");
+                }
                 let reason = format!("reason={}", reason.as_str());
                 return self.log_flow(event, &reset.flow, &reason);
             }
@@ -126,6 +135,33 @@
         }
     }
 
+    /// Counts and logs an action on an opening packet over the limit of the target's slow start.
+    fn log_opening(&self, action: &AgentAction) {
+        let (event, flow, detail) = match action {
+            AgentAction::OpeningPassedOn => return self.node.count("opening-passed-on"),
+            AgentAction::OpeningQueued(flow, wait) => {
+                let opening = self.flows.borrow().load(self.node.clock.now()).opening;
+                let detail = format!("wait-ms={} opening={opening}", wait.as_millis());
+                ("opening-queued", flow, detail)
+            }
+            AgentAction::ReleaseOpening(release) => {
+                let detail = format!("waited-ms={}", release.waited.as_millis());
+                ("opening-released", &release.flow, detail)
+            }
+            AgentAction::MoveOpening(agent, header, flow, _) => {
+                let waited = header.waited.as_millis();
+                let detail = format!("agent={agent} waited-ms={waited}");
+                ("opening-moved", flow, detail)
+            }
+            AgentAction::OpeningDropped(flow) => {
+                ("opening-dropped", flow, "reason=slow-start".to_owned())
+            }
+            _ => return,
+        };
+        self.node.count(event);
+        self.log_flow(event, flow, &detail);
+    }
+
     /// Logs a line on a flow, unless the limit of its event is reached.
     fn log_flow(&self, event: &'static str, flow: &FlowKey, detail: &str) {
         if self.node.log_limiter.allows(self.node.clock.now(), event) {
--- a/marigoldway/src/packets/agent/messages.rs
+++ b/marigoldway/src/packets/agent/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::task;
 use tokio::time;
@@ -21,6 +22,10 @@
 use crate::packets::agent::MAX_ENTRIES;
 use crate::packets::peers;
 
+/// Minimum time between two runs that send queued opening packets. The limiter counts whole
+/// milliseconds.
+const MIN_RELEASE_INTERVAL: Duration = Duration::from_millis(1);
+
 impl Agent {
     /// Handles a message from another process of the system.
     pub(super) fn on_message(self: &Rc<Self>, datagram: &mut [u8], from: SocketAddrV4) {
@@ -69,6 +74,7 @@
         drop(flows);
         self.execute(Some(&segment.inbound_flow()), packet, &actions);
         self.schedule_flush();
+        self.schedule_openings();
     }
 
     /// Handles a packet that the target sent or returned.
@@ -124,6 +130,26 @@
         self.schedule_flush();
     }
 
+    /// Sends the queued opening packets as soon as the limit of the target's slow start allows it.
+    fn schedule_openings(self: &Rc<Self>) {
+        let now = self.node.clock.now();
+        let next = self.flows.borrow().next_opening(now);
+        let Some(next) = next.filter(|_| !self.releasing.get()) else {
+            return;
+        };
+        self.releasing.set(true);
+        let agent = self.clone();
+        task::spawn_local(async move {
+            time::sleep(next.since(now).max(MIN_RELEASE_INTERVAL)).await;
+            agent.releasing.set(false);
+            let now = agent.node.clock.now();
+            let mut actions = Vec::new();
+            agent.flows.borrow_mut().release_openings(now, &mut actions);
+            agent.execute(None, &mut [], &actions);
+            agent.schedule_openings();
+        });
+    }
+
     /// Sends the queries and replies that the agent has collected, after the interval in which it
     /// collects them.
     fn schedule_flush(self: &Rc<Self>) {
