--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -39,36 +39,24 @@
         now: Timestamp,
         header: &Header,
         segment: &Segment,
+        packet: &[u8],
         actions: &mut Vec<AgentAction>,
     ) {
         let flow = segment.inbound_flow();
-        // Entries receive a new version at slightly different times.
-        let grace_over = now.since(self.version_since) > VERSION_GRACE;
-        if header.version < self.version && grace_over {
-            return self.refuse(now, header, flow, RefuseReason::Version, actions);
-        }
         self.see_version(now, header.version);
-        if self.is_domain_drained() && !self.is_answered_copy(&flow, segment) {
-            let onward = self.to_other_agent(header, &flow);
-            let onward = onward.unwrap_or(Header {
-                other: None,
-                ..*header
-            });
-            return self.forward_or_refuse(now, &onward, flow, RefuseReason::Drained, actions);
-        }
-        let reason = match self.state(now) {
-            TargetState::Serving => None,
-            TargetState::Draining => Some(RefuseReason::Draining),
-            TargetState::Absent => Some(RefuseReason::Absent),
-        };
-        if let Some(reason) = reason {
-            return self.forward_or_refuse(now, header, flow, reason, actions);
+        let refusal = self.refusal(now, header).filter(|reason| {
+            *reason != RefuseReason::Drained || !self.is_answered_copy(&flow, segment)
+        });
+        if let Some(reason) = refusal {
+            self.opening_queue.remove(&flow);
+            return self.decline(now, header, flow, reason, actions);
         }
+        self.limiter.set_ramp(header.version, header.ramp);
         if self.health.is_silent(now)
             && let Some(header) = self.to_other_agent(header, &flow)
         {
             self.forward_or_refuse(now, &header, flow, RefuseReason::Silent, actions);
-            if !self.health.take_trial(now) {
+            if self.is_over_ramp(now) || !self.health.take_trial(now) {
                 return;
             }
         } else if self.flows.peek(&flow).is_none()
@@ -77,10 +65,70 @@
             self.report(now, header.entry, flow, Verdict::PassedOn, actions);
             return actions.push(AgentAction::ToAgents(vec![next], onward));
         }
+        if self.is_over_ramp(now) {
+            return self.hold_opening(now, header, segment, packet, actions);
+        }
+        let waiting_since = first_sent_at(now, segment.ack).before(header.waited);
+        self.opening_queue.remove(&flow);
+        self.accept(now, header, flow, waiting_since, actions);
+        actions.push(AgentAction::ToTarget);
+    }
+
+    /// Why an opening packet isn't accepted, or `None` if it may go to the target.
+    pub(super) fn refusal(&self, now: Timestamp, header: &Header) -> Option<RefuseReason> {
+        if header.service != self.service {
+            return Some(RefuseReason::Service);
+        }
+        // Entries receive a new version at slightly different times.
+        let grace_over = now.since(self.version_since) > VERSION_GRACE;
+        if header.version < self.version && grace_over {
+            return Some(RefuseReason::Version);
+        }
+        if self.is_domain_drained() {
+            return Some(RefuseReason::Drained);
+        }
+        match self.state(now) {
+            TargetState::Serving => None,
+            TargetState::Draining => Some(RefuseReason::Draining),
+            TargetState::Absent => Some(RefuseReason::Absent),
+        }
+    }
+
+    /// Refuses an opening packet, or forwards it to another agent if one may accept it.
+    fn decline(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        reason: RefuseReason,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        match reason {
+            RefuseReason::Version => self.refuse(now, header, flow, reason, actions),
+            RefuseReason::Drained => {
+                let onward = self.to_other_agent(header, &flow);
+                let onward = onward.unwrap_or(Header {
+                    other: None,
+                    ..*header
+                });
+                self.forward_or_refuse(now, &onward, flow, reason, actions);
+            }
+            _ => self.forward_or_refuse(now, header, flow, reason, actions),
+        }
+    }
+
+    /// Records that an opening packet goes to the target. Adds its flow if it is new.
+    pub(super) fn accept(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        waiting_since: Timestamp,
+        actions: &mut Vec<AgentAction>,
+    ) {
         if let Some(local) = self.flows.touch(now, &flow) {
             local.header = *header;
         } else {
-            let waiting_since = first_sent_at(now, segment.ack);
             let local = LocalFlow::new(Phase::Opening, *header, waiting_since);
             self.flows.insert(now, flow, local);
             self.openings.begin(now, flow);
@@ -88,7 +136,7 @@
             self.note_stray(now, &flow, header, actions);
         }
         self.health.on_open(now);
-        actions.push(AgentAction::ToTarget);
+        self.limiter.record(now);
     }
 
     /// Whether new flows must not go to the own target, since its failure domain is drained.
@@ -162,7 +210,7 @@
 
 /// When the client sent its first opening packet, estimated from the number of retransmissions.
 /// More than two count as two.
-fn first_sent_at(now: Timestamp, retransmissions: u32) -> Timestamp {
+pub(super) fn first_sent_at(now: Timestamp, retransmissions: u32) -> Timestamp {
     let ago = match retransmissions {
         0 => Duration::ZERO,
         1 => FIRST_RETRANSMIT,
--- a/marigoldway-core/tests/confirmation/model.rs
+++ b/marigoldway-core/tests/confirmation/model.rs
@@ -86,7 +86,7 @@
     fn new(role: Role, started: Timestamp) -> Process {
         let timing = Timing::new(APPLY_LIMIT);
         let interval = match role {
-            Role::Reader => READ_INTERVAL,
+            Role::Reader | Role::FollowersOnly => READ_INTERVAL,
             Role::Follower(_) => timing.relay,
         };
         Process {
--- a/marigoldway-core/tests/flow/drains.rs
+++ b/marigoldway-core/tests/flow/drains.rs
@@ -111,6 +111,8 @@
             threshold: LoadLevel(0),
             best: best.map(|id| (id, LoadLevel(0))),
         },
+        ramp: None,
+        waited: Duration::ZERO,
     }
 }
 
