Ask refusing followers again sooner, and the store later

Cause: followers that refused were asked again after 0.3 s, while the entry asked the store itself each 0.1 s.

Change: a refusal counts for 0.1 s while a demand is open, and an entry that knows followers calls only once all have failed for 0.3 s. Agents that aren't up by then couldn't answer a search either.

--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -20,6 +20,7 @@
 use crate::ids::InstanceId;
 use crate::replica::timing::DEMAND_HOLD;
 use crate::replica::timing::DEMAND_SPACING;
+use crate::replica::timing::DIRECT_DELAY;
 use crate::replica::timing::DIRECT_SPACING;
 use crate::replica::timing::REFUSAL_RETRY;
 use crate::replica::timing::Timing;
@@ -112,6 +113,8 @@
     confirmed: Option<Timestamp>,
     /// Followers that failed, with the last failure of each.
     failed: IndexMap<InstanceId, Failure>,
+    /// Time since which each follower that was asked has failed.
+    failing_since: Option<Timestamp>,
     /// Time of the next read from a follower.
     next_read: Timestamp,
     /// Earliest time of the next call to the store that no demand needs.
@@ -140,6 +143,7 @@
             interval,
             confirmed: None,
             failed: IndexMap::new(),
+            failing_since: None,
             next_read: Timestamp::ZERO,
             next_call: Timestamp::ZERO,
             last_call: None,
@@ -168,7 +172,10 @@
         let leads = usable.is_none() && self.role != Role::Reader;
         let due = match usable {
             // No one else can meet the demand.
-            None if demand.is_some() => self.due_demanded_call(leads),
+            None if demand.is_some() => {
+                let failing_since = self.failing_since.filter(|_| !followers.is_empty());
+                self.due_demanded_call(leads, failing_since)
+            }
             None if leads => self.next_call,
             Some(_) | None => {
                 let aged = self.confirmed.map(|at| at + self.patience());
@@ -233,17 +240,20 @@
         retries.filter(|at| *at > now).min()
     }
 
-    /// Time of the next call to the store by a process whose demand no follower meets.
-    fn due_demanded_call(&self, leads: bool) -> Timestamp {
-        let spacing = if leads {
-            DEMAND_SPACING
+    /// Time of the next call to the store by a process whose demand no follower meets. `failing_since`
+    /// is the time since which the followers, if any, have failed.
+    fn due_demanded_call(&self, leads: bool, failing_since: Option<Timestamp>) -> Timestamp {
+        let (spacing, earliest) = if leads {
+            (DEMAND_SPACING, Timestamp::ZERO)
         } else {
-            DIRECT_SPACING
+            let earliest = failing_since.map_or(Timestamp::ZERO, |at| at + DIRECT_DELAY);
+            (DIRECT_SPACING, earliest)
         };
-        match self.last_call {
+        let due = match self.last_call {
             Some(at) if self.failures == 0 => at + spacing,
             Some(_) | None => self.next_call,
-        }
+        };
+        due.max(earliest)
     }
 
     /// Time for which the store may hold a call made now. `may_wait` tells whether it may at all.
@@ -277,6 +287,7 @@
             self.on_refusal(now, follower, Duration::ZERO);
             return None;
         }
+        self.failing_since = None;
         let confirmed = self.confirm_by(now, follower, asked, as_of);
         // The followers are asked once more before the process has to ask the store.
         let last = confirmed + self.patience().saturating_sub(self.timing.relay);
@@ -323,6 +334,7 @@
 
     fn fail(&mut self, now: Timestamp, follower: InstanceId, failure: Failure, wait: Duration) {
         self.failed.insert(follower, failure);
+        self.failing_since.get_or_insert(now);
         self.next_read = now + wait;
         self.demanded = None;
     }
--- a/marigoldway-core/src/replica/timing.rs
+++ b/marigoldway-core/src/replica/timing.rs
@@ -34,9 +34,14 @@
 /// doesn't answer isn't taken for one that can't be reached.
 pub const DEMAND_HOLD: Duration = Duration::from_millis(350);
 
-/// Time for which a follower that refused a demand isn't asked again while one is outstanding. A
-/// follower that has just started refuses until its first reads of the store have ended.
-pub const REFUSAL_RETRY: Duration = Duration::from_millis(300);
+/// Time for which a follower that refused a demand isn't asked again while one is outstanding. No
+/// process listens at a follower that is about to start.
+pub const REFUSAL_RETRY: Duration = Duration::from_millis(100);
+
+/// Time without a working follower after which a process meets its own demands. Agents that start
+/// with it are up by then. Before that they couldn't answer a search either, so that a confirmation
+/// would be of no use.
+pub const DIRECT_DELAY: Duration = Duration::from_millis(300);
 
 /// `Timing` holds the times of reads for one limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
