Report edits of the lists that a restored platform has lost

The platform of the lists tells nothing of a restore from a backup. A watcher then wrote the lists that processes hold over the older ones without saying what that undid, two edits of one generation were reduced to one silently, and a put whose platform was restored meanwhile could report a wrong outcome.

A revision of the platform that goes backwards is now taken as the sign. Watchers log it; a repair names what it overwrote and leaves the lines in the history; an edit that loses to another one of its generation is logged and shown on the status page; such a put ends as unknown, reason restored. The last is tested in the state machine only, not against the stand-in.

--- a/marigoldway-core/src/lists/change.rs
+++ b/marigoldway-core/src/lists/change.rs
@@ -57,6 +57,9 @@
         /// Current revision of the list.
         current: Revision,
     },
+    /// The platform was restored to an earlier state during the change. It may have lost the change,
+    /// and processes that hold a later generation overwrite it.
+    RolledBack,
     /// Too many calls got no reply. The change may still take effect.
     Unknown,
 }
@@ -104,6 +107,11 @@
         })
     }
 
+    /// Returns the last step if a reply shows that the platform was restored to an earlier state.
+    pub fn on_rollback(&mut self) -> Step {
+        Step::End(ChangeOutcome::RolledBack)
+    }
+
     fn retry(&mut self, step: Step) -> Step {
         self.attempts = self.attempts.saturating_sub(1);
         if self.attempts == 0 {
--- a/marigoldway-core/src/lists/mod.rs
+++ b/marigoldway-core/src/lists/mod.rs
@@ -9,7 +9,7 @@
 //! change there, and [`watchers`] selects the entries (the processes that forward
 //! packets) that read it. [`propagation`] distributes the change to all processes,
 //! as a [`patch`] if possible, and [`revisions`] decides which revisions a process
-//! puts in force.
+//! puts in force. [`rollback`] detects that the platform was restored from a backup.
 
 pub mod allowances;
 pub mod catalog;
@@ -19,6 +19,7 @@
 pub mod plans;
 pub mod propagation;
 pub mod revisions;
+pub mod rollback;
 pub mod watchers;
 
 use std::fmt;
--- a/marigoldway-core/src/lists/propagation.rs
+++ b/marigoldway-core/src/lists/propagation.rs
@@ -18,6 +18,8 @@
 use rand::RngExt;
 
 use crate::lists::ListKind;
+use crate::lists::document;
+use crate::lists::document::Revision;
 use crate::lists::patch::Patch;
 use crate::lists::revisions::HeldLists;
 use crate::lists::revisions::OfferOutcome;
@@ -65,6 +67,16 @@
     /// Write the held list to the platform (the key-value store of the lists), which
     /// has a lower revision or another text of the same revision.
     Repair(ListKind),
+    /// Report that an accepted edit is lost: another edit has the same generation, which happens
+    /// only after the platform was restored to an older state.
+    Conflict {
+        /// Kind of the list.
+        kind: ListKind,
+        /// Revision that stays, at every process alike.
+        kept: Revision,
+        /// Revision of the lost edit.
+        lost: Revision,
+    },
     /// Log why an offered list was not accepted.
     Report {
         /// Kind of the list.
@@ -207,15 +219,32 @@
         peers: &[SocketAddrV4],
         rng: &mut impl Rng,
     ) -> Vec<Output> {
-        let outputs = self.offer(kind, text, peers, rng);
-        let [Output::Report { outcome, .. }] = outputs.as_slice() else {
+        let mut outputs = self.offer(kind, text, peers, rng);
+        let Some(Output::Report {
+            outcome: OfferOutcome::Stale { .. },
+            ..
+        }) = outputs.first()
+        else {
             return outputs;
         };
-        match outcome {
-            OfferOutcome::Stale { .. } if self.differs(kind, text) => vec![Output::Repair(kind)],
-            OfferOutcome::Stale { .. } => Vec::new(),
-            _ => outputs,
+        outputs.remove(0);
+        if self.differs(kind, text) {
+            outputs.insert(0, Output::Repair(kind));
         }
+        outputs
+    }
+
+    /// Compares an offered list with the held one. Returns a report if they are different edits of
+    /// the same generation.
+    fn conflict(&self, kind: ListKind, text: &str) -> Option<Output> {
+        let held = document::revision(kind, self.held_lists.text(kind)?).ok()?;
+        let offered = document::revision(kind, text).ok()?;
+        let differs = held.generation == offered.generation && held.change != offered.change;
+        differs.then(|| Output::Conflict {
+            kind,
+            kept: held.max(offered),
+            lost: held.min(offered),
+        })
     }
 
     fn differs(&self, kind: ListKind, text: &str) -> bool {
@@ -276,6 +305,7 @@
     ) -> Vec<Output> {
         let previous = self.held_lists.text(kind).cloned();
         let number = self.held_lists.held_revisions().of(kind);
+        let conflict = self.conflict(kind, text);
         let outcome = self.held_lists.offer(kind, text);
         if let Some(previous) =
             previous.filter(|_| self.held_lists.held_revisions().of(kind) > number)
@@ -283,7 +313,9 @@
             self.history.push_front((kind, number, previous));
             self.history.truncate(self.options.history);
         }
-        match outcome {
+        let mut outputs = match outcome {
+            // A list that can't be read loses no edit.
+            OfferOutcome::Refused { .. } => return vec![Output::Report { kind, outcome }],
             OfferOutcome::Accepted => {
                 let own = self.held_lists.in_force();
                 let notified = choose(peers, self.options.fanout, rng);
@@ -294,7 +326,9 @@
                 std::iter::once(Output::Publish).chain(notices).collect()
             }
             outcome => vec![Output::Report { kind, outcome }],
-        }
+        };
+        outputs.extend(conflict);
+        outputs
     }
 }
 
--- a/marigoldway-core/tests/change.rs
+++ b/marigoldway-core/tests/change.rs
@@ -133,12 +133,23 @@
                 ChangeOutcome::Applied | ChangeOutcome::Superseded { .. } => 1,
                 ChangeOutcome::NotApplied { .. } => 0,
                 ChangeOutcome::Unknown => continue,
+                ChangeOutcome::RolledBack => panic!("nothing was restored"),
             };
             prop_assert_eq!(times, accepted, "{:?} {:?}", revision, outcome);
         }
     }
 }
 
+/// Guards against a change that is told to be applied, or not applied, though the platform was
+/// restored meanwhile: which one holds depends on what other processes write again.
+#[test]
+fn rollback_ends_a_change_without_a_verdict() {
+    let revision = next(&Platform::new(1), 1);
+    let mut change = ListChange::new(revision, 6);
+    assert_eq!(change.on_swap(SwapResult::Refused), Step::Read);
+    assert_eq!(change.on_rollback(), Step::End(ChangeOutcome::RolledBack));
+}
+
 #[test]
 fn put_assuming_lost_is_sometimes_wrong() {
     let wrong = (0..50).any(|seed| {
--- a/marigoldway-core/tests/revisions.rs
+++ b/marigoldway-core/tests/revisions.rs
@@ -21,6 +21,7 @@
 use marigoldway_core::lists::revisions::HeldLists;
 use marigoldway_core::lists::revisions::OfferOutcome;
 use marigoldway_core::lists::revisions::Revisions;
+use marigoldway_core::lists::rollback::RollbackDetector;
 use marigoldway_core::time::Timestamp;
 
 /// Number of generations that the tests offer.
@@ -296,6 +297,68 @@
     );
 }
 
+/// The plans of a generation, by another edit than [`list_text`].
+fn other_edit(generation: u64, change: u64) -> String {
+    let text = list_text(ListKind::Plans, generation).replace("customer a", "customer other");
+    let change = ChangeId(change);
+    document::with_revision(&text, Revision { generation, change })
+}
+
+/// Guards against an accepted edit that is undone without a word: after a restore of the platform,
+/// two edits have the same generation, and each process keeps the one with the higher change ID.
+#[test]
+fn edit_lost_to_another_of_its_generation_is_reported() {
+    for (change, kept_change) in [(1, 3), (9, 9)] {
+        let mut propagation = Propagation::default();
+        let mut rng = StdRng::seed_from_u64(1);
+        for kind in ListKind::ALL {
+            propagation.receive_stored(kind, &list_text(kind, 3), &[], &mut rng);
+        }
+        let other = other_edit(3, change);
+        let outputs = propagation.receive_stored(ListKind::Plans, &other, &[], &mut rng);
+        let revision = |change| Revision {
+            generation: 3,
+            change: ChangeId(change),
+        };
+        let conflict = Output::Conflict {
+            kind: ListKind::Plans,
+            kept: revision(kept_change),
+            lost: revision(change.min(3)),
+        };
+        let action = if change < 3 {
+            Output::Repair(ListKind::Plans)
+        } else {
+            Output::Publish
+        };
+        assert_eq!(outputs, [action, conflict]);
+    }
+}
+
+/// Guards against reports of edits that aren't lost: the same edit again, and older generations.
+#[test]
+fn edit_that_is_held_is_not_reported_as_lost() {
+    let mut propagation = Propagation::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    for generation in [2, 3, 3, 2, 1] {
+        for kind in ListKind::ALL {
+            let text = list_text(kind, generation);
+            let outputs = propagation.receive_stored(kind, &text, &[], &mut rng);
+            let is_conflict = |it: &Output| matches!(it, Output::Conflict { .. });
+            assert!(!outputs.iter().any(is_conflict), "{outputs:?}");
+        }
+    }
+}
+
+/// Guards against a restore of the platform that nobody is told of, and against a report at each
+/// read after it.
+#[test]
+fn rollback_is_detected_once() {
+    let mut detector = RollbackDetector::default();
+    let observed = [5, 5, 9, 4, 4, 6, 9, 12, 11].map(|it| detector.observe(it));
+    let expected = [None, None, None, Some(9), None, None, None, None, Some(12)];
+    assert_eq!(observed, expected);
+}
+
 #[test]
 fn number_increases_with_revision() {
     let revision = |generation, change| Revision {
--- a/marigoldway/src/lists/mod.rs
+++ b/marigoldway/src/lists/mod.rs
@@ -26,6 +26,7 @@
 use marigoldway_core::ids::DomainId;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::lists::catalog::Catalog;
+use marigoldway_core::lists::rollback::RollbackDetector;
 use marigoldway_net::clock::Clock;
 use marigoldway_net::control::MessageReceiver;
 use marigoldway_net::platform::etcd::EtcdOptions;
@@ -96,6 +97,7 @@
             snapshots,
             repairs: repair_queue,
             metrics: process.metrics.clone(),
+            rollbacks: RollbackDetector::default(),
         };
         tokio::spawn(watcher.run());
     }
--- a/marigoldway/src/lists/put.rs
+++ b/marigoldway/src/lists/put.rs
@@ -86,7 +86,8 @@
     let revision = Revision { generation, change };
     let text = document::with_revision(text, revision);
     let swap = build_swap(kind, &lists, &text, revision, author);
-    let outcome = write_until_known(platform, kind, &swap, revision).await;
+    let started = lists.revision;
+    let outcome = write_until_known(platform, kind, &swap, revision, started).await;
     report_outcome(platform, kind, revision, base, outcome).await
 }
 
@@ -135,7 +136,12 @@
 }
 
 /// Formats a history entry: one line that describes the change, then the changed lines.
-fn history_entry(kind: ListKind, revision: Revision, author: &str, difference: &str) -> String {
+pub(super) fn history_entry(
+    kind: ListKind,
+    revision: Revision,
+    author: &str,
+    difference: &str,
+) -> String {
     let at = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -152,12 +158,14 @@
 /// Writes the change until its outcome is known. After a refused write, reads the list
 /// and its history to learn whether an earlier attempt took effect. Repeats calls
 /// without a response after a backoff. After [`MAX_UNANSWERED_CALLS`] such calls in all,
-/// the outcome is unknown.
+/// the outcome is unknown. `started` is the platform's revision before the change: a lower one shows
+/// that it was restored from a backup.
 async fn write_until_known(
     platform: &impl Platform,
     kind: ListKind,
     swap: &Swap,
     revision: Revision,
+    started: u64,
 ) -> ChangeOutcome {
     let mut list_change = ListChange::new(revision, MAX_UNANSWERED_CALLS);
     let mut backoff = Backoff::default();
@@ -165,15 +173,19 @@
     loop {
         let previous = step;
         step = match step {
-            Step::Swap => list_change.on_swap(match platform.compare_and_swap(swap).await {
-                Ok(SwapOutcome::Applied(_)) => SwapResult::Applied,
-                Ok(SwapOutcome::Refused) => SwapResult::Refused,
+            Step::Swap => match platform.compare_and_swap(swap).await {
+                Ok(SwapOutcome::Applied(at)) if at <= started => list_change.on_rollback(),
+                Ok(SwapOutcome::Applied(_)) => list_change.on_swap(SwapResult::Applied),
+                Ok(SwapOutcome::Refused) => list_change.on_swap(SwapResult::Refused),
                 Err(error) => {
                     eprintln!("marigoldway: {error}; checking whether the change was applied");
-                    SwapResult::Lost
+                    list_change.on_swap(SwapResult::Lost)
                 }
-            }),
-            Step::Read => list_change.on_read(read_back(platform, kind, revision).await),
+            },
+            Step::Read => match read_back(platform, kind, revision).await {
+                Some((_, at)) if at < started => list_change.on_rollback(),
+                read => list_change.on_read(read.map(|(read_back, _)| read_back)),
+            },
             Step::End(outcome) => return outcome,
         };
         if step == previous {
@@ -184,13 +196,14 @@
 }
 
 /// Reads the current revision of the list, and the id of the change that the history
-/// holds for the generation of `revision`. Returns `None` if a call fails. A list that is
+/// holds for the generation of `revision`, with the platform's revision. Returns `None` if a call
+/// fails. A list that is
 /// absent or has no valid header counts as generation 0 without changes.
 async fn read_back(
     platform: &impl Platform,
     kind: ListKind,
     revision: Revision,
-) -> Option<ReadBack> {
+) -> Option<(ReadBack, u64)> {
     let key = store::history_key(kind, revision.generation);
     let history = platform.get(Range::Key(&key)).await.ok()?;
     let lists = StoredLists::read(platform).await.ok()?;
@@ -199,10 +212,11 @@
         .and_then(|text| document::revision(kind, text).ok())
         .unwrap_or_default();
     let entry = history.found.first().and_then(store::text);
-    Some(ReadBack {
+    let read_back = ReadBack {
         current,
         history: entry.and_then(change_id),
-    })
+    };
+    Some((read_back, lists.revision))
 }
 
 /// Change id in the first line of a history entry, or `None` if that line has none.
@@ -233,6 +247,16 @@
             ExitCode::from(EXIT_OK)
         }
         ChangeOutcome::NotApplied { .. } => report_conflict(platform, kind, base).await,
+        ChangeOutcome::RolledBack => {
+            println!(
+                "outcome=unknown list={kind} generation={generation} change={change} reason=restored"
+            );
+            eprintln!(
+                "marigoldway: the platform was restored from a backup meanwhile and may have lost \
+                 changes; wait until the lists are in force, get the list and compare it"
+            );
+            ExitCode::from(EXIT_FAILURE)
+        }
         ChangeOutcome::Unknown => {
             println!("outcome=unknown list={kind} generation={generation} change={change}");
             eprintln!("marigoldway: the change may take effect; look for it in the history");
--- a/marigoldway/src/lists/store.rs
+++ b/marigoldway/src/lists/store.rs
@@ -26,6 +26,11 @@
     format!("{}{generation:010}", history_prefix(kind))
 }
 
+/// Key of the report on a repair, in the history behind the generation that was written again.
+pub fn repair_key(kind: ListKind, generation: u64) -> String {
+    format!("{}/repair", history_key(kind, generation))
+}
+
 /// `StoredLists` holds both lists as the platform stores them.
 #[derive(Clone, Debug, Default)]
 pub struct StoredLists {
--- a/marigoldway/src/lists/task.rs
+++ b/marigoldway/src/lists/task.rs
@@ -22,6 +22,7 @@
 
 use marigoldway_core::lists::ListKind;
 use marigoldway_core::lists::catalog::Catalog;
+use marigoldway_core::lists::document::Revision;
 use marigoldway_core::lists::propagation::Message;
 use marigoldway_core::lists::propagation::Output;
 use marigoldway_core::lists::propagation::Propagation;
@@ -60,6 +61,8 @@
     /// Revisions in force by control address: those that the heartbeats of the peers
     /// carried, and those of this process. Empty in an agent.
     peer_revisions: IndexMap<SocketAddrV4, Revisions>,
+    /// The last edit of each list that was lost to another one of the same generation.
+    lost_edits: IndexMap<ListKind, Revision>,
 }
 
 impl Task {
@@ -81,6 +84,7 @@
             catalogs,
             repairs,
             peer_revisions: IndexMap::new(),
+            lost_edits: IndexMap::new(),
         }
     }
 
@@ -151,6 +155,7 @@
                 }
                 Output::Publish => self.publish().await,
                 Output::Repair(kind) => self.request_repair(kind),
+                Output::Conflict { kind, kept, lost } => self.report_lost(kind, kept, lost),
                 Output::Report { kind, outcome } => log_outcome(kind, &outcome),
             }
         }
@@ -173,6 +178,16 @@
         self.membership.set_revision(revisions.to_u64()).await;
     }
 
+    /// Reports a lost edit in the log and on the status page, once: peers may offer it repeatedly.
+    fn report_lost(&mut self, kind: ListKind, kept: Revision, lost: Revision) {
+        if self.lost_edits.insert(kind, lost) != Some(lost) {
+            log::error!("event=list-edit-lost list={kind} lost={lost} kept={kept}");
+            let lost = self.lost_edits.iter();
+            let lost = lost.map(|(kind, it)| (kind.to_string(), it.to_string()));
+            self.status.set_fact("lost-edits", Value::from_iter(lost));
+        }
+    }
+
     fn request_repair(&self, kind: ListKind) {
         let Some(text) = self.propagation.held_lists().text(kind).cloned() else {
             return;
--- a/marigoldway/src/lists/watcher.rs
+++ b/marigoldway/src/lists/watcher.rs
@@ -17,6 +17,8 @@
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::lists::ListKind;
 use marigoldway_core::lists::document;
+use marigoldway_core::lists::document::Revision;
+use marigoldway_core::lists::rollback::RollbackDetector;
 use marigoldway_core::lists::watchers;
 use marigoldway_core::roster::RosterView;
 use marigoldway_net::platform::Change;
@@ -28,6 +30,8 @@
 use marigoldway_net::platform::backoff::Backoff;
 use marigoldway_net::platform::errors::Result;
 
+use crate::lists::diff;
+use crate::lists::put;
 use crate::lists::store;
 use crate::lists::store::StoredLists;
 use crate::metrics::Counter;
@@ -40,6 +44,9 @@
 /// Minimum duration of a watch that resets the backoff between watches.
 const STABLE_WATCH_TIME: Duration = Duration::from_secs(5);
 
+/// Author of the history entries of repairs.
+const REPAIR_AUTHOR: &str = "repair";
+
 /// `ListSnapshot` is a list as read from the platform.
 #[derive(Debug)]
 pub(super) struct ListSnapshot {
@@ -64,6 +71,8 @@
     pub(super) snapshots: mpsc::Sender<ListSnapshot>,
     pub(super) repairs: mpsc::Receiver<Repair>,
     pub(super) metrics: Arc<Metrics>,
+    /// Detects that the platform was restored from a backup.
+    pub(super) rollbacks: RollbackDetector,
 }
 
 impl<P: Platform> Watcher<P> {
@@ -107,6 +116,7 @@
     /// after that read.
     async fn open(&mut self) -> Result<Watch> {
         let lists = StoredLists::read(self.platform.as_ref()).await?;
+        self.on_revision(lists.revision);
         for (_, stored) in &lists.pairs {
             self.send_snapshot(stored).await;
         }
@@ -122,8 +132,12 @@
         loop {
             tokio::select! {
                 change = watch.next() => match change {
-                    Some(Change::Put(stored)) => self.send_snapshot(&stored).await,
-                    Some(Change::Deleted { key, .. }) => {
+                    Some(Change::Put(stored)) => {
+                        self.on_revision(stored.revision);
+                        self.send_snapshot(&stored).await;
+                    }
+                    Some(Change::Deleted { key, revision }) => {
+                        self.on_revision(revision);
                         log::warn!("event=list-deleted key={key}");
                     }
                     Some(Change::UpToDate) => {}
@@ -140,6 +154,15 @@
         }
     }
 
+    /// Notes the platform's revision, and reports that it went back: edits that were accepted since
+    /// then are lost, unless a process holds them and writes them again.
+    fn on_revision(&mut self, revision: u64) {
+        if let Some(highest) = self.rollbacks.observe(revision) {
+            self.metrics.count(Counter::Event("platform-restored"));
+            log::warn!("event=platform-restored highest={highest} revision={revision}");
+        }
+    }
+
     /// Sends a stored list to the list task. Logs and skips a value that is not a list or
     /// not valid UTF-8.
     async fn send_snapshot(&self, stored: &KeyValue) {
@@ -152,35 +175,53 @@
         let _ = self.snapshots.send(ListSnapshot { kind, text }).await;
     }
 
-    /// Overwrites an older revision of a list, and logs the result. If another process
+    /// Overwrites an older revision of a list, and reports what was overwritten: that may be an edit
+    /// that was accepted after the platform was restored from a backup. If another process
     /// writes the list first, that write wins. The watch then reports its revision, and the
     /// list task compares it with the held one again.
-    async fn repair(&self, repair: &Repair) {
+    async fn repair(&mut self, repair: &Repair) {
         let kind = repair.kind;
         match self.write(repair).await {
-            Ok(written) => log::warn!("event=list-repaired list={kind} written={written}"),
+            Ok(Some(lost)) => {
+                self.metrics.count(Counter::Event("list-repaired"));
+                log::warn!("event=list-repaired list={kind} written=true overwritten={lost}");
+            }
+            Ok(None) => log::warn!("event=list-repaired list={kind} written=false"),
             Err(error) => log::warn!("event=platform-failed call=repair result=\"{error}\""),
         }
     }
 
-    /// Writes the list unless the platform stores the same or a newer revision. Returns
-    /// whether it was written: false also if another process wrote the list first.
-    async fn write(&self, repair: &Repair) -> Result<bool> {
+    /// Writes the list unless the platform stores the same or a newer revision, and with it an entry
+    /// of the history that tells what was overwritten. Returns the overwritten revision, 0 for none.
+    /// Returns `None` if nothing was written, also if another process wrote the list first.
+    async fn write(&mut self, repair: &Repair) -> Result<Option<Revision>> {
         let kind = repair.kind;
         let lists = StoredLists::read(self.platform.as_ref()).await?;
-        let current = lists
-            .text(kind)
-            .and_then(|text| document::revision(kind, text).ok());
-        if current >= document::revision(kind, &repair.text).ok() {
-            return Ok(false);
+        self.on_revision(lists.revision);
+        let stored = lists.text(kind).unwrap_or_default();
+        let current = document::revision(kind, stored).ok();
+        let Ok(held) = document::revision(kind, &repair.text) else {
+            return Ok(None);
+        };
+        if current >= Some(held) {
+            return Ok(None);
         }
+        let current = current.unwrap_or_default();
+        let difference = format!(
+            "overwritten={current}\n{}",
+            diff::lines(stored, &repair.text)
+        );
+        let entry = put::history_entry(kind, held, REPAIR_AUTHOR, &difference);
         let key = store::list_key(kind);
         let swap = Swap {
             compares: vec![(key.clone(), lists.store_revision(kind))],
-            puts: vec![(key, repair.text.as_bytes().to_vec())],
+            puts: vec![
+                (key, repair.text.as_bytes().to_vec()),
+                (store::repair_key(kind, held.generation), entry.into_bytes()),
+            ],
             ..Swap::default()
         };
         let outcome = self.platform.compare_and_swap(&swap).await?;
-        Ok(outcome != SwapOutcome::Refused)
+        Ok((outcome != SwapOutcome::Refused).then_some(current))
     }
 }
--- a/marigoldway/tests/lists.rs
+++ b/marigoldway/tests/lists.rs
@@ -366,6 +366,11 @@
     for operator in operators(&deployment) {
         assert_eq!(generation(operator, "plans"), 2);
     }
+    // The repair isn't silent: what it has overwritten may be an edit made after the restore.
+    let output = run_lists(deployment.platform_addr, &["history", "plans"]);
+    let history = String::from_utf8_lossy(&output.stdout);
+    assert!(history.contains("author=\"repair\""), "{history}");
+    assert!(history.contains("overwritten=1-"), "{history}");
 }
 
 /// Returns the number of calls to the platform by path, after 10 changes in a deployment
