Detect a store that was restored from a backup

Such a store has lost its latest writes and leases, and assigns their revisions and lease IDs again. Processes compared revisions of before with those of after: feeds missed changes, swaps could be applied over another write of the same revision, and leases of a reissued ID could be renewed.

Each response states the epoch. The clients of a process share the latest one and discard what belongs, or may belong, to an earlier one; a swap over a change of the epoch is no success. Positions, replicas, followers' answers and readers' requests carry the epoch. A follower that hears of a later epoch asks the store at once.

--- a/marigoldway-core/src/flow/agent/listing.rs
+++ b/marigoldway-core/src/flow/agent/listing.rs
@@ -50,6 +50,12 @@
         self.served_addrs.set_listed(addrs);
     }
 
+    /// Applies the store's list of the addresses after a restore of the store from a backup. The
+    /// caller is to write the addresses that were listed before and have been lost by it.
+    pub fn restore_listed_addrs(&mut self, now: Timestamp, addrs: Vec<SocketAddrV4>) {
+        self.served_addrs.restore_listed(now, addrs);
+    }
+
     /// Applies a configuration, which tells which listed addresses still lead to the service.
     pub fn on_routes(&mut self, now: Timestamp, routes: &Routes) {
         self.served_addrs.on_routes(now, self.service, routes);
--- a/marigoldway-core/src/flow/agent/served_addrs.rs
+++ b/marigoldway-core/src/flow/agent/served_addrs.rs
@@ -45,6 +45,16 @@
         self.listed = Some(addrs);
     }
 
+    /// Applies the list of a store that was restored from a backup. Addresses that were listed and
+    /// aren't any more are to be listed again, since nobody has removed them.
+    pub(super) fn restore_listed(&mut self, now: Timestamp, addrs: Vec<SocketAddrV4>) {
+        let previous = self.listed.take().unwrap_or_default();
+        self.set_listed(addrs);
+        for addr in previous {
+            self.add(now, addr);
+        }
+    }
+
     /// Applies a configuration, to find out which listed addresses no longer lead to `service`.
     pub(super) fn on_routes(&mut self, now: Timestamp, service: NameKey, routes: &Routes) {
         let is_routed = |addr: &SocketAddrV4| {
--- a/marigoldway-core/src/replica.rs
+++ b/marigoldway-core/src/replica.rs
@@ -6,14 +6,20 @@
 //! not with the processes. The store stays the authority: a replica holds only what the store
 //! has acknowledged, in the order of the store's revisions, and says as of when the store confirmed
 //! it. A reader takes no answer that is older than what it has.
+//!
+//! A store that is restored from a backup starts a new epoch (see [`epoch`]). A replica holds keys
+//! of one epoch, and gives nothing to a reader that knows of a later one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use crate::replica::epoch::Epoch;
+use crate::replica::epoch::EpochRevision;
 use crate::time::Timestamp;
 
+pub mod epoch;
 pub mod followers;
 pub mod position;
 pub mod sources;
@@ -63,6 +69,8 @@
 /// `Answer` is what a replica tells a reader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
+    /// Epoch of all revisions in the answer.
+    pub epoch: Epoch,
     /// Revision of the store up to which the reader then has all changes.
     pub revision: u64,
     /// Time since the latest moment at which the store is known to have had no further change.
@@ -95,6 +103,8 @@
 pub struct Replica {
     /// Age of the confirmation from which on the replica gives no answer.
     lifetime: Duration,
+    /// Epoch of all revisions in the copy.
+    epoch: Epoch,
     items: IndexMap<String, Item>,
     /// Revision up to which the copy contains all changes, or 0 before the first read.
     revision: u64,
@@ -114,6 +124,7 @@
     pub fn new(lifetime: Duration) -> Replica {
         Replica {
             lifetime,
+            epoch: Epoch::default(),
             items: IndexMap::new(),
             revision: 0,
             changes: VecDeque::new(),
@@ -123,6 +134,20 @@
         }
     }
 
+    /// Epoch of the copy.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Discards the copy if it belongs to an earlier epoch. It then gives no answer until it is
+    /// replaced and confirmed.
+    pub fn on_epoch(&mut self, epoch: Epoch) {
+        if epoch > self.epoch {
+            *self = Replica::new(self.lifetime);
+            self.epoch = epoch;
+        }
+    }
+
     /// Replaces the copy by all items that the store had at a revision. Has no effect if the copy is
     /// newer. Readers get the items once they are confirmed.
     pub fn replace(&mut self, items: Vec<Item>, revision: u64) {
@@ -161,13 +186,15 @@
     }
 
     /// Answers a reader that has all changes of the keys with a prefix up to the revision `after`,
-    /// or nothing if that is 0. A reader that is ahead of the copy gets no changes from it, only the
-    /// age of the confirmation. Returns `None` if the copy may be out of date.
-    pub fn answer(&self, now: Timestamp, prefix: &str, after: u64) -> Option<Answer> {
+    /// or nothing if that is 0. A reader of an earlier epoch gets all items. One that is ahead of the
+    /// copy within its epoch gets no changes, only the age of the confirmation. Returns `None` if the
+    /// copy may be out of date, or if the reader knows of a later epoch.
+    pub fn answer(&self, now: Timestamp, prefix: &str, after: EpochRevision) -> Option<Answer> {
         let age = now.since(self.confirmed?);
-        if age > self.lifetime {
+        if age > self.lifetime || after.epoch > self.epoch {
             return None;
         }
+        let after = after.within(self.epoch).unwrap_or(0);
         let content = if after == 0 || after < self.floor {
             let items = self.items.values();
             let items = items.filter(|it| it.key.starts_with(prefix));
@@ -179,6 +206,7 @@
             Content::Changes(changes.cloned().collect())
         };
         Some(Answer {
+            epoch: self.epoch,
             revision: self.revision,
             age,
             content,
--- a/marigoldway-core/src/replica/position.rs
+++ b/marigoldway-core/src/replica/position.rs
@@ -3,6 +3,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::replica::Answer;
+use crate::replica::Content;
+use crate::replica::epoch::Epoch;
+use crate::replica::epoch::EpochRevision;
 use crate::time::Timestamp;
 
 /// Time after which the revision of an answer without a change counts. A store that is about to drop
@@ -17,6 +21,8 @@
 /// too: the store keeps its history for a limited time.
 #[derive(Clone, Debug, Default)]
 pub struct Position {
+    /// Epoch of all revisions here.
+    epoch: Epoch,
     /// Revision up to which all changes are known.
     known: u64,
     /// Revisions of answers, with their times, in order.
@@ -24,6 +30,32 @@
 }
 
 impl Position {
+    /// Discards the position if it belongs to an earlier epoch than `epoch`. Returns
+    /// whether it did: no change since any revision can be asked for then, and all keys must be read.
+    pub fn on_epoch(&mut self, epoch: Epoch) -> bool {
+        if epoch <= self.epoch {
+            return false;
+        }
+        *self = Position {
+            epoch,
+            ..Position::default()
+        };
+        true
+    }
+
+    /// Whether an answer from a follower, which was told the position `asked`, completes what the
+    /// process knows: it belongs to the epoch of the position, and what it lacks of all keys was
+    /// known in the same epoch.
+    pub fn accepts(&self, answer: &Answer, asked: EpochRevision) -> bool {
+        let is_complete = matches!(answer.content, Content::Snapshot(_));
+        answer.epoch == self.epoch && (is_complete || answer.epoch == asked.epoch)
+    }
+
+    /// The epoch and the revision up to which all changes are known.
+    pub fn reached(&self) -> EpochRevision {
+        EpochRevision::new(self.epoch, self.known)
+    }
+
     /// Notes that all changes up to a revision are known, by a change or by a list of all keys.
     pub fn on_known(&mut self, revision: u64) {
         self.known = self.known.max(revision);
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -294,6 +294,14 @@
         &self.listed
     }
 
+    /// Restores the store from a backup of before any address was listed, and tells the agents.
+    pub fn lose_addrs(&mut self) {
+        self.listed.clear();
+        for node in self.agents.values_mut() {
+            node.flows.restore_listed_addrs(self.now, Vec::new());
+        }
+    }
+
     /// Writes the lists that agents are to write, and shows each to all agents of its
     /// service.
     fn write_addrs(&mut self) {
--- a/marigoldway-core/tests/flow/moved.rs
+++ b/marigoldway-core/tests/flow/moved.rs
@@ -231,3 +231,15 @@
         "{lists:?}"
     );
 }
+
+/// Guards against addresses that a restored store has lost and that nobody lists again: entries would
+/// not look for the service's flows.
+#[test]
+fn address_that_the_store_has_lost_is_listed_again() {
+    let mut fleet = Fleet::new(12, 1, &TARGETS);
+    open_from(&mut fleet, 1_000);
+    let listed = fleet.listed_addrs().clone();
+    assert!(listed[&service("orders")].contains(&server(443)));
+    fleet.lose_addrs();
+    assert_eq!(*fleet.listed_addrs(), listed);
+}
--- a/marigoldway-core/tests/freshness.rs
+++ b/marigoldway-core/tests/freshness.rs
@@ -15,6 +15,8 @@
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
 use marigoldway_core::replica::Replica;
+use marigoldway_core::replica::epoch::Epoch;
+use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::replica::sources::Sources;
@@ -306,7 +308,8 @@
                 }
                 let source = &self.followers[&id];
                 let replica = source.replica.as_ref().filter(|_| !silent);
-                let answer = replica.and_then(|it| it.answer(now, "a", known));
+                let answer =
+                    replica.and_then(|it| it.answer(now, "a", EpochRevision::new(Epoch(0), known)));
                 let wait = Duration::from_millis((jitter * 300.0) as u64);
                 let process = self.process(follower, n);
                 process.call = None;
--- a/marigoldway-net/src/platform/calls.rs
+++ b/marigoldway-net/src/platform/calls.rs
@@ -45,6 +45,7 @@
 pub struct CallCounts {
     counts: [AtomicU64; CallKind::ALL.len()],
     unreadable: AtomicU64,
+    without_epoch: AtomicU64,
 }
 
 impl CallCounts {
@@ -68,6 +69,16 @@
         self.unreadable.load(Ordering::Relaxed)
     }
 
+    /// Counts a response that doesn't state its epoch readably, though an earlier one did.
+    pub fn record_without_epoch(&self) {
+        self.without_epoch.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of responses without a readable epoch.
+    pub fn without_epoch(&self) -> u64 {
+        self.without_epoch.load(Ordering::Relaxed)
+    }
+
     /// Number of calls of all kinds.
     pub fn total(&self) -> u64 {
         CallKind::ALL.into_iter().map(|kind| self.get(kind)).sum()
--- a/marigoldway-net/src/platform/errors.rs
+++ b/marigoldway-net/src/platform/errors.rs
@@ -28,6 +28,9 @@
     },
     /// The lease has ended.
     LeaseLost,
+    /// The platform was restored from a backup between the request and its response. Neither the
+    /// response nor what the request was based on is valid any more.
+    EpochChanged,
 }
 
 impl Error {
@@ -61,6 +64,7 @@
                 write!(f, "invalid response from the platform: {detail}")
             }
             Error::LeaseLost => f.write_str("the lease has ended"),
+            Error::EpochChanged => f.write_str("the platform was restored during the call"),
         }
     }
 }
--- a/marigoldway-net/src/platform/mod.rs
+++ b/marigoldway-net/src/platform/mod.rs
@@ -6,10 +6,12 @@
 //! client therefore counts its own calls by kind in [`calls::CallCounts`].
 //!
 //! A revision of the platform is a number that rises with each write. The revision
-//! of a key is that of its last write.
+//! of a key is that of its last write. A platform that is restored from a backup goes back to an
+//! earlier revision. Some platforms then start a new epoch, within which revisions are comparable.
 
 pub mod backoff;
 pub mod calls;
+pub mod epochs;
 pub mod errors;
 pub mod etcd;
 pub mod transport;
@@ -21,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::platform::epochs::Epoch;
 use crate::platform::errors::Result;
 
 /// `KeyValue` is a stored key with its value.
@@ -43,6 +46,8 @@
     /// If the read takes several calls, that of the first one. For a read of a single key,
     /// some clients only know the key's own revision, or 0 if the key is absent.
     pub revision: u64,
+    /// Epoch of all these revisions, or 0 if the platform has no epochs.
+    pub epoch: Epoch,
 }
 
 /// `Range` selects the keys of a read.
@@ -61,6 +66,9 @@
 /// key of `compares` still has the given revision, where 0 means an absent key.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Swap {
+    /// Epoch of the revisions in `compares`. In a later one they belong to other writes, so the
+    /// swap isn't applied knowingly, and its response isn't taken as a success.
+    pub epoch: Epoch,
     /// Keys and their expected revisions.
     pub compares: Vec<(String, u64)>,
     /// Keys and their new values.
@@ -110,7 +118,8 @@
 /// `Platform` is the key-value service that the operators run.
 ///
 /// Every call ends within the time limit of the client. A [`Swap`] that ends in
-/// an error may or may not have been applied.
+/// an error may or may not have been applied. Any call may end in
+/// [`EpochChanged`](errors::Error::EpochChanged) on a platform that has epochs.
 pub trait Platform: Send + Sync + 'static {
     /// Reads the keys of a range.
     fn get(&self, range: Range<'_>) -> impl Future<Output = Result<ReadResult>> + Send;
@@ -120,7 +129,8 @@
     /// # Errors
     ///
     /// [`LeaseLost`](errors::Error::LeaseLost) if the response tells that the lease of
-    /// the swap has ended.
+    /// the swap has ended. [`EpochChanged`](errors::Error::EpochChanged) if the platform
+    /// is or may be in a later epoch than the swap: its keys must be read again.
     fn compare_and_swap(&self, swap: &Swap) -> impl Future<Output = Result<SwapOutcome>> + Send;
 
     /// Grants a lease that ends `ttl` after its last renewal. The etcd client rounds
--- a/marigoldway-net/src/platform/transport.rs
+++ b/marigoldway-net/src/platform/transport.rs
@@ -79,24 +79,38 @@
     Ok(PendingResponse { response, driver })
 }
 
-/// Sends a request and waits for the whole response, without a time limit.
+/// Sends a request and waits for the whole response, without a time limit. Returns its status and
+/// its body.
 ///
-/// Fails if the server can't be reached, if the connection closes early, or if the
-/// body is longer than 4 MiB.
+/// Fails as [`exchange_full`] does.
 pub async fn exchange(
     address: SocketAddr,
     method: Method,
     path: &str,
     body: Bytes,
 ) -> Result<(StatusCode, Bytes)> {
+    let response = exchange_full(address, method, path, body).await?;
+    Ok((response.status(), response.into_body()))
+}
+
+/// Sends a request and waits for the whole response with its header, without a time limit.
+///
+/// Fails if the server can't be reached, if the connection closes early, or if the
+/// body is longer than 4 MiB.
+pub async fn exchange_full(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Response<Bytes>> {
     let pending = open(address, method, path, body).await?;
-    let status = pending.response.status();
-    let body = Limited::new(pending.response.into_body(), MAX_RESPONSE_LEN)
+    let (head, body) = pending.response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_LEN)
         .collect()
         .await
         .map_err(Error::unreachable);
     pending.driver.abort();
-    Ok((status, body?.to_bytes()))
+    Ok(Response::from_parts(head, body?.to_bytes()))
 }
 
 fn set_keepalive(stream: &TcpStream) -> Result<()> {
--- a/marigoldway-net/src/platform/wire.rs
+++ b/marigoldway-net/src/platform/wire.rs
@@ -101,6 +101,7 @@
                 .map(KeyValue::try_from)
                 .collect::<Result<_, _>>()?,
             revision: response.header.revision.0,
+            ..ReadResult::default()
         })
     }
 }
--- a/marigoldway-net/src/wire/replica.rs
+++ b/marigoldway-net/src/wire/replica.rs
@@ -10,6 +10,8 @@
 use marigoldway_core::replica::Change;
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
+use marigoldway_core::replica::epoch::Epoch;
+use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::sources::Freshness;
 
 use crate::errors::Result;
@@ -24,6 +26,8 @@
 /// `AnswerWire` is the CBOR form of an [`Answer`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerWire {
+    #[serde(rename = "e")]
+    epoch: u64,
     #[serde(rename = "r")]
     revision: u64,
     #[serde(rename = "a")]
@@ -51,8 +55,8 @@
 pub struct Request<'a> {
     /// Prefix of the keys.
     pub prefix: &'a str,
-    /// Revision up to which the reader has all changes.
-    pub after: u64,
+    /// Epoch that the reader knows, and the revision up to which it has all changes.
+    pub after: EpochRevision,
     /// What the reader demands.
     pub freshness: Freshness,
 }
@@ -60,10 +64,11 @@
 impl Request<'_> {
     /// The path of the request.
     pub fn path(&self) -> String {
-        let Request { prefix, after, .. } = self;
+        let prefix = self.prefix;
+        let EpochRevision { epoch, revision } = self.after;
         match self.freshness {
-            Freshness::Known => format!("{PATH}{after}/{prefix}"),
-            Freshness::Now => format!("{DEMAND_PATH}{after}/{prefix}"),
+            Freshness::Known => format!("{PATH}{epoch}.{revision}/{prefix}"),
+            Freshness::Now => format!("{DEMAND_PATH}{epoch}.{revision}/{prefix}"),
         }
     }
 }
@@ -77,11 +82,18 @@
     let (after, prefix) = rest.split_once('/')?;
     Some(Request {
         prefix,
-        after: after.parse().ok()?,
+        after: parse_after(after)?,
         freshness,
     })
 }
 
+/// The epoch and the revision of a request, which a dot separates.
+fn parse_after(text: &str) -> Option<EpochRevision> {
+    let (epoch, revision) = text.split_once('.')?;
+    let epoch = Epoch(epoch.parse().ok()?);
+    Some(EpochRevision::new(epoch, revision.parse().ok()?))
+}
+
 /// Encodes an answer. Fails if it can't be encoded.
 pub fn encode(answer: &Answer) -> Result<Vec<u8>> {
     wire::encode(&AnswerWire::from(answer))
@@ -100,6 +112,7 @@
             Content::Snapshot(items) => (true, items.iter().map(ItemWire::from).collect()),
         };
         AnswerWire {
+            epoch: answer.epoch.0,
             revision: answer.revision,
             // Rounded up: a confirmation must not look newer than it is.
             age_ms: u32::try_from(answer.age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX),
@@ -123,6 +136,7 @@
             Content::Changes(items.map(Change::from).collect())
         };
         Answer {
+            epoch: Epoch(wire.epoch),
             revision: wire.revision,
             age: Duration::from_millis(u64::from(wire.age_ms)),
             content,
--- a/marigoldway-net/tests/wire_replica.rs
+++ b/marigoldway-net/tests/wire_replica.rs
@@ -14,6 +14,8 @@
 use marigoldway_core::replica::Change;
 use marigoldway_core::replica::Content;
 use marigoldway_core::replica::Item;
+use marigoldway_core::replica::epoch::Epoch;
+use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::sources::Freshness;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::replica;
@@ -41,7 +43,9 @@
         prop::collection::vec(arb_change(), 0..8).prop_map(Content::Changes),
         prop::collection::vec(arb_item(), 0..8).prop_map(Content::Snapshot),
     ];
-    (any::<u64>(), any::<u32>(), content).prop_map(|(revision, age_ms, content)| Answer {
+    let revision = (any::<u64>(), any::<u64>());
+    (revision, any::<u32>(), content).prop_map(|((epoch, revision), age_ms, content)| Answer {
+        epoch: Epoch(epoch),
         revision,
         age: Duration::from_millis(u64::from(age_ms)),
         content,
@@ -62,7 +66,13 @@
     }
 
     #[test]
-    fn parse_path_of_any_reader(prefix in "[a-z0-9:/]{0,40}", after: u64, demands: bool) {
+    fn parse_path_of_any_reader(
+        prefix in "[a-z0-9:/]{0,40}",
+        epoch: u64,
+        revision: u64,
+        demands: bool,
+    ) {
+        let after = EpochRevision::new(Epoch(epoch), revision);
         let freshness = if demands { Freshness::Now } else { Freshness::Known };
         let request = Request { prefix: &prefix, after, freshness };
         let path = request.path();
@@ -76,9 +86,14 @@
         "/config",
         "/changes/",
         "/changes/x/agents/",
-        "/changes/-1/a",
-        "/changes/5",
+        "/changes/1.x/agents/",
+        "/changes/x.1/agents/",
+        "/changes/5/agents/",
+        "/changes/1.-1/a",
+        "/changes/-1.1/a",
+        "/changes/1.5",
         "/demand/x/agents/",
+        "/demand/.5/agents/",
     ] {
         assert_eq!(replica::parse_path(path), None, "{path}");
     }
@@ -116,6 +131,7 @@
     };
     let len = |changes: Vec<Change>| {
         let answer = Answer {
+            epoch: Epoch(u64::MAX),
             revision: u64::MAX,
             age: Duration::from_secs(10),
             content: Content::Changes(changes),
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -31,6 +31,8 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::epoch::Epoch;
+use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
@@ -43,13 +45,14 @@
 use crate::packets::feed::Feed;
 use crate::packets::node;
 use crate::packets::node::Node;
-use crate::packets::node::Signals;
 use crate::packets::peers;
 use crate::packets::presence::PresenceKeys;
 use crate::packets::registrar::Registrar;
 use crate::packets::replicate;
 use crate::packets::server;
 use crate::packets::server::Answer;
+use crate::packets::signals;
+use crate::packets::signals::Signals;
 use crate::settings::FlowAgentSettings;
 
 /// Maximum number of flows in each of the agent's two tables, per megabyte of memory.
@@ -102,7 +105,7 @@
     record_dirty: Notify,
     /// Revision at which the store lacked the own record, until the registrar takes
     /// it.
-    unregistered_at: Cell<Option<u64>>,
+    unregistered_at: Cell<Option<EpochRevision>>,
     /// Whether a newer configuration is being fetched from an entry.
     fetching: Cell<bool>,
     /// Whether collected queries and replies are to be sent soon.
@@ -116,9 +119,11 @@
     /// Presence keys of agents that aren't registered.
     pub(crate) presence_keys: RefCell<PresenceKeys>,
     /// Revision of the own record's key at the last list of the store, or 0 if the list lacked it.
-    own_revision: Cell<u64>,
+    own_revision: Cell<EpochRevision>,
     /// Revision of the key with the service's addresses, or 0 if it doesn't exist.
-    addrs_revision: Cell<u64>,
+    addrs_revision: Cell<EpochRevision>,
+    /// Epoch of the last list of the store.
+    listed_epoch: Cell<Epoch>,
 }
 
 /// Runs an agent until it has left. Reloads changed settings, of which the service and the
@@ -154,15 +159,16 @@
         presence_written: Cell::new(false),
         record_removed: Cell::new(false),
         presence_keys: RefCell::new(PresenceKeys::new(settings.shared.lifetime)),
-        own_revision: Cell::new(0),
-        addrs_revision: Cell::new(0),
+        own_revision: Cell::default(),
+        addrs_revision: Cell::default(),
+        listed_epoch: Cell::default(),
         settings: RefCell::new(settings),
         node,
     });
     start(&agent)?;
     let shared = agent.clone();
     let path = file.clone();
-    node::wait_for_leave(signals, file, move || shared.reload(&path)).await?;
+    signals::wait_for_leave(signals, file, move || shared.reload(&path)).await?;
     agent.leave().await;
     Ok(())
 }
@@ -306,7 +312,7 @@
 
     /// Takes the revision at which the store's list last lacked the own record. `None`
     /// if it was taken before.
-    pub(crate) fn take_unregistered(&self) -> Option<u64> {
+    pub(crate) fn take_unregistered(&self) -> Option<EpochRevision> {
         self.unregistered_at.take()
     }
 
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -5,6 +5,7 @@
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::followers;
 use marigoldway_net::wire::agents;
 
@@ -17,15 +18,24 @@
     pub(super) fn on_agents(&self, event: StoreEvent) {
         let now = self.node.clock.now();
         let own = self.node.settings.data;
+        let epoch = self.listed_epoch.get();
+        let in_epoch = |revision| EpochRevision::new(epoch, revision);
         let mut flows = self.flows.borrow_mut();
         match event {
+            StoreEvent::NewEpoch(epoch) => {
+                self.listed_epoch.set(epoch);
+                // A record that the restore has lost is written again soon. Its presence key must
+                // not expire by the time that passed before.
+                self.presence_keys.borrow_mut().clear();
+            }
             StoreEvent::Snapshot(found, revision) => {
                 let records = agent_records::decode_all(&self.node, &found);
                 let own_key = agents::agent_key(&flows.hello(now).record);
                 let listed = found.iter().find(|it| it.key == own_key);
-                self.own_revision.set(listed.map_or(0, |it| it.revision));
+                let listed = listed.map_or(0, |it| it.revision);
+                self.own_revision.set(in_epoch(listed));
                 if !records.iter().any(|record| record.id == own) {
-                    self.on_own_unregistered(revision);
+                    self.on_own_unregistered(in_epoch(revision));
                 }
                 let presence = agent_records::decode_presence(&self.node, &found);
                 self.presence_written
@@ -34,9 +44,14 @@
                 flows.on_list(now, &records, &presence);
                 let listed = agent_records::decode_addrs(&self.node, &found);
                 let own = listed.into_iter().find(|it| it.service == flows.service());
-                self.addrs_revision
-                    .set(own.as_ref().map_or(0, |it| it.revision));
-                flows.set_listed_addrs(own.map(|it| it.addrs).unwrap_or_default());
+                let listed = in_epoch(own.as_ref().map_or(0, |it| it.revision));
+                let addrs = own.map(|it| it.addrs).unwrap_or_default();
+                if listed.epoch > self.addrs_revision.replace(listed).epoch {
+                    flows.restore_listed_addrs(now, addrs);
+                    self.record_dirty.notify_one();
+                } else {
+                    flows.set_listed_addrs(addrs);
+                }
                 self.agents_loaded.set(true);
             }
             StoreEvent::Put(stored) => {
@@ -44,12 +59,12 @@
                     self.presence_keys.borrow_mut().remove(&stored.key);
                     flows.agents_mut().register(record);
                 } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
-                    self.addrs_revision.set(listed.revision);
+                    self.addrs_revision.set(in_epoch(listed.revision));
                     flows.set_listed_addrs(listed.addrs);
                 }
             }
             StoreEvent::Deleted(key, revision) => match agents::key_id(&key) {
-                Some(id) if id == own => self.on_own_unregistered(revision),
+                Some(id) if id == own => self.on_own_unregistered(in_epoch(revision)),
                 Some(id) => {
                     self.presence_keys.borrow_mut().add(&key);
                     flows.agents_mut().unregister(now, id);
@@ -98,7 +113,7 @@
         }
     }
 
-    pub(super) fn on_own_unregistered(&self, revision: u64) {
+    pub(super) fn on_own_unregistered(&self, revision: EpochRevision) {
         self.unregistered_at.set(Some(revision));
         self.record_dirty.notify_one();
     }
@@ -119,7 +134,7 @@
     }
 
     /// Revision of the own record's key when the store was last listed, or 0 if the list lacked it.
-    pub(crate) fn own_revision(&self) -> u64 {
+    pub(crate) fn own_revision(&self) -> EpochRevision {
         self.own_revision.get()
     }
 
@@ -135,13 +150,17 @@
     }
 
     /// Applies the list of the service's addresses at a revision of its key.
-    pub(crate) fn set_listed_addrs(&self, addrs: Vec<SocketAddrV4>, revision: u64) {
-        self.addrs_revision.set(revision);
-        self.flows.borrow_mut().set_listed_addrs(addrs);
+    pub(crate) fn set_listed_addrs(&self, addrs: Vec<SocketAddrV4>, revision: EpochRevision) {
+        let mut flows = self.flows.borrow_mut();
+        if revision.epoch > self.addrs_revision.replace(revision).epoch {
+            flows.restore_listed_addrs(self.node.clock.now(), addrs);
+        } else {
+            flows.set_listed_addrs(addrs);
+        }
     }
 
     /// Revision of the key with the service's addresses, or 0 if it isn't known to exist.
-    pub(crate) fn addrs_revision(&self) -> u64 {
+    pub(crate) fn addrs_revision(&self) -> EpochRevision {
         self.addrs_revision.get()
     }
 
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -39,10 +39,11 @@
 use crate::packets::feed::Demand;
 use crate::packets::node;
 use crate::packets::node::Node;
-use crate::packets::node::Signals;
 use crate::packets::peers;
 use crate::packets::server;
 use crate::packets::server::Answer;
+use crate::packets::signals;
+use crate::packets::signals::Signals;
 use crate::settings::FlowSettings;
 
 /// Maximum number of flows per megabyte of memory. At about 200 octets a flow, they
@@ -103,7 +104,7 @@
         node,
     });
     start(&entry)?;
-    node::wait_for_leave(signals, file, || {}).await?;
+    signals::wait_for_leave(signals, file, || {}).await?;
     entry.leave().await;
     Ok(())
 }
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -107,7 +107,8 @@
                 found.into_iter().find(|it| it.key == config::CONFIG_KEY)
             }
             StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
-            StoreEvent::Put(_) | StoreEvent::Deleted(..) => None,
+            // A version that the store has lost stays in force: an older one never replaces it.
+            StoreEvent::NewEpoch(_) | StoreEvent::Put(_) | StoreEvent::Deleted(..) => None,
             StoreEvent::Confirmed(as_of) => {
                 self.confirm_routes(self.node.clock.now(), as_of);
                 None
@@ -171,7 +172,7 @@
                     flows.remove_agent(id);
                 }
             }
-            StoreEvent::Confirmed(_) => {}
+            StoreEvent::NewEpoch(_) | StoreEvent::Confirmed(_) => {}
         }
     }
 }
--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -18,6 +18,7 @@
 use marigoldway_core::replica;
 use marigoldway_core::replica::Answer;
 use marigoldway_core::replica::Content;
+use marigoldway_core::replica::epoch::Epoch;
 use marigoldway_core::replica::position::Position;
 use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
@@ -29,6 +30,7 @@
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
+use marigoldway_net::platform::ReadResult;
 use marigoldway_net::platform::errors::Result;
 use marigoldway_net::wire;
 use marigoldway_net::wire::replica::Request;
@@ -91,6 +93,7 @@
     let mut reader = Reader {
         sources: Sources::new(feed.role, timing, feed.interval),
         position: Position::default(),
+        delivered: None,
         must_read: true,
         outage: Outage::new(feed.prefix.clone()),
         feed,
@@ -129,6 +132,8 @@
     feed: Feed<F>,
     sources: Sources,
     position: Position,
+    /// Epoch of the last snapshot, or `None` before the first one.
+    delivered: Option<Epoch>,
     /// Whether the changes since the known revision may be lost, so that all keys must be read.
     must_read: bool,
     outage: Outage,
@@ -144,17 +149,29 @@
         let (feed, outage) = (&self.feed, &mut self.outage);
         let FirstRead { asked, read } =
             store::first_read(&feed.node.clock, &feed.store, &feed.prefix, outage).await;
-        self.on_list(asked, read.found, read.revision, on_event);
+        self.on_list(asked, read, on_event);
+    }
+
+    /// Notes that the process has learned of a later epoch, from whatever source. The position is of
+    /// no use then.
+    fn enter_epoch(&mut self) {
+        let latest = self.feed.store.epochs().latest();
+        self.must_read |= self.position.on_epoch(latest);
     }
 
     /// Handles a list of all keys, which the store was asked for at `asked`.
     fn on_list(
         &mut self,
         asked: Timestamp,
-        found: Vec<KeyValue>,
-        revision: u64,
+        read: ReadResult,
         on_event: &mut impl FnMut(StoreEvent),
     ) {
+        let revision = read.revision;
+        self.enter_epoch();
+        // One of several attempts may have been answered before the restore.
+        if read.epoch != self.position.reached().epoch {
+            return;
+        }
         self.outage.on_reachable();
         self.sources.on_store_answer(self.now(), asked, asked, true);
         self.must_read = false;
@@ -164,10 +181,34 @@
         }
         self.position.on_known(revision);
         self.log_change("store", Duration::ZERO);
-        on_event(StoreEvent::Snapshot(found, revision));
+        self.pass_snapshot(read.found, revision, on_event);
         on_event(StoreEvent::Confirmed(asked));
     }
 
+    /// Passes on all keys, and before them their epoch if it is new.
+    fn pass_snapshot(
+        &mut self,
+        found: Vec<KeyValue>,
+        revision: u64,
+        on_event: &mut impl FnMut(StoreEvent),
+    ) {
+        let epoch = self.position.reached().epoch;
+        let previous = self.delivered.replace(epoch);
+        if previous != Some(epoch) {
+            on_event(StoreEvent::NewEpoch(epoch));
+        }
+        if let Some(previous) = previous
+            && previous != epoch
+        {
+            self.feed.node.count("epoch-changed");
+            let prefix = &self.feed.prefix;
+            log::warn!(
+                "event=epoch-changed prefix={prefix} previous={previous} epoch={epoch} revision={revision}"
+            );
+        }
+        on_event(StoreEvent::Snapshot(found, revision));
+    }
+
     /// Reads what is new from the store, which may hold the call for `hold`.
     async fn read_store(&mut self, hold: Duration, on_event: &mut impl FnMut(StoreEvent)) {
         self.feed.node.count("store-read");
@@ -186,6 +227,7 @@
         on_event: &mut impl FnMut(StoreEvent),
     ) -> Result<()> {
         let (store, prefix) = (self.feed.store.clone(), self.feed.prefix.clone());
+        self.enter_epoch();
         if !self.must_read {
             let asked = self.now();
             let after = self.position.after(asked);
@@ -199,7 +241,7 @@
         }
         let asked = self.now();
         let read = store.get(Range::Prefix(&prefix)).await?;
-        self.on_list(asked, read.found, read.revision, on_event);
+        self.on_list(asked, read, on_event);
         Ok(())
     }
 
@@ -237,16 +279,23 @@
         freshness: Freshness,
         on_event: &mut impl FnMut(StoreEvent),
     ) {
+        self.enter_epoch();
+        let after = self.position.reached();
         let request = Request {
             prefix: &self.feed.prefix,
-            after: self.position.known(),
+            after,
             freshness,
         };
         let path = request.path();
         let asked = self.now();
         let answer = read_answer(id.0, &path).await;
         let now = self.now();
-        let Some(answer) = answer else {
+        // The answer may be the first to tell of a later epoch, or be of an earlier one.
+        if let Some(answer) = &answer {
+            self.feed.store.epochs().raise(answer.epoch);
+        }
+        self.enter_epoch();
+        let Some(answer) = answer.filter(|it| self.position.accepts(it, after)) else {
             self.feed.node.count("follower-failed");
             log::debug!("event=follower-failed follower={id} path={path}");
             let wait = rand::rng().random_range(Duration::ZERO..MAX_FAILURE_WAIT);
@@ -265,7 +314,7 @@
         match answer.content {
             Content::Snapshot(items) => {
                 let found = items.into_iter().map(key_value).collect();
-                on_event(StoreEvent::Snapshot(found, answer.revision));
+                self.pass_snapshot(found, answer.revision, on_event);
             }
             Content::Changes(changes) => changes
                 .into_iter()
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -19,6 +19,7 @@
 mod registrar;
 mod replicate;
 mod server;
+mod signals;
 mod store;
 
 use std::path::Path;
@@ -31,7 +32,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::logging;
-use crate::packets::node::Signals;
+use crate::packets::signals::Signals;
 use crate::process::settings_error;
 use crate::settings::FlowAgentSettings;
 use crate::settings::FlowSettings;
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -1,12 +1,11 @@
 //! State and functions that packet entries and packet agents share: sockets, the
-//! configuration in force, signals and counters.
+//! configuration in force and counters.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,9 +17,6 @@
 use socket2::Socket;
 use socket2::Type;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::task;
 use tokio::time;
 
@@ -29,6 +25,7 @@
 use marigoldway_net::clock::Clock;
 use marigoldway_net::platform::calls::CallCounts;
 use marigoldway_net::platform::calls::CallKind;
+use marigoldway_net::platform::epochs::Epochs;
 use marigoldway_platform::config;
 use marigoldway_platform::config::Fault;
 use marigoldway_platform::store::KvStore;
@@ -95,6 +92,8 @@
     pub(crate) unreadable: RefCell<UnreadableKeys>,
     /// The configuration in force, or `None` before the first one.
     document: RefCell<Option<ConfigDocument>>,
+    /// The latest epoch of the store, which all clients of it share.
+    epochs: Arc<Epochs>,
     /// Call counts of each client of the store.
     calls: RefCell<Vec<Arc<CallCounts>>>,
 }
@@ -114,6 +113,7 @@
             replicas: Replicas::new(Timing::new(settings.apply_limit).reader),
             unreadable: RefCell::default(),
             document: RefCell::new(None),
+            epochs: Arc::default(),
             calls: RefCell::default(),
         })
     }
@@ -130,19 +130,25 @@
     }
 
     fn client(&self, timeout: Duration) -> Rc<KvStore> {
-        let store = KvStore::new(StoreOptions {
+        let options = StoreOptions {
             address: SocketAddr::V4(self.settings.platform.address),
             timeout,
             wait: Duration::ZERO,
             pause: Duration::ZERO,
-        });
+        };
+        let store = KvStore::new(options, self.epochs.clone());
         self.calls.borrow_mut().push(store.calls().clone());
         Rc::new(store)
     }
 
     /// Number of calls to the store of one kind since the start, by all clients.
     fn calls(&self, kind: CallKind) -> u64 {
-        self.calls.borrow().iter().map(|it| it.get(kind)).sum()
+        self.total(|it| it.get(kind))
+    }
+
+    /// Sum of a counter of all clients of the store.
+    fn total(&self, count: impl Fn(&CallCounts) -> u64) -> u64 {
+        self.calls.borrow().iter().map(|it| count(it)).sum()
     }
 
     /// Logs the number of calls to the store by kind every [`REPORT_INTERVAL`]. Never returns.
@@ -154,10 +160,12 @@
             for kind in CallKind::ALL {
                 line.push_str(&format!(" {}={}", kind.as_str(), self.calls(kind)));
             }
-            let calls = self.calls.borrow();
-            let unreadable: u64 = calls.iter().map(|it| it.unreadable()).sum();
-            drop(calls);
-            line.push_str(&format!(" unreadable-items={unreadable}"));
+            let unreadable = self.total(CallCounts::unreadable);
+            let without_epoch = self.total(CallCounts::without_epoch);
+            let epoch = self.epochs.latest();
+            line.push_str(&format!(
+                " unreadable-items={unreadable} epoch={epoch} without-epoch={without_epoch}"
+            ));
             log::info!("{line}");
         }
     }
@@ -341,53 +349,3 @@
         task::yield_now().await;
     }
 }
-
-/// `Signals` receives the signals of a process from its creation on. A signal that arrives
-/// earlier ends the process.
-pub(crate) struct Signals {
-    term: Signal,
-    int: Signal,
-    hup: Signal,
-}
-
-impl Signals {
-    /// Installs the handlers. Returns [`Error::Start`] if one can't be installed.
-    pub(crate) fn register() -> Result<Signals> {
-        let listen = |kind| signal(kind).change_context(Error::Start("signal handlers"));
-        Ok(Signals {
-            term: listen(SignalKind::terminate())?,
-            int: listen(SignalKind::interrupt())?,
-            hup: listen(SignalKind::hangup())?,
-        })
-    }
-}
-
-/// Waits for SIGTERM or SIGINT. Until then, calls `on_settings` on each SIGHUP and on each
-/// change of the settings file. Never fails.
-pub(crate) async fn wait_for_leave(
-    mut signals: Signals,
-    file: PathBuf,
-    mut on_settings: impl FnMut(),
-) -> Result<()> {
-    /// Interval between two checks of the settings file for changes.
-    const POLL_INTERVAL: Duration = Duration::from_secs(1);
-
-    let mut content = std::fs::read(&file).unwrap_or_default();
-    loop {
-        let cause = tokio::select! {
-            _ = signals.term.recv() => break,
-            _ = signals.int.recv() => break,
-            _ = signals.hup.recv() => "signal",
-            () = time::sleep(POLL_INTERVAL) => "look",
-        };
-        let new_content = std::fs::read(&file).unwrap_or_default();
-        let changed = new_content != content;
-        content = new_content;
-        if cause == "signal" || changed {
-            log::info!("event=reload cause={cause} changed={changed}");
-            on_settings();
-        }
-    }
-    log::info!("event=leave cause=signal");
-    Ok(())
-}
--- a/marigoldway/src/packets/presence.rs
+++ b/marigoldway/src/packets/presence.rs
@@ -39,6 +39,11 @@
         self.missing_since.swap_remove(agent_key);
     }
 
+    /// Removes all agents.
+    pub(crate) fn clear(&mut self) {
+        self.missing_since.clear();
+    }
+
     /// Removes one agent whose presence key has expired. Returns the key of its record if
     /// `is_deleter`: the caller is then the process that deletes the presence key. Returns `None`
     /// if no presence key has expired, or if another process deletes it.
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -3,21 +3,31 @@
 //! The agent's record has a lease, whose end deletes the record. The presence key has none:
 //! it tells processes that read the store that the agent may be alive though its record is
 //! gone.
+//!
+//! All that the registrar knows of the store belongs to one epoch. In a later one, the store may have
+//! lost the keys and the lease, and the ID of the lease may be that of another one. The registrar
+//! then drops the lease and registers the agent anew.
+
+mod addrs;
+mod epoch;
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time;
 
-use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::flow::message::TargetState;
+use marigoldway_core::replica::epoch::EpochRevision;
+use marigoldway_net::platform::KeyValue;
 use marigoldway_net::platform::LeaseId;
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::Swap;
 use marigoldway_net::platform::SwapOutcome;
 use marigoldway_net::platform::backoff::Backoff;
+use marigoldway_net::platform::epochs::Epoch;
 use marigoldway_net::platform::errors::Error;
 use marigoldway_net::platform::errors::Result;
 use marigoldway_net::wire::agents;
@@ -60,6 +70,14 @@
 pub(crate) struct Registrar {
     agent: Rc<Agent>,
     store: Rc<KvStore>,
+    /// Epoch of all that is known of the store.
+    epoch: Epoch,
+    /// Notified of each later epoch.
+    epochs: watch::Receiver<Epoch>,
+    /// Whether the service's addresses must be read before they are written.
+    must_read_addrs: bool,
+    /// Whether the presence key may be lost, whatever the agent knows of it.
+    must_write_presence: bool,
     lease: Option<LeaseId>,
     /// Time of the last grant or renewal of the lease.
     renewed_at: time::Instant,
@@ -75,6 +93,10 @@
     pub(crate) fn new(agent: Rc<Agent>, store: Rc<KvStore>) -> Registrar {
         Registrar {
             agent,
+            epoch: Epoch::default(),
+            epochs: store.epochs().subscribe(),
+            must_read_addrs: false,
+            must_write_presence: false,
             store,
             lease: None,
             renewed_at: time::Instant::now(),
@@ -94,17 +116,11 @@
             time::sleep(FIRST_HEARTBEAT_POLL).await;
         }
         loop {
+            self.enter_epoch().await;
             match self.advance().await {
                 Ok(()) => {
                     backoff.reset();
-                    let wake_at = self.renewed_at + RENEWAL_INTERVAL;
-                    let wake_at = self
-                        .absent_since
-                        .map_or(wake_at, |since| wake_at.min(since + ABSENCE_DELAY));
-                    tokio::select! {
-                        () = self.agent.record_changed() => {}
-                        () = time::sleep_until(wake_at) => {}
-                    }
+                    self.wait_for_work().await;
                 }
                 Err(Error::LeaseLost) => {
                     log::info!("event=lease-lost lease={:?}", self.lease.map(|it| it.0));
@@ -112,6 +128,7 @@
                     self.lease = None;
                     self.key_state = KeyState::Unknown;
                 }
+                Err(Error::EpochChanged) if self.is_outdated() => {}
                 Err(error) => {
                     log::debug!("event=record-delayed error=\"{error}\"");
                     let wait = backoff.next_wait(&mut rand::rng()).min(MAX_RETRY_WAIT);
@@ -121,6 +138,21 @@
         }
     }
 
+    /// Waits until something may have to be written: the record has changed, the lease is to be
+    /// renewed, the target is absent for a while, or the store has reached a later epoch.
+    async fn wait_for_work(&mut self) {
+        let wake_at = self.renewed_at + RENEWAL_INTERVAL;
+        let wake_at = self
+            .absent_since
+            .map_or(wake_at, |since| wake_at.min(since + ABSENCE_DELAY));
+        tokio::select! {
+            () = self.agent.record_changed() => {}
+            () = time::sleep_until(wake_at) => {}
+            // The sender exists as long as the client.
+            _ = self.epochs.changed() => {}
+        }
+    }
+
     /// Does the work that is due: obtains or renews the lease, deletes an expired presence key, and
     /// writes or deletes the record.
     async fn advance(&mut self) -> Result<()> {
@@ -141,11 +173,13 @@
             Some(lease) => lease,
             None => {
                 let lease = self.store.grant_lease(LEASE_TTL).await?;
+                self.check_epoch()?;
                 self.renewed_at = time::Instant::now();
                 *self.lease.insert(lease)
             }
         };
         if self.renewed_at.elapsed() >= RENEWAL_INTERVAL {
+            self.check_epoch()?;
             self.store.keep_alive(lease).await?;
             self.renewed_at = time::Instant::now();
         }
@@ -153,7 +187,7 @@
         self.write_addrs(record.service).await?;
         let unregistered = self.agent.take_unregistered();
         if let (Some(at), KeyState::Record(_, revision)) = (unregistered, &self.key_state)
-            && at > *revision
+            && at > EpochRevision::new(self.epoch, *revision)
         {
             // The store lacked the key after the last write. The lease may have expired with it.
             self.key_state = KeyState::Revision(0);
@@ -166,35 +200,6 @@
         self.write_record(lease, record).await
     }
 
-    /// Writes the list of the service's addresses if it is to be changed. If another agent has
-    /// changed it meanwhile, reads it.
-    async fn write_addrs(&self, service: NameKey) -> Result<()> {
-        let Some(addrs) = self.agent.due_addrs() else {
-            return Ok(());
-        };
-        let key = agents::addrs_key(service);
-        let swap = Swap {
-            compares: vec![(key.clone(), self.agent.addrs_revision())],
-            puts: vec![(key.clone(), agents::encode_addrs(&addrs))],
-            ..Swap::default()
-        };
-        if let SwapOutcome::Applied(revision) = self.store.compare_and_swap(&swap).await? {
-            log::info!(
-                "event=addrs-written count={} revision={revision}",
-                addrs.len()
-            );
-            self.agent.set_listed_addrs(addrs, revision);
-            return Ok(());
-        }
-        let read = self.store.get(Range::Key(&key)).await?;
-        let stored = read.found.first();
-        let addrs = stored.and_then(|it| agents::decode_addrs(&it.value).ok());
-        let revision = stored.map_or(0, |it| it.revision);
-        self.agent
-            .set_listed_addrs(addrs.unwrap_or_default(), revision);
-        Ok(())
-    }
-
     /// Whether the target is absent in `record` but not in `written`, and has been for less than
     /// [`ABSENCE_DELAY`]. Sets `absent_since` when the absence starts, and clears it when it ends.
     fn is_brief_absence(&mut self, written: &AgentRecord, record: &AgentRecord) -> bool {
@@ -221,6 +226,7 @@
             return Ok(());
         };
         let swap = Swap {
+            epoch: self.epoch,
             compares: vec![(key.clone(), 0)],
             removes: vec![agents::presence_key(&key)],
             ..Swap::default()
@@ -258,6 +264,7 @@
         }
         self.key_state = KeyState::Unknown;
         let swap = Swap {
+            epoch: self.epoch,
             compares: vec![(self.key.clone(), revision)],
             removes,
             ..Swap::default()
@@ -287,7 +294,8 @@
             self.key.clone_from(&key);
             // An earlier process may have left its record. If the list didn't show it yet, the store
             // refuses the write, and the revision is read before the next one.
-            self.key_state = KeyState::Revision(self.agent.own_revision());
+            let listed = self.agent.own_revision().within(self.epoch);
+            self.key_state = listed.map_or(KeyState::Unknown, KeyState::Revision);
         }
         let revision = match self.key_state {
             KeyState::Revision(revision) | KeyState::Record(_, revision) => revision,
@@ -297,9 +305,11 @@
         // over this revision and so never over a newer record.
         self.key_state = KeyState::Unknown;
         let value = agents::encode(&record);
-        let is_present = self.agent.presence_written.get() && !record.strays;
+        let must_write = self.must_write_presence || record.strays;
+        let is_present = self.agent.presence_written.get() && !must_write;
         let presence = (agents::presence_key(&key), value.clone());
         let swap = Swap {
+            epoch: self.epoch,
             compares: vec![(key.clone(), revision)],
             puts: vec![(key, value)],
             removes,
@@ -314,6 +324,7 @@
             let (state, number) = (record.state, record.number);
             log::info!("event=record-written state={state:?} number={number} revision={revision}");
             self.agent.presence_written.set(true);
+            self.must_write_presence = false;
             self.key_state = KeyState::Record(record, revision);
             self.absent_since = None;
         }
@@ -322,7 +333,16 @@
 
     /// Reads the revision of the record's key, or 0 if the key doesn't exist.
     async fn read_revision(&self) -> Result<u64> {
-        let read = self.store.get(Range::Key(&self.key)).await?;
-        Ok(read.found.first().map_or(0, |stored| stored.revision))
+        let stored = self.read_key(&self.key).await?;
+        Ok(stored.map_or(0, |it| it.revision))
+    }
+
+    /// Reads a key. Fails if the store has reached a later epoch.
+    async fn read_key(&self, key: &str) -> Result<Option<KeyValue>> {
+        let mut read = self.store.get(Range::Key(key)).await?;
+        if read.epoch != self.epoch {
+            return Err(Error::EpochChanged);
+        }
+        Ok(read.found.pop())
     }
 }
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -63,7 +63,9 @@
         let prefix = request.prefix;
         let replicas = self.replicas.borrow();
         let (held, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
-        if request.freshness == Freshness::Now {
+        // A reader may know of a later epoch. The store tells whether there is one.
+        let is_behind = request.after.epoch > replica.epoch();
+        if is_behind || request.freshness == Freshness::Now {
             self.demand(held).raise();
         }
         let answer = replica.answer(now, prefix, request.after)?;
@@ -100,6 +102,7 @@
                     known.remove(id);
                 }
             }
+            StoreEvent::NewEpoch(_) => {}
             StoreEvent::Confirmed(_) => {
                 known.expire(now);
             }
@@ -163,6 +166,7 @@
         node.replicas.update_agents(node, &event);
     }
     node.replicas.update(prefix, |replica| match event {
+        StoreEvent::NewEpoch(epoch) => replica.on_epoch(epoch),
         StoreEvent::Snapshot(found, revision) => {
             let items = found.into_iter().map(item).collect();
             replica.replace(items, revision);
--- a/marigoldway/src/packets/store.rs
+++ b/marigoldway/src/packets/store.rs
@@ -12,11 +12,15 @@
 use marigoldway_net::platform::Platform;
 use marigoldway_net::platform::Range;
 use marigoldway_net::platform::ReadResult;
+use marigoldway_net::platform::epochs::Epoch;
 use marigoldway_net::platform::errors::Error;
 use marigoldway_platform::store::KvStore;
 
 /// `StoreEvent` is a change of the keys of one prefix, or a confirmation of what is known.
 pub(crate) enum StoreEvent {
+    /// The snapshot that follows is the first one of this epoch. It may lack writes that the store
+    /// acknowledged in an earlier epoch, and its revisions can't be compared with earlier ones.
+    NewEpoch(Epoch),
     /// All keys of the prefix, at a revision. They replace the keys known so far.
     Snapshot(Vec<KeyValue>, u64),
     /// A key was written.
@@ -33,7 +37,7 @@
         match self {
             StoreEvent::Snapshot(_, revision) | StoreEvent::Deleted(_, revision) => *revision,
             StoreEvent::Put(stored) => stored.revision,
-            StoreEvent::Confirmed(_) => 0,
+            StoreEvent::NewEpoch(_) | StoreEvent::Confirmed(_) => 0,
         }
     }
 }
--- a/marigoldway/tests/membership.rs
+++ b/marigoldway/tests/membership.rs
@@ -196,6 +196,7 @@
         Ok(ReadResult {
             found: found.collect(),
             revision: map.len() as u64,
+            ..ReadResult::default()
         })
     }
 
