Restore the stand-in store from backups in the soak

The stand-in states its epoch, and can be restored from a backup with revisions and lease IDs that it assigns again.

--- a/marigoldway-standin/src/cli.rs
+++ b/marigoldway-standin/src/cli.rs
@@ -137,6 +137,9 @@
         default = "8"
     )]
     pub targets: u8,
+    /// Whether the store is also restored from backups.
+    #[options(no_short, help = "also restore the store from backups")]
+    pub restores: bool,
 }
 
 /// Runs a soak for each seed, and removes the directory of each run without a violation.
@@ -151,6 +154,7 @@
             duration: Duration::from_secs(args.seconds),
             entries: args.entries,
             targets: args.targets,
+            restores: args.restores,
             ..SoakOptions::new(args.binary.clone(), seed)?
         };
         let count = LocalSet::new().run_until(soak::run(&options)).await?;
--- a/marigoldway-standin/src/packets/store.rs
+++ b/marigoldway-standin/src/packets/store.rs
@@ -1,8 +1,8 @@
-//! Stand-in for the platform's store: keys with revisions, leases, watches and
-//! injected faults.
+//! Stand-in for the platform's store: keys with revisions, leases, watches, injected faults and
+//! restores from a backup.
+
+mod contents;
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,7 +12,9 @@
 
 use ::http::Method;
 use ::http::Request;
+use ::http::Response;
 use ::http::StatusCode;
+use ::http::header::HeaderValue;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::BodyExt;
@@ -24,11 +26,11 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+use marigoldway_platform::epoch;
+
 use crate::http;
 use crate::http::HandlerResult;
-
-/// Maximum number of changes in the history. A watch from before the oldest one gets status 410.
-const HISTORY_LEN: usize = 400;
+use crate::packets::store::contents::Contents;
 
 /// Interval at which expired leases are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -56,37 +58,22 @@
 
 struct State {
     fault: Fault,
-    revision: u64,
-    items: BTreeMap<String, Item>,
-    leases: BTreeMap<u64, Lease>,
-    history: VecDeque<Value>,
-    /// Revision of the newest change that was removed from the history.
-    compacted: u64,
-}
-
-struct Item {
-    value: String,
-    revision: u64,
-    created: u64,
-    lease: u64,
-}
-
-struct Lease {
-    ttl: Duration,
-    end: Instant,
+    /// Number of restores from a backup so far.
+    epoch: u64,
+    backup: Contents,
+    contents: Contents,
 }
 
 impl Store {
     /// Starts an empty store that serves connections of `listener`.
     pub(crate) fn start(listener: TcpListener) -> Arc<Store> {
+        let contents = Contents::new();
         let store = Arc::new(Store {
             state: Mutex::new(State {
                 fault: Fault::None,
-                revision: 1,
-                items: BTreeMap::new(),
-                leases: BTreeMap::new(),
-                history: VecDeque::new(),
-                compacted: 0,
+                epoch: 1,
+                backup: contents.clone(),
+                contents,
             }),
             changed: Notify::new(),
         });
@@ -107,138 +94,44 @@
 
     /// Clears the history: watches from an earlier revision get status 410.
     pub(crate) fn compact(&self) {
-        let mut state = self.state();
-        state.compacted = state.revision;
-        state.history.clear();
-        drop(state);
+        let contents = &mut self.state().contents;
+        contents.compacted = contents.revision;
+        contents.history.clear();
         self.changed.notify_waiters();
     }
 
     /// Lets every lease expire now.
     pub(crate) fn expire_leases(&self) {
-        for lease in self.state().leases.values_mut() {
+        for lease in self.state().contents.leases.values_mut() {
             lease.end = Instant::now();
         }
     }
 
     /// Writes a key without a lease, as the operator does.
     pub(crate) fn put(&self, key: &str, value: &[u8]) {
-        self.state().put(key, STANDARD.encode(value), 0);
+        self.state().contents.put(key, STANDARD.encode(value), 0);
         self.changed.notify_waiters();
     }
-}
-
-impl State {
-    fn put(&mut self, key: &str, value: String, lease: u64) {
-        self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |it| it.created);
-        let item = Item {
-            value,
-            revision: self.revision,
-            created,
-            lease,
-        };
-        let event = item.json(key);
-        self.items.insert(key.to_owned(), item);
-        self.record_event(event);
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
-            self.revision += 1;
-            let revision = self.revision;
-            self.record_event(json!({ "key": key, "revision": revision, "deleted": true }));
-        }
-    }
-
-    fn record_event(&mut self, event: Value) {
-        self.history.push_back(event);
-        if self.history.len() > HISTORY_LEN
-            && let Some(oldest) = self.history.pop_front()
-        {
-            self.compacted = oldest["revision"].as_u64().unwrap_or_default();
-        }
-    }
-
-    /// Changes of keys with a prefix after a revision, or `None` if the history no
-    /// longer has all of them.
-    fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
-        if after < self.compacted {
-            return None;
-        }
-        let matches = |event: &&Value| {
-            event["revision"].as_u64() > Some(after)
-                && event["key"]
-                    .as_str()
-                    .is_some_and(|it| it.starts_with(prefix))
-        };
-        Some(self.history.iter().filter(matches).cloned().collect())
-    }
 
-    fn transact(&mut self, body: &Value) -> (StatusCode, Value) {
-        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let revision = |state: &State, key: &str| state.items.get(key).map_or(0, |it| it.revision);
-        let stale = list("expected").iter().any(|row| {
-            let key = row["key"].as_str().unwrap_or_default();
-            Some(revision(self, key)) != row["revision"].as_u64()
-        });
-        if stale {
-            return (StatusCode::PRECONDITION_FAILED, json!({ "items": [] }));
-        }
-        let lease = |put: &Value| put["lease"].as_u64().unwrap_or(0);
-        if list("puts")
-            .iter()
-            .any(|put| lease(put) > 0 && !self.leases.contains_key(&lease(put)))
-        {
-            return (StatusCode::NOT_FOUND, json!({}));
-        }
-        for put in list("puts") {
-            let key = put["key"].as_str().unwrap_or_default();
-            let value = put["value"].as_str().unwrap_or_default();
-            self.put(key, value.to_owned(), lease(&put));
-        }
-        for key in list("remove") {
-            self.remove(key.as_str().unwrap_or_default());
-        }
-        (StatusCode::OK, json!({ "revision": self.revision }))
-    }
-
-    fn grant_lease(&mut self, body: &Value) -> Value {
-        let ttl_ms = body["ttl_ms"].as_u64().unwrap_or(1_000).max(1_000);
-        let ttl = Duration::from_millis(ttl_ms);
-        let id = rand::rng().random_range(1..1 << 48);
-        let end = Instant::now() + ttl;
-        self.leases.insert(id, Lease { ttl, end });
-        json!({ "lease": id, "ttl_ms": ttl_ms })
-    }
-
-    fn renew_lease(&mut self, id: u64) -> StatusCode {
-        let Some(lease) = self.leases.get_mut(&id) else {
-            return StatusCode::NOT_FOUND;
-        };
-        lease.end = Instant::now() + lease.ttl;
-        StatusCode::OK
+    /// Takes a backup, which replaces the previous one.
+    pub(crate) fn back_up(&self) {
+        let mut state = self.state();
+        state.backup = state.contents.clone();
     }
 
-    fn end_lease(&mut self, id: u64) {
-        self.leases.remove(&id);
-        let keys = self.items.iter().filter(|(_, it)| it.lease == id);
-        let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
-        for key in keys {
-            self.remove(&key);
+    /// Restores the store from the last backup, or to its start without one. Writes and leases since
+    /// then are lost, and their revisions and IDs are assigned again. A lease of the backup runs for
+    /// its full time.
+    pub(crate) fn restore(&self) {
+        let mut state = self.state();
+        state.contents = state.backup.clone();
+        state.epoch += 1;
+        let now = Instant::now();
+        for lease in state.contents.leases.values_mut() {
+            lease.end = now + lease.ttl;
         }
-    }
-}
-
-impl Item {
-    fn json(&self, key: &str) -> Value {
-        json!({
-            "key": key,
-            "value": self.value,
-            "revision": self.revision,
-            "created": self.created,
-            "lease": self.lease,
-        })
+        drop(state);
+        self.changed.notify_waiters();
     }
 }
 
@@ -246,12 +139,13 @@
     loop {
         time::sleep(EXPIRY_INTERVAL).await;
         let mut state = store.state();
+        let contents = &mut state.contents;
         let now = Instant::now();
-        let expired = state.leases.iter().filter(|(_, it)| now >= it.end);
+        let expired = contents.leases.iter().filter(|(_, it)| now >= it.end);
         let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
         let any = !expired.is_empty();
         for id in expired {
-            state.end_lease(id);
+            contents.end_lease(id);
         }
         drop(state);
         if any {
@@ -265,7 +159,10 @@
     match fault {
         Fault::None | Fault::Lost(_) => {}
         Fault::Slow(delay) => time::sleep(delay).await,
-        Fault::Busy => return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "{}")),
+        Fault::Busy => {
+            let epoch = store.state().epoch;
+            return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, "{}", epoch));
+        }
         Fault::Silent => std::future::pending().await,
     }
     let (head, body) = request.into_parts();
@@ -273,6 +170,7 @@
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let head = Request::from_parts(head, ());
     let (status, response) = route(&store, &head, &body).await;
+    let epoch = store.state().epoch;
     let lost = match fault {
         Fault::Lost(rate) => rand::rng().random::<f64>() < rate,
         Fault::None | Fault::Slow(_) | Fault::Busy | Fault::Silent => false,
@@ -280,7 +178,16 @@
     if lost {
         std::future::pending::<()>().await;
     }
-    Ok(http::text(status, response.to_string()))
+    Ok(respond(status, response.to_string(), epoch))
+}
+
+/// A response with the header that states the epoch.
+fn respond(status: StatusCode, text: impl Into<String>, epoch: u64) -> Response<http::Body> {
+    let mut response = http::text(status, text);
+    response
+        .headers_mut()
+        .insert(epoch::HEADER, HeaderValue::from(epoch));
+    response
 }
 
 async fn route(store: &Store, head: &Request<()>, body: &Value) -> (StatusCode, Value) {
@@ -293,31 +200,31 @@
     match (head.method(), name) {
         (&Method::GET, "kv-key") => {
             let key = query_text(head, "key");
-            let state = store.state();
-            match state.items.get(&key) {
+            let contents = &store.state().contents;
+            match contents.items.get(&key) {
                 Some(item) => (StatusCode::OK, item.json(&key)),
                 None => (StatusCode::NOT_FOUND, json!({})),
             }
         }
         (&Method::GET, "kv-range") => {
             let (prefix, after) = (query_text(head, "prefix"), query_text(head, "after"));
-            let state = store.state();
-            let found = state.items.iter();
+            let contents = &store.state().contents;
+            let found = contents.items.iter();
             let found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
             let items: Vec<Value> = found.map(|(key, item)| item.json(key)).collect();
-            let response = json!({ "items": items, "has_more": false, "as_of": state.revision });
+            let response = json!({ "items": items, "has_more": false, "as_of": contents.revision });
             (StatusCode::OK, response)
         }
         (&Method::GET, "kv-watch") => watch(store, head).await,
         (&Method::POST, "kv-txn") => {
-            let result = store.state().transact(body);
+            let result = store.state().contents.transact(body);
             store.changed.notify_waiters();
             result
         }
-        (&Method::POST, "kv-lease") => (StatusCode::OK, store.state().grant_lease(body)),
-        (&Method::POST, "kv-keep") => (store.state().renew_lease(id), json!({})),
+        (&Method::POST, "kv-lease") => (StatusCode::OK, store.state().contents.grant_lease(body)),
+        (&Method::POST, "kv-keep") => (store.state().contents.renew_lease(id), json!({})),
         (&Method::DELETE, "kv-lease-end") => {
-            store.state().end_lease(id);
+            store.state().contents.end_lease(id);
             store.changed.notify_waiters();
             (StatusCode::OK, json!({}))
         }
@@ -333,8 +240,8 @@
     loop {
         let changed = store.changed.notified();
         let (changes, as_of) = {
-            let state = store.state();
-            (state.changes(&prefix, after), state.revision)
+            let contents = &store.state().contents;
+            (contents.changes(&prefix, after), contents.revision)
         };
         let Some(events) = changes else {
             return (StatusCode::GONE, json!({}));
--- a/marigoldway-standin/src/soak/faults.rs
+++ b/marigoldway-standin/src/soak/faults.rs
@@ -21,6 +21,9 @@
 /// Minimum time before an address is reused (`addr_reuse_s` of the users' sites).
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
 
+/// Time after a restore of the store until the operator repeats the configuration.
+const REPEAT_DELAY: Duration = Duration::from_millis(500);
+
 /// `Fault` is a failure or a change that the soak injects. Each `usize` is the index of an
 /// instance: entries first, then agents.
 #[derive(Clone, Debug)]
@@ -43,6 +46,9 @@
     Compact,
     /// Makes the store silent for a time, then lets all leases expire.
     Lapse(Duration),
+    /// Lets the store go on for the first time, then be silent for the second one, then restores it
+    /// from a backup that was taken at the beginning. The operator repeats the configuration.
+    Restore(Duration, Duration),
     /// Crashes a target and starts another in its place after a time, with the same ID if the flag
     /// is set.
     Crash(usize, bool, Duration),
@@ -79,6 +85,15 @@
         }
     }
 
+    /// Returns a restore of the store in place of a compaction, with the same effect on the history.
+    pub(crate) fn with_restore(self, rng: &mut StdRng) -> Fault {
+        let mut span = |max_ms| Duration::from_millis(rng.random_range(300..max_ms));
+        match self {
+            Fault::Compact => Fault::Restore(span(5_000), span(3_000)),
+            other => other,
+        }
+    }
+
     /// Returns the index of the instance that the fault reserves while it runs, `None` if it
     /// reserves none in advance.
     pub(crate) fn instance(&self) -> Option<usize> {
@@ -94,6 +109,7 @@
             | Fault::Store(..)
             | Fault::Compact
             | Fault::Lapse(_)
+            | Fault::Restore(..)
             | Fault::Loss(..)
             | Fault::Configure => None,
         }
@@ -125,6 +141,16 @@
                 fleet.store.expire_leases();
                 fleet.store.set_fault(StoreFault::None);
             }
+            Fault::Restore(age, span) => {
+                fleet.store.back_up();
+                time::sleep(age).await;
+                fleet.store.set_fault(StoreFault::Silent);
+                time::sleep(span).await;
+                fleet.store.restore();
+                fleet.store.set_fault(StoreFault::None);
+                time::sleep(REPEAT_DELAY).await;
+                fleet.configure(&[]);
+            }
             Fault::Crash(n, same_id, span) => crash(fleet, instances[n], same_id, span).await?,
             Fault::Replace(n, service) => replace(fleet, instances[n], service).await?,
             Fault::Loss(ratio, span) => {
--- a/marigoldway-standin/src/soak/mod.rs
+++ b/marigoldway-standin/src/soak/mod.rs
@@ -68,6 +68,9 @@
     pub entries: u8,
     /// Number of targets, each with its own agent; default 8.
     pub targets: u8,
+    /// Whether the store is restored from a backup where it would be compacted; default false, so
+    /// that the faults of a seed stay the same.
+    pub restores: bool,
 }
 
 impl SoakOptions {
@@ -80,6 +83,7 @@
             duration: Duration::from_secs(20),
             entries: 4,
             targets: 8,
+            restores: false,
         })
     }
 }
@@ -130,7 +134,10 @@
     while time::Instant::now() < end {
         time::sleep(Duration::from_millis(rng.random_range(100..900))).await;
         fleet.check_processes()?;
-        let fault = Fault::random(&mut rng, fleet.entries.len(), fleet.agents.len());
+        let mut fault = Fault::random(&mut rng, fleet.entries.len(), fleet.agents.len());
+        if options.restores {
+            fault = fault.with_restore(&mut rng);
+        }
         let instance = fault.instance().and_then(|n| fleet.instances().nth(n));
         if instance.is_some_and(|it| it.reserved.get()) {
             continue;
