--- a/marigoldway-core/src/flow/drains.rs
+++ b/marigoldway-core/src/flow/drains.rs
@@ -26,6 +26,11 @@
     Drain(String),
     /// The domain isn't drained any more.
     Lift(String),
+    /// The store was restored from a backup and may lack drains that it had acknowledged. Domains
+    /// that the following sets lack stay drained for this long, unless their drain is lifted.
+    Restore(Duration),
+    /// No news. Ends the drains that were kept after a restore for long enough.
+    Review,
     /// What another process knows. Its set applies only if none is known, since it may be
     /// older. Otherwise, its domains only count as passed over.
     Learn(SharedDrains),
@@ -57,11 +62,15 @@
     drained: IndexMap<NameKey, Drain>,
     lifted: IndexMap<NameKey, Lift>,
     revision: u64,
+    /// Until when domains that a complete set lacks stay drained.
+    kept_until: Timestamp,
 }
 
 #[derive(Clone, Debug)]
 struct Drain {
     name: String,
+    /// Whether the latest complete set had the domain.
+    listed: bool,
     /// Whether it was checked that the domain has agents.
     checked: bool,
 }
@@ -111,6 +120,8 @@
             DrainUpdate::Replace(names) => self.replace(now, names, &mut changes),
             DrainUpdate::Drain(name) => self.drain(name, &mut changes),
             DrainUpdate::Lift(name) => self.lift(now, NameKey::from(name.as_str()), &mut changes),
+            DrainUpdate::Restore(span) => self.kept_until = now + span,
+            DrainUpdate::Review => self.lift_unlisted(now, &mut changes),
             DrainUpdate::Learn(shared) => {
                 if self.known {
                     // The other process places flows past these domains, or has lately.
@@ -167,23 +178,43 @@
         let missing = self.drained.keys().filter(|it| !listed.contains(it));
         let missing: Vec<NameKey> = missing.copied().collect();
         for domain in missing {
-            self.lift(now, domain, changes);
+            if let Some(drain) = self.drained.get_mut(&domain) {
+                drain.listed = false;
+            }
         }
+        self.lift_unlisted(now, changes);
         for name in names {
             self.drain(name, changes);
         }
     }
 
+    /// Ends the drains that the latest complete set lacks, unless the store was restored lately.
+    fn lift_unlisted(&mut self, now: Timestamp, changes: &mut Vec<DrainChange>) {
+        if now < self.kept_until {
+            return;
+        }
+        let unlisted = self.drained.iter().filter(|(_, it)| !it.listed);
+        let unlisted: Vec<NameKey> = unlisted.map(|(domain, _)| *domain).collect();
+        for domain in unlisted {
+            self.lift(now, domain, changes);
+        }
+    }
+
     fn drain(&mut self, name: String, changes: &mut Vec<DrainChange>) {
         let domain = NameKey::from(name.as_str());
-        if self.is_drained(domain) {
+        if let Some(drain) = self.drained.get_mut(&domain) {
+            drain.listed = true;
             return;
         }
         self.revision += 1;
         self.lifted.swap_remove(&domain);
         changes.push(DrainChange::Drained(name.clone()));
-        let checked = false;
-        self.drained.insert(domain, Drain { name, checked });
+        let drain = Drain {
+            name,
+            listed: true,
+            checked: false,
+        };
+        self.drained.insert(domain, drain);
     }
 
     fn lift(&mut self, now: Timestamp, domain: NameKey, changes: &mut Vec<DrainChange>) {
--- a/marigoldway-core/tests/flow/drained_sets.rs
+++ b/marigoldway-core/tests/flow/drained_sets.rs
@@ -276,3 +276,38 @@
         }
     }
 }
+
+/// Guards against new flows to a drained domain while a store restored from a backup lacks the drain.
+#[test]
+fn drain_that_a_restored_store_lacks_stays_until_the_limit() {
+    let drained = |agents: &Agents| agents.drains().is_drained(NameKey::from("a"));
+    let limit = Duration::from_secs(5);
+    let mut agents = agents(10);
+    apply(&mut agents, 0, DrainUpdate::Drain("a".to_owned()));
+    apply(&mut agents, 1_000, DrainUpdate::Restore(limit));
+    apply(&mut agents, 1_000, DrainUpdate::Replace(Vec::new()));
+    apply(&mut agents, 5_999, DrainUpdate::Review);
+    assert!(drained(&agents));
+    let changes = apply(&mut agents, 6_000, DrainUpdate::Review);
+    assert_eq!(changes, [DrainChange::Lifted("a".to_owned())]);
+    assert!(!drained(&agents));
+}
+
+/// Guards against the end of a drain that the operators have written again after a restore, and
+/// against one that outlives its deletion.
+#[test]
+fn drain_written_again_after_a_restore_stays_until_it_is_lifted() {
+    let mut agents = agents(10);
+    apply(&mut agents, 0, DrainUpdate::Drain("a".to_owned()));
+    apply(
+        &mut agents,
+        1_000,
+        DrainUpdate::Restore(Duration::from_secs(5)),
+    );
+    apply(&mut agents, 1_000, DrainUpdate::Replace(Vec::new()));
+    apply(&mut agents, 2_000, DrainUpdate::Drain("a".to_owned()));
+    apply(&mut agents, 9_000, DrainUpdate::Review);
+    assert!(agents.drains().is_drained(NameKey::from("a")));
+    apply(&mut agents, 9_500, DrainUpdate::Lift("a".to_owned()));
+    assert!(!agents.drains().is_drained(NameKey::from("a")));
+}
--- a/marigoldway/src/packets/drains.rs
+++ b/marigoldway/src/packets/drains.rs
@@ -29,7 +29,9 @@
             Some(name) => DrainUpdate::Lift(name),
             None => return,
         },
-        StoreEvent::Confirmed(_) => return,
+        // The operators write again what the restore has lost, within the time for any change.
+        StoreEvent::NewEpoch(_) => DrainUpdate::Restore(node.settings.apply_limit),
+        StoreEvent::Confirmed(_) => DrainUpdate::Review,
     };
     apply(node, agents, update, "store");
 }
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -149,7 +149,11 @@
     fn answer(&self, arrived: Timestamp, request: &Request<'_>) -> Option<Bytes> {
         let prefix = request.prefix;
         let replicas = self.replicas.borrow();
-        let (_, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
+        let (held, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
+        // A reader may know of a later epoch. The store tells whether there is one.
+        if request.after.epoch > replica.epoch() {
+            self.demand(held).raise(arrived);
+        }
         let answer = replica.answer(arrived, prefix, request.after)?;
         match wire::replica::encode(&answer) {
             Ok(body) => Some(Bytes::from(body)),
@@ -204,6 +208,7 @@
                     known.remove(id);
                 }
             }
+            StoreEvent::NewEpoch(_) => {}
             StoreEvent::Confirmed(_) => {
                 known.expire(now);
             }
@@ -302,6 +307,7 @@
     }
     let replicas = &node.replicas;
     match event {
+        StoreEvent::NewEpoch(epoch) => replicas.update(prefix, |it| it.on_epoch(epoch)),
         StoreEvent::Snapshot(found, revision) => {
             let items = found.into_iter().map(item).collect();
             replicas.update(prefix, |it| it.replace(items, revision));
