Test a new flow from the port of a flow held in a drained domain

Cause: with the check of Located flows at the entry switched off, no test failed.

Change: a test for the entry and the agent, in place of an assertion on the targets' sets of seen flows that could not fail.

--- a/marigoldway-core/tests/flow/drains.rs
+++ b/marigoldway-core/tests/flow/drains.rs
@@ -393,14 +393,35 @@
             .count();
         assert_eq!((count, fleet.holder(*key)), (1, holder));
     }
-    // A new flow from the same address and port isn't the flow that is held.
-    let seen = seen_in(&fleet, "b");
-    let held = keys.iter().find(|it| {
-        let holder = fleet.holder(**it).unwrap();
-        domain_of(crate::fleet::number(&holder)) == "b"
-    });
-    fleet.send(0, syn(*held.unwrap(), 0));
-    assert_eq!(seen_in(&fleet, "b"), seen);
+}
+
+/// Guards against a new flow from the address and port of one that is held in a drained domain: by
+/// its first copy, it isn't that flow. Entry and agent each tell them apart.
+#[test]
+fn first_copy_from_the_port_of_a_held_flow_avoids_drained_targets() {
+    let mut fleet = start(18, 1);
+    open_flows(&mut fleet, 60);
+    let holders = (0..60).map(|n| (n, fleet.holder(flow(1_000 + n, 443)).unwrap()));
+    let held: Vec<(u16, InstanceId)> = holders
+        .filter(|(_, id)| domain_of(crate::fleet::number(id)) == "b")
+        .collect();
+    assert!(held.len() > 5);
+    tell_agents(&mut fleet, &drain("b"));
+    for (n, id) in &held {
+        let header = header(None, None, 0);
+        let actions = open_at(&mut fleet, crate::fleet::number(id), &header, 1_000 + n);
+        assert_eq!(refusal(&actions), Some(RefuseReason::Drained));
+    }
+    tell_entries(&mut fleet, &drain("b"));
+    for (n, _) in held {
+        let EntryAction::Forward(to) = fleet.send(0, syn(flow(1_000 + n, 443), 0)) else {
+            panic!("flow {n} isn't forwarded");
+        };
+        assert!(
+            to.iter()
+                .all(|it| domain_of(crate::fleet::number(&it.agent)) != "b")
+        );
+    }
 }
 
 /// Guards against a drain that stays in effect after it was lifted.
