--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -49,12 +49,7 @@
         }
         self.see_version(now, header.version);
         if self.is_domain_drained() && !self.is_answered_copy(&flow, segment) {
-            let onward = self.to_other_agent(header, &flow);
-            let onward = onward.unwrap_or(Header {
-                other: None,
-                ..*header
-            });
-            return self.forward_or_refuse(now, &onward, flow, RefuseReason::Drained, actions);
+            return self.refuse_drained(now, header, flow, actions);
         }
         let reason = match self.state(now) {
             TargetState::Serving => None,
@@ -106,6 +101,23 @@
         segment.ack > 0 && self.flows.peek(flow).is_some_and(is_open)
     }
 
+    /// Refuses an opening packet since the own failure domain is drained, and forwards it to an agent
+    /// in another domain if one is known.
+    fn refuse_drained(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let onward = self.to_other_agent(header, &flow);
+        let onward = onward.unwrap_or(Header {
+            other: None,
+            ..*header
+        });
+        self.forward_or_refuse(now, &onward, flow, RefuseReason::Drained, actions);
+    }
+
     /// Forwards an opening packet to the alternate agent, or drops it if the header names no other
     /// agent. Reports the refusal and its reason to the entry in both cases.
     pub(super) fn forward_or_refuse(
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -34,10 +34,9 @@
             // first copy.
             Some(FlowState::Located { agent, service }) => {
                 let (agent, service) = (*agent, *service);
-                // The present route applies to each copy of the opening packet. A flow that is
-                // open stays in a drained domain; a first copy opens another flow.
-                let stays = copies > 0 || !self.agents.is_drained(agent);
-                if stays && route.has_service(service) && self.is_of_service(agent, service) {
+                // The present route applies to each copy of the opening packet.
+                let is_routed = route.has_service(service) && self.is_of_service(agent, service);
+                if is_routed && self.may_stay(agent, copies) {
                     self.views.expect_answer(now, agent);
                     let header = self.header(Intent::Open, service, route, None);
                     return EntryAction::Forward(vec![Forwarding { agent, header }]);
@@ -66,6 +65,12 @@
         EntryAction::Forward(vec![Forwarding { agent, header }])
     }
 
+    /// Whether an opening packet may go to the agent that holds its flow. A flow that is open stays
+    /// in a drained domain; a first copy opens another flow.
+    fn may_stay(&self, agent: InstanceId, copies: u32) -> bool {
+        copies > 0 || !self.agents.is_drained(agent)
+    }
+
     /// Decides on an opening packet for a service whose serving targets are all in drained domains.
     /// The first copy of a flow that this entry doesn't know is reset, which rejects the flow. An
     /// earlier copy may have opened the flow, and an open flow is never reset, so any other copy is
