--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,6 +2,7 @@
 //! start, stop and restart.
 
 mod candidates;
+mod drained_flows;
 mod drained_sets;
 mod drains;
 mod early;
