--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -105,14 +105,7 @@
     ) {
         match reason {
             RefuseReason::Version => self.refuse(now, header, flow, reason, actions),
-            RefuseReason::Drained => {
-                let onward = self.to_other_agent(header, &flow);
-                let onward = onward.unwrap_or(Header {
-                    other: None,
-                    ..*header
-                });
-                self.forward_or_refuse(now, &onward, flow, reason, actions);
-            }
+            RefuseReason::Drained => self.refuse_drained(now, header, flow, actions),
             _ => self.forward_or_refuse(now, header, flow, reason, actions),
         }
     }
@@ -154,6 +147,23 @@
         segment.ack > 0 && self.flows.peek(flow).is_some_and(is_open)
     }
 
+    /// Refuses an opening packet since the own failure domain is drained, and forwards it to an agent
+    /// in another domain if one is known.
+    fn refuse_drained(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        flow: FlowKey,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let onward = self.to_other_agent(header, &flow);
+        let onward = onward.unwrap_or(Header {
+            other: None,
+            ..*header
+        });
+        self.forward_or_refuse(now, &onward, flow, RefuseReason::Drained, actions);
+    }
+
     /// Forwards an opening packet to the alternate agent, or drops it if the header names no other
     /// agent. Reports the refusal and its reason to the entry in both cases.
     pub(super) fn forward_or_refuse(
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,7 +2,11 @@
 //! start, stop and restart.
 
 mod candidates;
+<<<<<<< HEAD
 mod demands;
+=======
+mod drained_flows;
+>>>>>>> drains
 mod drained_sets;
 mod drains;
 mod early;
