Weigh the load of a target by its estimated service time

Cause: load is measured in requests per slot, so a target with 1.6 times the usual service time gets the same share of new flows as one with 0.6 times, and a target that slows down before its slots are used is noticed late.

Change: the agent estimates the service time by work class, without queueing, and the concurrency beyond which throughput doesn't rise. Load reports carry the estimates. An entry compares the candidates with the mean of those that it knows, within a dead band, and sends the mean along with the opening packet, so that agents compare themselves with the same reference. The slot queue admits no more than the estimated concurrency. [flows] gains capacity and capacity-floor; log lines and gauges show the estimates.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -39,6 +39,8 @@
 use crate::flow::agent::served_addrs::ServedAddrs;
 use crate::flow::agent::slot_queue::SlotQueue;
 use crate::flow::agents::Agents;
+use crate::flow::capacity::CapacityPolicy;
+use crate::flow::capacity::observer::ServiceObserver;
 use crate::flow::key::NameKey;
 use crate::flow::message::DirectoryUpdate;
 use crate::flow::message::Header;
@@ -94,6 +96,8 @@
     pub started: Timestamp,
     /// When the process started, by the instance's clock, in Unix milliseconds.
     pub started_at: u64,
+    /// Whether and how far estimates of capacity affect decisions.
+    pub capacity: CapacityPolicy,
 }
 
 /// `AgentFlows` holds the state of an agent and decides on packets of clients and of its target.
@@ -174,7 +178,7 @@
             inherited_start: None,
             stray_until: None,
             checked_revision: 0,
-            slot_queue: SlotQueue::default(),
+            slot_queue: SlotQueue::with_capacity_policy(options.capacity),
             health: Health::default(),
             openings: Openings::default(),
             searches: Searches::default(),
@@ -188,6 +192,11 @@
         &self.target
     }
 
+    /// Service times and estimated capacity of the target.
+    pub fn service_observer(&self) -> &ServiceObserver {
+        self.slot_queue.observer()
+    }
+
     /// The service of the target.
     pub fn service(&self) -> NameKey {
         self.service
@@ -331,6 +340,8 @@
         self.send_hello(now, actions);
         self.flush_searches(now, actions);
         self.expire_requests(now, actions);
+        let slow_start = !self.target.slow_start(now).is_zero();
+        self.slot_queue.observe_tick(now, self.slots(), slow_start);
         self.release(now, actions);
         if self.epoch != self.agents.epoch() {
             self.epoch = self.agents.epoch();
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -9,6 +9,7 @@
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
 use crate::flow::agent::locate;
+use crate::flow::capacity::observer::RequestEnd;
 use crate::flow::key::FlowKey;
 use crate::flow::message::DirectoryEntry;
 use crate::flow::message::Header;
@@ -53,12 +54,17 @@
             self.report(now, entry, flow, Verdict::Holds, actions);
         }
         if answered {
-            if let Some(took) = self.slot_queue.finish(now, &flow) {
-                let failed = match segment.answer {
-                    Some(answer) => answer == Answer::Failed,
-                    // The flow ends without an answer.
-                    None => segment.len == 0,
-                };
+            let failed = match segment.answer {
+                Some(answer) => answer == Answer::Failed,
+                // The flow ends without an answer.
+                None => segment.len == 0,
+            };
+            let end = if failed {
+                RequestEnd::Discarded
+            } else {
+                RequestEnd::Answered
+            };
+            if let Some(took) = self.slot_queue.end(now, &flow, end) {
                 self.health.record_request(now, failed);
                 actions.push(AgentAction::Answered(flow, took));
             }
@@ -90,7 +96,8 @@
         } else {
             actions.push(AgentAction::ToClient);
         }
-        if self.slot_queue.finish(now, &flow).is_some() {
+        let end = RequestEnd::Discarded;
+        if self.slot_queue.end(now, &flow, end).is_some() {
             self.health.record_request(now, true);
         }
         self.forget_request(&flow);
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -66,6 +66,7 @@
             flows: self.open_flows,
             failing: self.health.failing(now),
             slow_start: self.target.slow_start(now),
+            capacity: self.slot_queue.observer().capacity(now, self.slots()),
         }
     }
 
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -11,10 +11,10 @@
 //! chain forwards the packet to the agent entered there.
 
 use crate::flow::agent::AgentFlows;
+use crate::flow::capacity;
 use crate::flow::key::FlowKey;
 use crate::flow::message::Header;
 use crate::flow::message::LoadLevel;
-use crate::flow::message::PlacementHint;
 use crate::flow::message::TargetState;
 use crate::flow::selection;
 use crate::ids::InstanceId;
@@ -35,19 +35,16 @@
         header: &Header,
         flow: &FlowKey,
     ) -> Option<(InstanceId, Header)> {
-        let PlacementHint { threshold, best } = header.placement_hint;
+        let hint = header.placement_hint;
         // Bulk data loses more by crossing failure domains than by waiting.
         if header.work.class.is_bulk() {
             return None;
         }
-        let own = (
-            self.options.own,
-            selection::load_level(&self.load(now), header.work.class),
-        );
-        if own.1 <= threshold {
+        let own = (self.options.own, self.load_level(now, header));
+        if own.1 <= hint.threshold {
             return None;
         }
-        let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
+        let best = hint.best.filter(|it| it.1 <= own.1).unwrap_or(own);
         let mut onward = Header {
             hops: header.hops.saturating_add(1),
             other: None,
@@ -62,6 +59,17 @@
         (best.0 != self.options.own).then_some((best.0, onward))
     }
 
+    /// The own load as it counts for a new flow, by the same reference as the threshold in the
+    /// flow's header.
+    fn load_level(&self, now: Timestamp, header: &Header) -> LoadLevel {
+        let load = self.load(now);
+        let class = header.work.class;
+        let reference = header.placement_hint.reference;
+        let time = load.capacity.time(class);
+        let slowness = capacity::slowness(time, reference, self.options.capacity);
+        selection::load_level(&load, class, slowness)
+    }
+
     /// The header that names another agent for a flow that this agent shouldn't accept: the entry's
     /// alternate, any other that fits, or, once the flow was forwarded often enough, the least
     /// loaded agent so far, which then accepts it. Returns `None` if there is none.
--- a/marigoldway-core/src/flow/agent/slot_queue.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue.rs
@@ -15,8 +15,12 @@
 
 use indexmap::IndexMap;
 
+use crate::flow::capacity::CapacityPolicy;
+use crate::flow::capacity::observer::RequestEnd;
+use crate::flow::capacity::observer::ServiceObserver;
 use crate::flow::key::FlowKey;
 use crate::flow::routes::Work;
+use crate::flow::routes::WorkClass;
 use crate::time::Timestamp;
 
 /// Assumed travel time from the client to the agent and back, which the agent can't observe.
@@ -85,6 +89,7 @@
     octets: usize,
     /// Moving mean of the times of measured requests, or `None` before the first one.
     mean: Option<Duration>,
+    observer: ServiceObserver,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -105,6 +110,7 @@
     /// When the client of the request times out.
     end: Timestamp,
     priority: u8,
+    class: WorkClass,
     packets: Vec<Vec<u8>>,
 }
 
@@ -164,6 +170,23 @@
         }
     }
 
+    /// Creates an empty queue with default options that adapts to the target's capacity, or doesn't.
+    pub fn with_capacity_policy(policy: CapacityPolicy) -> SlotQueue {
+        let mut queue = SlotQueue::default();
+        queue.observer.set_disabled(!policy.adaptive);
+        queue
+    }
+
+    /// Service times and estimated capacity of the target.
+    pub fn observer(&self) -> &ServiceObserver {
+        &self.observer
+    }
+
+    /// Does the periodic work of the capacity estimate.
+    pub fn observe_tick(&mut self, now: Timestamp, slots: u16, slow_start: bool) {
+        self.observer.tick(now, slots, slow_start);
+    }
+
     /// Number of requests admitted to the target that still count as running.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -188,7 +211,7 @@
         }
         let full = self.waiting.len() >= MAX_QUEUED_REQUESTS || self.octets >= MAX_QUEUED_OCTETS;
         if full || self.has_room(slots) {
-            self.start(now, arrival.flow, arrival.work, arrival.maybe_answered);
+            self.start(now, slots, arrival);
             return QueueDecision::Admitted;
         }
         let waiting = QueuedRequest {
@@ -196,6 +219,7 @@
             objective_end: arrival.waiting_since + arrival.work.objective,
             end: arrival.waiting_since + arrival.work.timeout,
             priority: arrival.work.priority,
+            class: arrival.work.class,
             packets: vec![arrival.packet.to_vec()],
         };
         self.octets += arrival.packet.len();
@@ -213,9 +237,16 @@
         self.waiting.contains_key(flow)
     }
 
+    /// Removes the running request of a flow that the target has answered. Returns the time since its
+    /// admission, or `None` if the flow has no running request.
+    pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Duration> {
+        self.end(now, flow, RequestEnd::Answered)
+    }
+
     /// Removes the running request of a flow, which the target has answered or will not answer.
     /// Returns the time since its admission, or `None` if the flow has no running request.
-    pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Duration> {
+    pub fn end(&mut self, now: Timestamp, flow: &FlowKey, end: RequestEnd) -> Option<Duration> {
+        self.observer.end(now, flow, end);
         let running = self.running.swap_remove(flow)?;
         let took = now.since(running.since);
         if running.measured {
@@ -228,12 +259,14 @@
     /// Removes all requests of a flow that has ended.
     pub fn remove(&mut self, flow: &FlowKey) {
         self.running.swap_remove(flow);
+        self.observer.forget(flow);
         self.remove_waiting(flow);
     }
 
     /// Removes all requests.
     pub fn clear(&mut self) {
         self.running.clear();
+        self.observer.clear();
         self.waiting.clear();
         self.octets = 0;
     }
@@ -249,6 +282,7 @@
             expired.map(|(flow, it)| (*flow, it.measured)).collect();
         for (flow, _) in &expired {
             self.running.swap_remove(flow);
+            self.observer.end(now, flow, RequestEnd::Overdue);
         }
         let abandoned = self.waiting.iter().filter(|(_, it)| now >= it.end);
         let abandoned: Vec<FlowKey> = abandoned.map(|(flow, _)| *flow).collect();
@@ -282,6 +316,7 @@
             measured: true,
         };
         self.running.insert(flow, running);
+        self.observer.admit(now, slots, flow, Some(waiting.class));
         Some(ReleasedRequest {
             flow,
             waited: now.since(waiting.since),
@@ -291,22 +326,34 @@
 
     /// Whether a further request may be admitted.
     fn has_room(&self, slots: u16) -> bool {
-        self.running.len() < usize::from(slots) + self.options.overcommit
+        self.running.len() < self.admission_limit(slots)
+    }
+
+    /// Number of requests that may be at the target at a time. The target would run a request beyond
+    /// a reduced concurrency limit at once, so there are none beyond it.
+    fn admission_limit(&self, slots: u16) -> usize {
+        let limit = self.observer.limit(slots);
+        if limit < slots {
+            return usize::from(limit);
+        }
+        usize::from(slots) + self.options.overcommit
     }
 
     /// Adds a request that is admitted on arrival.
-    fn start(&mut self, now: Timestamp, flow: FlowKey, work: Work, maybe_answered: bool) {
-        let lifetime = if maybe_answered {
+    fn start(&mut self, now: Timestamp, slots: u16, arrival: &Arrival<'_>) {
+        let lifetime = if arrival.maybe_answered {
             MAYBE_ANSWERED_LIFETIME
         } else {
-            work.timeout.min(MAX_RUNNING_TIME)
+            arrival.work.timeout.min(MAX_RUNNING_TIME)
         };
         let running = RunningRequest {
             since: now,
             end: now + lifetime,
-            measured: !maybe_answered,
+            measured: !arrival.maybe_answered,
         };
-        self.running.insert(flow, running);
+        self.running.insert(arrival.flow, running);
+        let class = running.measured.then_some(arrival.work.class);
+        self.observer.admit(now, slots, arrival.flow, class);
     }
 
     /// Selects the next request, or returns `None` if none is queued. Requests that can be answered
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -21,6 +21,8 @@
 
 use crate::flow::addr_services::AddrServices;
 use crate::flow::agents::Agents;
+use crate::flow::capacity::CapacityPolicy;
+use crate::flow::capacity::LogTime;
 pub use crate::flow::entry::actions::DropReason;
 pub use crate::flow::entry::actions::EntryAction;
 pub use crate::flow::entry::actions::Forwarding;
@@ -65,6 +67,8 @@
     pub apply_limit: Duration,
     /// Seed of the random draws among agents.
     pub seed: u64,
+    /// Whether and how far estimates of capacity affect the selection of agents.
+    pub capacity: CapacityPolicy,
 }
 
 /// `FlowState` is what an entry knows about a flow.
@@ -308,6 +312,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel::MAX,
                 best: None,
+                reference: LogTime::UNKNOWN,
             },
         }
     }
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -1,5 +1,6 @@
 //! Places new flows: forwards opening packets to one of the flow's candidates.
 
+use crate::flow::capacity;
 use crate::flow::entry::EntryAction;
 use crate::flow::entry::EntryFlows;
 use crate::flow::entry::FlowState;
@@ -8,7 +9,7 @@
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::Intent;
-use crate::flow::message::LoadLevel;
+use crate::flow::message::PlacementHint;
 use crate::flow::routes::Route;
 use crate::flow::routes::Work;
 use crate::flow::selection;
@@ -38,8 +39,7 @@
             Some(FlowState::Locating(_) | FlowState::Unrouted(_)) | None => Vec::new(),
         };
         let service = route.service(&flow);
-        let Some((selected, threshold)) = self.select(now, service, &flow, route.work, &tried)
-        else {
+        let Some((selected, hint)) = self.select(now, service, &flow, route.work, &tried) else {
             return EntryAction::Drop(DropReason::Unserved);
         };
         let agent = selected.agent;
@@ -49,12 +49,12 @@
         tried.push(agent);
         self.flows.insert(now, flow, FlowState::Opening { tried });
         let mut header = self.header(Intent::Open, service, route, selected.alternate);
-        header.placement_hint.threshold = threshold;
+        header.placement_hint = hint;
         EntryAction::Forward(vec![Forwarding { agent, header }])
     }
 
-    /// Selects one of the candidates of a new flow, and returns it with the maximum load at
-    /// which an agent accepts the flow at once. Agents in `tried` are considered only if
+    /// Selects one of the candidates of a new flow, and returns it with what the agents need
+    /// to decide whether to accept the flow. Agents in `tried` are considered only if
     /// there are no other ones. Returns `None` if the service has no known agent.
     fn select(
         &mut self,
@@ -63,12 +63,13 @@
         flow: &FlowKey,
         work: Work,
         tried: &[InstanceId],
-    ) -> Option<(Selection, LoadLevel)> {
+    ) -> Option<(Selection, PlacementHint)> {
         let domain = self.options.domain;
         let ids = self
             .agents
             .candidates(service, flow.hash(), work.class, domain);
-        let all = self.views.candidates(now, &self.agents, &ids, domain);
+        let mut all = self.views.candidates(now, &self.agents, &ids, domain);
+        let reference = capacity::compare(&mut all, work.class, self.options.capacity);
         let untried: Vec<Candidate> = all
             .iter()
             .filter(|it| !tried.contains(&it.id))
@@ -76,6 +77,11 @@
             .collect();
         let candidates = if untried.is_empty() { &all } else { &untried };
         let selected = selection::choose(candidates, work.class, &mut self.rng)?;
-        Some((selected, selection::threshold(&all, work.class)))
+        let hint = PlacementHint {
+            threshold: selection::threshold(&all, work.class),
+            best: None,
+            reference,
+        };
+        Some((selected, hint))
     }
 }
--- a/marigoldway-core/src/flow/entry/views.rs
+++ b/marigoldway-core/src/flow/entry/views.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::flow::agents::Agents;
+use crate::flow::capacity::Capacity;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
 use crate::flow::message::Load;
@@ -21,6 +22,10 @@
 /// flows, even if the agent reports that its target is serving.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time after a load report for which its estimate of the target's capacity is used. An agent's
+/// own estimate is neutral after about this time without requests.
+const CAPACITY_LIFETIME: Duration = Duration::from_secs(10);
+
 /// `AgentViews` holds what an entry knows about each agent.
 #[derive(Debug, Default)]
 pub(super) struct AgentViews {
@@ -31,6 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 struct AgentView {
     load: Load,
+    /// When the agent reported `load`.
+    reported_at: Timestamp,
     /// Number of new flows sent to the agent since it last reported `load`.
     sent: u32,
     /// When the first opening or directory packet was sent to the agent since it last
@@ -57,6 +64,7 @@
         let refused_at = view.refused_at.filter(|at| now.since(*at) < REFUSAL_PERIOD);
         *view = AgentView {
             refused_at,
+            reported_at: now,
             ..AgentView::new(load)
         };
     }
@@ -110,11 +118,16 @@
             let refused = view
                 .refused_at
                 .is_some_and(|at| now.since(at) < REFUSAL_PERIOD);
+            let mut load = view.load;
+            if now.since(view.reported_at) > CAPACITY_LIFETIME {
+                load.capacity = Capacity::default();
+            }
             Some(Candidate {
                 id: *id,
-                load: view.load,
+                load,
                 sent: view.sent,
                 same_domain: record.domain == domain,
+                slowness: 1.0,
                 suspect: refused || self.is_overdue(now, *id),
             })
         });
@@ -126,6 +139,7 @@
     fn new(load: Load) -> AgentView {
         AgentView {
             load,
+            reported_at: Timestamp::ZERO,
             sent: 0,
             awaiting_since: None,
             refused_at: None,
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::flow::capacity::Capacity;
+use crate::flow::capacity::LogTime;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::routes::Work;
@@ -63,6 +65,9 @@
     /// The least loaded agent, with its load, among those that forwarded the flow
     /// instead of accepting it. `None` if no agent has forwarded it.
     pub best: Option<(InstanceId, LoadLevel)>,
+    /// Mean service time with which the entry compared the candidates, and with which the agents
+    /// compare their own. All loads and the threshold of one flow rest on the same reference.
+    pub reference: LogTime,
 }
 
 /// `LoadLevel` is the load of an agent's target relative to its slots, in
@@ -116,6 +121,8 @@
     /// Remaining time of the slow start after the target's start; zero once it is
     /// over.
     pub slow_start: Duration,
+    /// Estimated capacity of the target.
+    pub capacity: Capacity,
 }
 
 /// `RefuseReason` tells why an agent refused a packet.
@@ -266,7 +273,7 @@
 
 impl Load {
     /// The load assumed for a target of which only the agent's record is known: no
-    /// requests, flows or failures, and no slow start.
+    /// requests, flows or failures, no slow start, and a neutral capacity.
     pub fn idle(state: TargetState, slots: u16) -> Load {
         Load {
             state,
@@ -277,6 +284,7 @@
             flows: 0,
             failing: 0,
             slow_start: Duration::ZERO,
+            capacity: Capacity::default(),
         }
     }
 }
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -17,6 +17,8 @@
 //!   ([`agents`]) are the first two of them.
 //! - Only the first few agents in that order may receive a flow, so every process can
 //!   compute which ones may hold it ([`candidates`]).
+//! - Agents estimate the capacity of their targets, and placement compares the estimates
+//!   ([`capacity`]).
 //! - An [`addr_services::AddrServices`] keeps which services an address had within the
 //!   lifetime of a flow. The directory agents of all of them are asked.
 //! - An [`agent::AgentFlows`] decides for an agent. It processes every packet to
@@ -30,6 +32,7 @@
 pub mod agent;
 pub mod agents;
 pub mod candidates;
+pub mod capacity;
 pub mod entry;
 pub mod key;
 pub mod message;
--- a/marigoldway-core/src/flow/selection.rs
+++ b/marigoldway-core/src/flow/selection.rs
@@ -8,11 +8,14 @@
 //! the lowest cost, if the entry's own failure domain has an agent.
 //!
 //! Loads are in running requests per slot, and a slot is capacity of a target for
-//! one running request. The load of a single flow is in running requests.
+//! one running request. The load of a single flow is in running requests. The load of a
+//! target that is slower or faster than the mean counts as its expected completion time
+//! ([`capacity`]).
 
 use rand::Rng;
 use rand::RngExt;
 
+use crate::flow::capacity;
 use crate::flow::message::Load;
 use crate::flow::message::LoadLevel;
 use crate::flow::message::TargetState;
@@ -63,12 +66,15 @@
     /// Whether an answer of the agent is overdue, or the agent recently refused a
     /// packet.
     pub suspect: bool,
+    /// Service time of the target relative to the mean of the candidates, as
+    /// [`capacity::compare`] sets it; 1 is neutral.
+    pub slowness: f64,
 }
 
 impl Candidate {
     /// Expected load per slot, plus the cost of crossing failure domains.
     pub fn cost(&self, class: WorkClass) -> f64 {
-        let mut cost = relative_load(&self.load, self.sent, class);
+        let mut cost = relative_load(&self.load, self.sent, class, self.slowness);
         if !self.same_domain {
             cost += match class {
                 WorkClass::Safe | WorkClass::Unsafe => REMOTE_LOAD,
@@ -88,9 +94,10 @@
     pub alternate: Option<InstanceId>,
 }
 
-/// The load per slot that a target reports, as it counts for a new flow of `class`.
-pub fn load_level(load: &Load, class: WorkClass) -> LoadLevel {
-    LoadLevel::from(relative_load(load, 0, class))
+/// The load per slot that a target reports, as it counts for a new flow of `class`, with the
+/// target's `slowness`.
+pub fn load_level(load: &Load, class: WorkClass, slowness: f64) -> LoadLevel {
+    LoadLevel::from(relative_load(load, 0, class, slowness))
 }
 
 /// Maximum load at which an agent accepts a new flow of `class` at once: the mean
@@ -98,21 +105,23 @@
 pub fn threshold(candidates: &[Candidate], class: WorkClass) -> LoadLevel {
     let serving = candidates.iter().filter(|it| rank(it) == 0);
     let (count, sum) = serving.fold((0_u32, 0.0), |(count, sum), it| {
-        (count + 1, sum + relative_load(&it.load, it.sent, class))
+        (
+            count + 1,
+            sum + relative_load(&it.load, it.sent, class, it.slowness),
+        )
     });
     LoadLevel::from(sum / f64::from(count.max(1)) + THRESHOLD_MARGIN)
 }
 
 /// The expected load per slot of a target to which the entry has sent `sent` new
-/// flows since the target's load was reported.
-fn relative_load(load: &Load, sent: u32, class: WorkClass) -> f64 {
+/// flows since the target's load was reported, weighted by the target's `slowness`.
+fn relative_load(load: &Load, sent: u32, class: WorkClass, slowness: f64) -> f64 {
     let flow_load = match class {
         WorkClass::Safe => FLOW_LOAD,
         WorkClass::Unsafe | WorkClass::Upload | WorkClass::Download => SHORT_FLOW_LOAD,
     };
-    let requests = f64::from(load.running) + f64::from(load.waiting) + f64::from(load.opening);
     let flows = f64::from(load.flows) * flow_load;
-    let mut expected = (requests + f64::from(sent) + flows) / f64::from(load.slots.max(1));
+    let mut expected = capacity::cost(capacity::load_per_slot(load, sent, flows), slowness);
     if !load.slow_start.is_zero() {
         expected *= SLOW_START_FACTOR;
     }
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -19,6 +19,7 @@
 use marigoldway_core::flow::agent::AgentAction;
 use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::agent::AgentOptions;
+use marigoldway_core::flow::capacity::CapacityPolicy;
 use marigoldway_core::flow::entry::EntryAction;
 use marigoldway_core::flow::entry::EntryFlows;
 use marigoldway_core::flow::entry::EntryOptions;
@@ -316,6 +317,7 @@
             idle_timeout: IDLE_TIMEOUT,
             apply_limit: APPLY_LIMIT,
             seed: self.rng.random(),
+            capacity: CapacityPolicy::default(),
         });
         entry.set_routes(self.now, self.routes.clone());
         entry.confirm_routes(self.now, self.now);
@@ -338,6 +340,7 @@
             idle_timeout: IDLE_TIMEOUT,
             started: self.now,
             started_at: self.now.as_micros() / 1_000,
+            capacity: CapacityPolicy::default(),
         });
         let previous = self
             .agents
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -7,6 +7,7 @@
 
 use proptest::prelude::*;
 
+use marigoldway_core::flow::capacity::LogTime;
 use marigoldway_core::flow::message::Header;
 use marigoldway_core::flow::message::Intent;
 use marigoldway_core::flow::message::LoadLevel;
@@ -109,6 +110,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel(threshold),
                 best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
+                reference: LogTime(threshold),
             },
         },
     )
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -9,6 +9,7 @@
 //! and decoded for each packet or each new flow. The first octet is the message type.
 
 mod layout;
+mod load;
 
 use std::net::SocketAddrV4;
 
--- a/marigoldway-net/src/wire/flows/layout.rs
+++ b/marigoldway-net/src/wire/flows/layout.rs
@@ -13,6 +13,7 @@
 use zerocopy::big_endian::U32;
 use zerocopy::big_endian::U64;
 
+use marigoldway_core::flow::capacity::LogTime;
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
@@ -24,12 +25,13 @@
 use marigoldway_core::flow::message::LoadLevel;
 use marigoldway_core::flow::message::PlacementHint;
 use marigoldway_core::flow::message::RefuseReason;
-use marigoldway_core::flow::message::TargetState;
 use marigoldway_core::flow::message::Verdict;
 use marigoldway_core::flow::routes::Work;
 use marigoldway_core::flow::routes::WorkClass;
 use marigoldway_core::ids::InstanceId;
 
+use crate::wire::flows::load::WireLoad;
+
 /// `InvalidValue` is the error for a received number that stands for no enum variant.
 pub(super) struct InvalidValue;
 
@@ -67,20 +69,8 @@
     /// Least loaded agent that forwarded the flow; port 0 means none.
     pub(super) best: WireAddr,
     pub(super) best_load: U16,
-}
-
-#[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
-#[repr(C)]
-pub(super) struct WireLoad {
-    pub(super) state: u8,
-    pub(super) slots: U16,
-    pub(super) running: U16,
-    pub(super) waiting: U16,
-    pub(super) opening: U16,
-    pub(super) flows: U32,
-    /// Percentage of the latest requests that failed, 0 to 100.
-    pub(super) failing: u8,
-    pub(super) slow_start_ms: U32,
+    /// Mean service time of the candidates, or 0 if it isn't known.
+    pub(super) reference: U16,
 }
 
 #[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -186,6 +176,7 @@
             threshold: header.placement_hint.threshold.0.into(),
             best: best.0.into(),
             best_load: best.1.0.into(),
+            reference: header.placement_hint.reference.0.into(),
         }
     }
 }
@@ -220,52 +211,12 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel(wire.threshold.get()),
                 best: (best.port() > 0).then_some((InstanceId(best), best_load)),
+                reference: LogTime(wire.reference.get()),
             },
         })
     }
 }
 
-impl From<&Load> for WireLoad {
-    fn from(load: &Load) -> WireLoad {
-        WireLoad {
-            state: match load.state {
-                TargetState::Serving => 0,
-                TargetState::Draining => 1,
-                TargetState::Absent => 2,
-            },
-            slots: load.slots.into(),
-            running: load.running.into(),
-            waiting: load.waiting.into(),
-            opening: load.opening.into(),
-            flows: load.flows.into(),
-            failing: load.failing,
-            slow_start_ms: millis(load.slow_start),
-        }
-    }
-}
-
-impl TryFrom<WireLoad> for Load {
-    type Error = InvalidValue;
-
-    fn try_from(wire: WireLoad) -> Result<Load, InvalidValue> {
-        Ok(Load {
-            state: match wire.state {
-                0 => TargetState::Serving,
-                1 => TargetState::Draining,
-                2 => TargetState::Absent,
-                _ => return Err(InvalidValue),
-            },
-            slots: wire.slots.get(),
-            running: wire.running.get(),
-            waiting: wire.waiting.get(),
-            opening: wire.opening.get(),
-            flows: wire.flows.get(),
-            failing: wire.failing,
-            slow_start: duration(wire.slow_start_ms),
-        })
-    }
-}
-
 impl From<&FlowReport> for WireFlowReport {
     fn from(report: &FlowReport) -> WireFlowReport {
         WireFlowReport {
@@ -376,10 +327,10 @@
 }
 
 /// Returns a duration in milliseconds. A longer one becomes [`u32::MAX`].
-fn millis(span: Duration) -> U32 {
+pub(super) fn millis(span: Duration) -> U32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX).into()
 }
 
-fn duration(millis: U32) -> Duration {
+pub(super) fn duration(millis: U32) -> Duration {
     Duration::from_millis(u64::from(millis.get()))
 }
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -7,6 +7,9 @@
 
 use proptest::prelude::*;
 
+use marigoldway_core::flow::capacity::Capacity;
+use marigoldway_core::flow::capacity::LogTime;
+use marigoldway_core::flow::capacity::ServiceTime;
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
@@ -75,9 +78,13 @@
     let rest = (any::<u8>(), any::<u64>(), any::<u64>(), any::<bool>());
     let others = (arb_id(), prop::option::of(arb_id()), arb_work());
     let best = prop::option::of((arb_id(), any::<u16>().prop_map(LoadLevel)));
-    let placement_hint = (any::<u16>().prop_map(LoadLevel), best);
-    let placement_hint =
-        placement_hint.prop_map(|(threshold, best)| PlacementHint { threshold, best });
+    let reference = any::<u16>().prop_map(LogTime);
+    let placement_hint = (any::<u16>().prop_map(LoadLevel), best, reference);
+    let placement_hint = placement_hint.prop_map(|(threshold, best, reference)| PlacementHint {
+        threshold,
+        best,
+        reference,
+    });
     (intent, rest, others, placement_hint).prop_map(
         |(intent, (hops, service, version, search), (entry, other, work), placement_hint)| Header {
             intent,
@@ -101,19 +108,31 @@
     ]
 }
 
+fn arb_capacity() -> impl Strategy<Value = Capacity> {
+    let time = (any::<u16>(), any::<u8>());
+    let times = prop::array::uniform3(time.prop_map(|(time, trust)| ServiceTime {
+        time: LogTime(time),
+        trust,
+    }));
+    (any::<u16>(), times).prop_map(|(limit, times)| Capacity { limit, times })
+}
+
 fn arb_load() -> impl Strategy<Value = Load> {
     let counts = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u16>());
     let rest = (any::<u32>(), any::<u8>());
-    (arb_state(), counts, rest, arb_millis()).prop_map(
-        |(state, (slots, running, waiting, opening), (flows, failing), slow_start)| Load {
-            state,
-            slots,
-            running,
-            waiting,
-            opening,
-            flows,
-            failing,
-            slow_start,
+    (arb_state(), counts, rest, arb_millis(), arb_capacity()).prop_map(
+        |(state, (slots, running, waiting, opening), (flows, failing), slow_start, capacity)| {
+            Load {
+                state,
+                slots,
+                running,
+                waiting,
+                opening,
+                flows,
+                failing,
+                slow_start,
+                capacity,
+            }
         },
     )
 }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -5,6 +5,7 @@
 //! to entries and to each other. A flow has two directory agents, or one in a service of a
 //! single agent. They are selected by a hash of the flow and keep which agent holds it.
 
+mod capacity;
 mod execute;
 mod listing;
 mod log_actions;
@@ -39,6 +40,7 @@
 use marigoldway_platform::config;
 
 use crate::errors::Result;
+use crate::packets::agent::capacity::CapacityLog;
 use crate::packets::feed;
 use crate::packets::feed::Feed;
 use crate::packets::node;
@@ -139,6 +141,7 @@
         idle_timeout: settings.shared.lifetime,
         started: node.clock.now(),
         started_at: unix_millis(),
+        capacity: settings.shared.capacity,
     };
     let agent = Rc::new(Agent {
         outbound: node::bind(settings.outbound)?,
@@ -228,6 +231,7 @@
     let mut interval = time::interval(node::TICK);
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut number = 0;
+    let mut log = CapacityLog::default();
     loop {
         node::record_tick_delay(&agent.node, interval.tick().await);
         let now = agent.node.clock.now();
@@ -240,6 +244,7 @@
         if agent.due_addrs().is_some() {
             agent.record_dirty.notify_one();
         }
+        agent.publish_capacity(now, &mut log);
         let record = agent.record();
         if number != record.number {
             number = record.number;
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -90,6 +90,7 @@
         idle_timeout: settings.lifetime,
         apply_limit: settings.apply_limit,
         seed: rand::random(),
+        capacity: settings.capacity,
     };
     let entry = Rc::new(Entry {
         clients: node::bind(settings.listen)?,
--- a/marigoldway/src/settings/flows.rs
+++ b/marigoldway/src/settings/flows.rs
@@ -6,6 +6,8 @@
 
 use log::LevelFilter;
 
+use marigoldway_core::flow::capacity::CapacityPolicy;
+use marigoldway_core::flow::capacity::DEFAULT_FLOOR;
 use marigoldway_core::ids::InstanceId;
 
 use crate::settings::document::Document;
@@ -23,6 +25,10 @@
 /// Default of `apply-limit`.
 pub const DEFAULT_APPLY_LIMIT: Duration = Duration::from_secs(3);
 
+/// Minimum value of `capacity-floor`. A lower one would let an estimate keep a target from nearly all
+/// requests.
+const MIN_CAPACITY_FLOOR: f64 = 0.05;
+
 /// Maximum value of `memory-mb`, in megabytes.
 const MAX_MEMORY_MB: u32 = 1 << 20;
 
@@ -59,6 +65,9 @@
     /// [`DEFAULT_APPLY_LIMIT`] by default. It determines how old the confirmation of what a process
     /// has read may be.
     pub apply_limit: Duration,
+    /// Whether estimates of the targets' capacity affect decisions, and the lowest capacity assumed of
+    /// a target; [`CapacityPolicy::default`] by default.
+    pub capacity: CapacityPolicy,
     /// Memory of the process in megabytes. It determines the maximum number of flows.
     pub memory: u32,
     /// Log level, [`DEFAULT_LEVEL`] by default.
@@ -141,6 +150,8 @@
         let lifetime = section.required("lifetime", values::duration);
         let grace = section.required("grace", values::duration);
         let apply_limit = section.optional("apply-limit", values::duration);
+        let adaptive = section.optional("capacity", capacity_mode);
+        let floor = section.optional("capacity-floor", capacity_floor);
         let memory = section.required("memory-mb", |text| values::number(text, 1..=MAX_MEMORY_MB));
         let log_level = section.optional("log-level", values::level);
 
@@ -157,6 +168,10 @@
             lifetime: lifetime?,
             grace: grace?,
             apply_limit: apply_limit?.unwrap_or(DEFAULT_APPLY_LIMIT),
+            capacity: CapacityPolicy {
+                adaptive: adaptive?.unwrap_or(true),
+                floor: floor?.unwrap_or(DEFAULT_FLOOR),
+            },
             memory: memory?,
             log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
             platform: platform?,
@@ -164,6 +179,23 @@
     }
 }
 
+/// Parses the value of `capacity`: whether estimates affect decisions.
+fn capacity_mode(text: &str) -> Result<bool, Expected> {
+    match text {
+        "adaptive" => Ok(true),
+        "fixed" => Ok(false),
+        _ => Err(Expected::new("adaptive or fixed")),
+    }
+}
+
+/// Parses the value of `capacity-floor`, a fraction.
+fn capacity_floor(text: &str) -> Result<f64, Expected> {
+    let fraction = text.parse().ok();
+    fraction
+        .filter(|it| (MIN_CAPACITY_FLOOR..=1.0).contains(it))
+        .ok_or_else(|| Expected::new(format!("a number from {MIN_CAPACITY_FLOOR} to 1")))
+}
+
 /// Parses a comma-separated list of addresses, which may be empty.
 fn addresses(text: &str) -> Result<Vec<SocketAddrV4>, Expected> {
     if text.trim().is_empty() {
