Limit concurrency only on a significant loss of throughput

Change: throughputs are compared over up to 40 requests, and a loss has to exceed 1.5 standard errors. The dead band is 0.3 instead of 0.25: 1% instead of 2% of the samples of uniform targets lie beyond it. The floor is a whole number of per cent, so that the settings stay comparable.

--- a/marigoldway-core/src/flow/capacity.rs
+++ b/marigoldway-core/src/flow/capacity.rs
@@ -22,13 +22,13 @@
 /// most of their time in transit.
 pub const CLASSES: usize = 3;
 
-/// Default of [`CapacityPolicy::floor`].
-pub const DEFAULT_FLOOR: f64 = 0.25;
+/// Default of [`CapacityPolicy::floor`], in per cent.
+pub const DEFAULT_FLOOR: u8 = 25;
 
 /// Difference of the logarithms of two service times that counts as none. The estimate of a target
 /// has a standard deviation of 0.12 with log-normal service times of spread 0.5 and 3% of requests
-/// that take 7 times as long, so a difference within two standard deviations may be noise.
-const DEAD_BAND: f64 = 0.25;
+/// that take 7 times as long, so a difference within 2.5 standard deviations may be noise.
+const DEAD_BAND: f64 = 0.3;
 
 /// Number of units of a [`LogTime`] in one factor of e.
 const UNITS: f64 = 1_000.0;
@@ -37,21 +37,26 @@
 pub const FULL_TRUST: u8 = 100;
 
 /// `CapacityPolicy` sets whether and how far estimates affect decisions.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CapacityPolicy {
     /// Whether targets are compared by their estimates. Otherwise, only the stated slots count.
     pub adaptive: bool,
-    /// Minimum capacity per slot assumed of a target, relative to the mean of the candidates, above
-    /// 0 and at most 1. Its inverse bounds the capacity of a fast target.
-    pub floor: f64,
+    /// Minimum capacity per slot assumed of a target, in per cent of the mean of the candidates, 1 to
+    /// 100. Its inverse bounds the capacity of a fast target.
+    pub floor: u8,
 }
 
 impl CapacityPolicy {
     /// The policy that ignores estimates.
     pub const FIXED: CapacityPolicy = CapacityPolicy {
         adaptive: false,
-        floor: 1.0,
+        floor: 100,
     };
+
+    /// Maximum service time assumed of a target, relative to the mean of the candidates.
+    pub fn max_slowness(self) -> f64 {
+        100.0 / f64::from(self.floor.clamp(1, 100))
+    }
 }
 
 impl Default for CapacityPolicy {
@@ -199,7 +204,7 @@
     if size == 0.0 {
         return 1.0;
     }
-    let limit = -policy.floor.ln();
+    let limit = policy.max_slowness().ln();
     size.min(limit).copysign(difference).exp()
 }
 
--- a/marigoldway-core/src/flow/capacity/estimator.rs
+++ b/marigoldway-core/src/flow/capacity/estimator.rs
@@ -34,17 +34,26 @@
 /// deviations of a log-normal distribution of spread 0.5.
 const MAX_RESIDUAL: f64 = 1.0;
 
-/// Time in which the evidence for a throughput halves. It is short, so that throughputs from before
-/// and after a change of the target's speed aren't compared.
-const THROUGHPUT_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Maximum number of requests of which a throughput is the mean.
+const MAX_THROUGHPUT_EVIDENCE: f64 = 40.0;
+
+/// Time in which the evidence for a throughput halves while no request ends.
+const THROUGHPUT_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Minimum evidence for both throughputs that are compared.
-const MIN_THROUGHPUT_EVIDENCE: f64 = 4.0;
+const MIN_THROUGHPUT_EVIDENCE: f64 = 8.0;
 
-/// Loss of throughput, in logarithms, from which on concurrency is reduced. A target whose service
-/// times don't depend on concurrency gains at least 0.29 if it has at most 4 slots.
+/// Loss of throughput, in logarithms, from which on concurrency is reduced, apart from the error of
+/// the comparison. A target whose service times don't depend on concurrency gains 0.4 or more.
 const THROUGHPUT_LOSS: f64 = 0.05;
 
+/// Standard deviation assumed of the logarithm of a service time, outliers included.
+const DEVIATION: f64 = 0.6;
+
+/// Number of standard errors by which a loss has to exceed `THROUGHPUT_LOSS`. With fewer, and with a
+/// minimum evidence of 4, uniform targets at 0.95 of their capacity were limited by mistake.
+const CERTAINTY: f64 = 1.5;
+
 /// Time after the last observed loss of throughput for which concurrency stays reduced.
 const REDUCED_PERIOD: Duration = Duration::from_secs(4);
 
@@ -93,7 +102,7 @@
             return;
         }
         let residual = log_time - estimate.mean;
-        estimate.record(now, log_time, EVIDENCE_HALF_LIFE);
+        estimate.record(now, log_time, EVIDENCE_HALF_LIFE, MAX_EVIDENCE);
         if is_known && !observed.censored {
             self.record_throughput(now, slots, observed.concurrency, residual);
         }
@@ -104,20 +113,29 @@
     fn record_throughput(&mut self, now: Timestamp, slots: u16, concurrency: u16, residual: f64) {
         let half = min_limit(slots);
         if concurrency == half {
-            self.half_used.record(now, residual, THROUGHPUT_HALF_LIFE);
+            self.half_used.record_throughput(now, residual);
         } else if concurrency > half {
             let gain = (f64::from(concurrency.min(slots)) / f64::from(half)).ln();
             let loss = residual - gain;
-            self.more_used.record(now, loss, THROUGHPUT_HALF_LIFE);
+            self.more_used.record_throughput(now, loss);
         }
-        let is_known =
-            |it: &Estimate| it.evidence_at(now, THROUGHPUT_HALF_LIFE) >= MIN_THROUGHPUT_EVIDENCE;
-        let loses = self.more_used.mean - self.half_used.mean >= THROUGHPUT_LOSS;
-        if is_known(&self.half_used) && is_known(&self.more_used) && loses {
+        if self.loses_throughput(now) {
             self.reduced_until = now + REDUCED_PERIOD;
         }
     }
 
+    /// Whether the target completes fewer requests with more than half of its slots in use.
+    fn loses_throughput(&self, now: Timestamp) -> bool {
+        let evidence = |it: &Estimate| it.evidence_at(now, THROUGHPUT_HALF_LIFE);
+        let (half, more) = (evidence(&self.half_used), evidence(&self.more_used));
+        if half.min(more) < MIN_THROUGHPUT_EVIDENCE {
+            return false;
+        }
+        let error = DEVIATION * (half.recip() + more.recip()).sqrt();
+        let loss = self.more_used.mean - self.half_used.mean;
+        loss >= THROUGHPUT_LOSS + CERTAINTY * error
+    }
+
     /// Moves the concurrency limit by at most 1: down while concurrency is to be reduced, and up
     /// otherwise.
     pub fn update_limit(&mut self, now: Timestamp, slots: u16) {
@@ -171,9 +189,13 @@
 }
 
 impl Estimate {
-    fn record(&mut self, now: Timestamp, value: f64, half_life: Duration) {
+    fn record_throughput(&mut self, now: Timestamp, value: f64) {
+        self.record(now, value, THROUGHPUT_HALF_LIFE, MAX_THROUGHPUT_EVIDENCE);
+    }
+
+    fn record(&mut self, now: Timestamp, value: f64, half_life: Duration, max_evidence: f64) {
         let known = self.evidence_at(now, half_life);
-        self.evidence = (known + 1.0).min(MAX_EVIDENCE);
+        self.evidence = (known + 1.0).min(max_evidence);
         self.updated = now;
         let mut residual = value - self.mean;
         if known >= 1.0 {
--- a/marigoldway/src/settings/flows.rs
+++ b/marigoldway/src/settings/flows.rs
@@ -188,11 +188,12 @@
     }
 }
 
-/// Parses the value of `capacity-floor`, a fraction.
-fn capacity_floor(text: &str) -> Result<f64, Expected> {
-    let fraction = text.parse().ok();
+/// Parses the value of `capacity-floor`, a fraction, and returns it in per cent.
+fn capacity_floor(text: &str) -> Result<u8, Expected> {
+    let fraction: Option<f64> = text.parse().ok();
     fraction
         .filter(|it| (MIN_CAPACITY_FLOOR..=1.0).contains(it))
+        .map(|it| (it * 100.0).round() as u8)
         .ok_or_else(|| Expected::new(format!("a number from {MIN_CAPACITY_FLOOR} to 1")))
 }
 
