--- a/marigoldway-core/src/flow/capacity.rs
+++ b/marigoldway-core/src/flow/capacity.rs
@@ -204,8 +204,10 @@
     if size == 0.0 {
         return 1.0;
     }
-    let limit = policy.max_slowness().ln();
-    size.min(limit).copysign(difference).exp()
+    let limit = policy.max_slowness();
+    // The bounds are applied after the exponential, which saves a logarithm for each candidate.
+    let slowness = size.copysign(difference).exp();
+    slowness.clamp(limit.recip(), limit)
 }
 
 /// The part of a difference that counts: none within the dead band, all of it from twice the band
--- a/marigoldway/tests/settings.rs
+++ b/marigoldway/tests/settings.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
+use marigoldway_core::flow::capacity::CapacityPolicy;
 use marigoldway_core::ids::DomainId;
 use marigoldway_core::ids::Incarnation;
 use marigoldway_core::ids::InstanceId;
@@ -28,6 +29,7 @@
 use marigoldway::settings::Document;
 use marigoldway::settings::EntrySettings;
 use marigoldway::settings::FleetKeys;
+use marigoldway::settings::FlowSettings;
 use marigoldway::settings::KeySource;
 use samples::AGENT;
 use samples::ENTRY;
@@ -85,6 +87,36 @@
     assert_eq!(settings.tls.certificate, scratch.path("certificate.pem"));
 }
 
+/// Settings of an entry that forwards packets, with further lines of `[flows]`.
+fn flow_settings(lines: &str) -> String {
+    format!(
+        "[flows]\nname = a-1\ndomain = d\ndata = 127.0.0.1:7000\nlisten = 127.0.0.1:7001\n\
+         ready = 127.0.0.1:7002\nheartbeat = 1s\nlifetime = 60s\ngrace = 1s\nmemory-mb = 16\n\
+         {lines}[platform]\naddress = 127.0.0.1:7003\n"
+    )
+}
+
+// Guards against settings of the capacity estimate that are ignored, or taken outside of their
+// range.
+#[test]
+fn flow_settings_accept_capacity_policies() {
+    let scratch = Scratch::new("capacity");
+    let load = |lines: &str| FlowSettings::load(&write_settings(&scratch, &flow_settings(lines)));
+    let policy = |lines: &str| load(lines).expect("settings").capacity;
+    assert_eq!(policy(""), CapacityPolicy::default());
+    let fixed = policy("capacity = fixed\ncapacity-floor = 0.5\n");
+    assert_eq!((fixed.adaptive, fixed.floor), (false, 50));
+    assert!(policy("capacity = adaptive\n").adaptive);
+    for lines in [
+        "capacity = auto\n",
+        "capacity-floor = 0\n",
+        "capacity-floor = 1.5\n",
+        "capacity-floor = NaN\n",
+    ] {
+        assert!(load(lines).is_err(), "{lines}");
+    }
+}
+
 #[test]
 fn entry_reports_every_error() {
     let scratch = Scratch::new("faults");
