--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -54,24 +54,35 @@
             self.report(now, entry, flow, Verdict::Holds, actions);
         }
         if answered {
-            let failed = match segment.answer {
-                Some(answer) => answer == Answer::Failed,
-                // The flow ends without an answer.
-                None => segment.len == 0,
-            };
-            let end = if failed {
-                RequestEnd::Discarded
-            } else {
-                RequestEnd::Answered
-            };
-            if let Some(took) = self.slot_queue.end(now, &flow, end) {
-                self.health.record_request(now, failed);
-                actions.push(AgentAction::Answered(flow, took));
-            }
+            self.end_request(now, &flow, segment, actions);
             self.release(now, actions);
         }
     }
 
+    /// Ends the running request of a flow, if there is one, which the target has answered.
+    fn end_request(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        segment: &Segment,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let failed = match segment.answer {
+            Some(answer) => answer == Answer::Failed,
+            // The flow ends without an answer.
+            None => segment.len == 0,
+        };
+        let end = if failed {
+            RequestEnd::Discarded
+        } else {
+            RequestEnd::Answered
+        };
+        if let Some(took) = self.slot_queue.end(now, flow, end) {
+            self.health.record_request(now, failed);
+            actions.push(AgentAction::Answered(*flow, took));
+        }
+    }
+
     /// Handles a reset by the target. If no process listens at the target's address, the
     /// instance itself sends the reset, also for flows that other targets hold. The reset therefore
     /// goes to the client only if the target has answered the flow, or if the flow is unknown here
--- a/marigoldway-core/tests/capacity/sim.rs
+++ b/marigoldway-core/tests/capacity/sim.rs
@@ -173,7 +173,8 @@
             self.release(n);
             // The reports of different targets are of different age.
             let phase = Duration::from_millis(100 * (n as u64 % 10));
-            if (self.now + phase).as_micros() % REPORT_AGE.as_micros() as u64 == 0 {
+            let micros = (self.now + phase).as_micros();
+            if micros.is_multiple_of(REPORT_AGE.as_micros() as u64) {
                 self.targets[n].report(self.now);
             }
         }
@@ -228,22 +229,25 @@
         (self.targets[n].speed(self.now).ln() - true_mean).exp()
     }
 
+    /// What an entry knows of the candidates of a flow.
+    fn candidates(&self, ids: &[usize]) -> Vec<Candidate> {
+        let known = ids.iter().map(|n| Candidate {
+            id: agent_id(*n),
+            load: self.targets[*n].reported,
+            sent: 0,
+            same_domain: true,
+            suspect: false,
+            slowness: 1.0,
+        });
+        known.collect()
+    }
+
     /// Selects a target as an entry and the agents do.
     fn place(&mut self, ids: &[usize], class: WorkClass) -> usize {
         if self.policy == Policy::Equal {
             return ids[self.rng.random_range(0..ids.len())];
         }
-        let mut candidates: Vec<Candidate> = ids
-            .iter()
-            .map(|n| Candidate {
-                id: agent_id(*n),
-                load: self.targets[*n].reported,
-                sent: 0,
-                same_domain: true,
-                suspect: false,
-                slowness: 1.0,
-            })
-            .collect();
+        let mut candidates = self.candidates(ids);
         let options = match self.policy {
             Policy::Adaptive => CapacityPolicy::default(),
             _ => CapacityPolicy::FIXED,
--- a/marigoldway-core/tests/capacity/target.rs
+++ b/marigoldway-core/tests/capacity/target.rs
@@ -114,7 +114,7 @@
             return 1.0;
         };
         let in_period = it.from <= at && at < it.to;
-        let in_second = !it.flapping || at.as_secs() % 2 == 0;
+        let in_second = !it.flapping || at.as_secs().is_multiple_of(2);
         if in_period && in_second && (!it.beyond_half || beyond_half) {
             it.factor
         } else {
--- a/marigoldway-core/tests/flow/load.rs
+++ b/marigoldway-core/tests/flow/load.rs
@@ -2,11 +2,24 @@
 
 use std::time::Duration;
 
+use marigoldway_core::flow::agent::AgentAction;
+use marigoldway_core::flow::capacity::LogTime;
+use marigoldway_core::flow::message::Header;
+use marigoldway_core::flow::message::Intent;
+use marigoldway_core::flow::message::LoadLevel;
+use marigoldway_core::flow::message::PlacementHint;
+use marigoldway_core::flow::segment::Answer;
+use marigoldway_core::flow::segment::Flags;
+use marigoldway_core::flow::segment::Segment;
+
 use crate::fleet::Fleet;
 use crate::fleet::Mode;
 use crate::fleet::agent_id;
 use crate::fleet::data;
 use crate::fleet::flow;
+use crate::fleet::routes;
+use crate::fleet::server;
+use crate::fleet::service;
 use crate::fleet::syn;
 
 /// Numbers of six agents, and the service of their targets.
@@ -125,3 +138,83 @@
     }
     assert!(has_work(&fleet));
 }
+
+/// Header of a packet for agent 1, with a placement hint.
+fn header(intent: Intent, threshold: LoadLevel, reference: LogTime) -> Header {
+    Header {
+        intent,
+        hops: 0,
+        service: service("orders"),
+        version: 1,
+        entry: agent_id(99),
+        other: Some(agent_id(2)),
+        search: false,
+        work: routes(1, &[(443, "orders")]).by_addr[&server(443)].work,
+        placement_hint: PlacementHint {
+            threshold,
+            best: None,
+            reference,
+        },
+    }
+}
+
+/// Opens flow `n` at agent 1 with one request, which the target answers after `took`.
+fn serve(fleet: &mut Fleet, n: u16, took: Duration) {
+    let key = flow(n, 443);
+    let mut actions = Vec::new();
+    let owned = header(Intent::Owned, LoadLevel::MAX, LogTime::UNKNOWN);
+    let open = Header {
+        intent: Intent::Open,
+        ..owned
+    };
+    let mut reply = Segment {
+        source: key.server,
+        dest: key.client,
+        flags: Flags {
+            syn: true,
+            ..Flags::default()
+        },
+        seq: 500,
+        ack: 8,
+        len: 0,
+        answer: None,
+    };
+    let agent = &mut fleet.agents.get_mut(&agent_id(1)).unwrap().flows;
+    agent.on_client(fleet.now, &open, &syn(key, 0), b"syn", &mut actions);
+    agent.on_target(fleet.now, &reply, &mut actions);
+    let request = data(key, 500, 100);
+    agent.on_client(fleet.now, &owned, &request, b"data", &mut actions);
+    fleet.now = fleet.now + took;
+    (reply.flags.syn, reply.seq, reply.len) = (false, 501, 100);
+    reply.answer = Some(Answer::Served);
+    agent.on_target(fleet.now, &reply, &mut actions);
+}
+
+// Guards against an agent that compares its target with another reference than the entry did, and
+// so forwards flows that the entry counted as within the threshold, or accepts all of them.
+#[test]
+fn open_at_a_slow_target_goes_by_the_reference_in_the_header() {
+    let mut fleet = Fleet::new(41, 1, &[(1, "orders"), (2, "orders")]);
+    for n in 0..10 {
+        serve(&mut fleet, 1_000 + n, Duration::from_millis(80));
+    }
+    let micros = |ms: f64| LogTime::from((ms * 1_000.0).ln());
+    let references = [
+        (LogTime::UNKNOWN, true),
+        (micros(80.0), true),
+        (micros(20.0), false),
+    ];
+    for (n, (reference, accepts)) in references.into_iter().enumerate() {
+        let hint = header(Intent::Open, LoadLevel(50), reference);
+        let packet = syn(flow(2_000 + n as u16, 443), 0);
+        let mut actions = Vec::new();
+        let agent = &mut fleet.agents.get_mut(&agent_id(1)).unwrap().flows;
+        agent.on_client(fleet.now, &hint, &packet, b"syn", &mut actions);
+        assert_eq!(actions.contains(&AgentAction::ToTarget), accepts, "{n}");
+        let passed = |it: &AgentAction| {
+            matches!(it, AgentAction::ToAgents(ids, onward)
+                if *ids == [agent_id(2)] && onward.placement_hint.reference == reference)
+        };
+        assert_eq!(actions.iter().any(passed), !accepts, "{n}");
+    }
+}
