--- a/marigoldway-core/src/flow/agent/slow_start.rs
+++ b/marigoldway-core/src/flow/agent/slow_start.rs
@@ -21,10 +21,8 @@
 use crate::flow::message::PlacementHint;
 use crate::flow::message::RefuseReason;
 use crate::flow::message::Verdict;
-use crate::flow::routes::WorkClass;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
-use crate::flow::selection;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
@@ -101,8 +99,8 @@
 
     /// The load that a new flow finds here. While the ramp is exceeded, it includes the wait, so that
     /// a packet isn't sent to the agent as the least loaded one.
-    pub(super) fn offered_level(&self, now: Timestamp, class: WorkClass) -> LoadLevel {
-        let level = selection::load_level(&self.load(now), class);
+    pub(super) fn offered_level(&self, now: Timestamp, header: &Header) -> LoadLevel {
+        let level = self.load_level(now, header);
         let wait = self.ready_at(now, self.opening_queue.len()).since(now);
         if wait.is_zero() {
             return level;
@@ -120,12 +118,14 @@
         header: &Header,
         flow: &FlowKey,
     ) -> Option<(InstanceId, Header)> {
-        let PlacementHint { threshold, best } = header.placement_hint;
+        let PlacementHint {
+            threshold, best, ..
+        } = header.placement_hint;
         // An entry sends the maximum threshold itself for a flow that it takes for known here.
         if threshold == LoadLevel::MAX && header.hops > 0 {
             return None;
         }
-        let own = (self.options.own, self.offered_level(now, header.work.class));
+        let own = (self.options.own, self.offered_level(now, header));
         let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
         let mut onward = Header {
             hops: header.hops.saturating_add(1),
@@ -265,6 +265,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel::MAX,
                 best: None,
+                ..header.placement_hint
             },
             waited: waited(now, opening),
             ..*header
--- a/marigoldway-core/tests/flow/drains.rs
+++ b/marigoldway-core/tests/flow/drains.rs
@@ -107,6 +107,7 @@
         placement_hint: PlacementHint {
             threshold: LoadLevel(0),
             best: best.map(|id| (id, LoadLevel(0))),
+            ..PlacementHint::default()
         },
         ramp: None,
         waited: Duration::ZERO,
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -2,11 +2,8 @@
 //! start, stop and restart.
 
 mod candidates;
-<<<<<<< HEAD
 mod demands;
-=======
 mod drained_flows;
->>>>>>> drains
 mod drained_sets;
 mod drains;
 mod early;
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -8,6 +8,7 @@
 
 use proptest::prelude::*;
 
+use marigoldway_core::flow::capacity::LogTime;
 use marigoldway_core::flow::message::Header;
 use marigoldway_core::flow::message::Intent;
 use marigoldway_core::flow::message::LoadLevel;
@@ -112,6 +113,7 @@
                 placement_hint: PlacementHint {
                     threshold: LoadLevel(threshold),
                     best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
+                    reference: LogTime(threshold),
                 },
                 ramp: NonZeroU32::new(ramp),
                 waited: Duration::from_millis(u64::from(waited)),
--- a/marigoldway-net/src/wire/flows/layout/header.rs
+++ b/marigoldway-net/src/wire/flows/layout/header.rs
@@ -13,6 +13,7 @@
 use zerocopy::big_endian::U32;
 use zerocopy::big_endian::U64;
 
+use marigoldway_core::flow::capacity::LogTime;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::Header;
 use marigoldway_core::flow::message::Intent;
@@ -48,6 +49,8 @@
     /// Least loaded agent that forwarded the flow; port 0 means none.
     pub(in crate::wire::flows) best: WireAddr,
     pub(in crate::wire::flows) best_load: U16,
+    /// Mean service time of the candidates, or 0 if it isn't known.
+    pub(in crate::wire::flows) reference: U16,
     /// Rate limit of a target in slow start; 0 means none.
     pub(in crate::wire::flows) ramp: U32,
     pub(in crate::wire::flows) waited_ms: U32,
@@ -78,6 +81,7 @@
             threshold: header.placement_hint.threshold.0.into(),
             best: best.0.into(),
             best_load: best.1.0.into(),
+            reference: header.placement_hint.reference.0.into(),
             ramp: header.ramp.map_or(0, NonZeroU32::get).into(),
             waited_ms: millis(header.waited),
         }
@@ -114,6 +118,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel(wire.threshold.get()),
                 best: (best.port() > 0).then_some((InstanceId(best), best_load)),
+                reference: LogTime(wire.reference.get()),
             },
             ramp: NonZeroU32::new(wire.ramp.get()),
             waited: duration(wire.waited_ms),
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -5,6 +5,7 @@
 //! to entries and to each other. A flow has two directory agents, or one in a service of a
 //! single agent. They are selected by a hash of the flow and keep which agent holds it.
 
+mod capacity;
 mod drains;
 mod execute;
 mod listing;
@@ -42,6 +43,7 @@
 use marigoldway_platform::drains::OPERATORS_PREFIX;
 
 use crate::errors::Result;
+use crate::packets::agent::capacity::CapacityLog;
 use crate::packets::agent::drains::DrainAsker;
 use crate::packets::feed;
 use crate::packets::feed::Feed;
@@ -150,6 +152,7 @@
         idle_timeout: settings.shared.lifetime,
         started: node.clock.now(),
         started_at: unix_millis(),
+        capacity: settings.shared.capacity,
     };
     let agent = Rc::new(Agent {
         outbound: node::bind(settings.outbound)?,
@@ -249,6 +252,7 @@
     let mut interval = time::interval(node::TICK);
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut number = 0;
+    let mut log = CapacityLog::default();
     loop {
         node::record_tick_delay(&agent.node, interval.tick().await);
         let now = agent.node.clock.now();
@@ -261,6 +265,7 @@
         if agent.due_addrs().is_some() {
             agent.record_dirty.notify_one();
         }
+        agent.publish_capacity(now, &mut log);
         let record = agent.record();
         if number != record.number {
             number = record.number;
