Break the cyclic dependency of node, feed, replicate and agent_records

Node held the replicas and the log of unreadable values, whose modules used Node. Demand, Replicas and UnreadableKeys have modules of their own now, which know neither Node nor a feed. The behaviour is the same. The modules agent and registrar still use each other.

The tests of held demands move with Replicas.

--- a/marigoldway/src/packets/agent_records.rs
+++ b/marigoldway/src/packets/agent_records.rs
@@ -6,8 +6,6 @@
 
 use std::net::SocketAddrV4;
 
-use indexmap::IndexMap;
-
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_net::platform::KeyValue;
@@ -15,9 +13,6 @@
 
 use crate::packets::node::Node;
 
-/// Maximum number of unreadable keys that are remembered.
-const MAX_UNREADABLE: usize = 64;
-
 /// Maximum number of characters of an error in a log line. The error may quote the value.
 const MAX_ERROR_LEN: usize = 200;
 
@@ -83,29 +78,6 @@
     log::warn!("event=record-unreadable key={key:?} revision={revision} error={error:?}");
 }
 
-/// `UnreadableKeys` tells which unreadable values were logged before. Lists are read again and
-/// again, and other programs may leave values among the records.
-#[derive(Debug, Default)]
-pub(crate) struct UnreadableKeys {
-    /// Revision at which each key was last logged.
-    logged: IndexMap<String, u64>,
-}
-
-impl UnreadableKeys {
-    /// Whether the value wasn't logged before at its revision. Forgets the key that was added
-    /// first if [`MAX_UNREADABLE`] are known.
-    fn is_new(&mut self, stored: &KeyValue) -> bool {
-        if self.logged.get(&stored.key) == Some(&stored.revision) {
-            return false;
-        }
-        if self.logged.len() >= MAX_UNREADABLE && !self.logged.contains_key(&stored.key) {
-            self.logged.shift_remove_index(0);
-        }
-        self.logged.insert(stored.key.clone(), stored.revision);
-        true
-    }
-}
-
 /// Decodes the records of a list, without the values that [`decode`] rejects.
 pub(crate) fn decode_all(node: &Node, list: &[KeyValue]) -> Vec<AgentRecord> {
     list.iter()
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -36,9 +36,9 @@
 use marigoldway_platform::packet;
 
 use crate::errors::Result;
+use crate::packets::demand::Demand;
 use crate::packets::drains;
 use crate::packets::feed;
-use crate::packets::feed::Demand;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::peers;
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -17,9 +17,9 @@
 use marigoldway_platform::config;
 
 use crate::packets::agent_records;
+use crate::packets::demand::Demand;
 use crate::packets::drains;
 use crate::packets::entry::Entry;
-use crate::packets::feed::Demand;
 use crate::packets::feed::Feed;
 use crate::packets::peers;
 use crate::packets::store::StoreEvent;
--- a/marigoldway/src/packets/feed.rs
+++ b/marigoldway/src/packets/feed.rs
@@ -5,13 +5,11 @@
 //! Which source is read, when, and what an answer is worth, is decided by
 //! `marigoldway_core::replica`.
 
-use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::sync::Notify;
 use tokio::time;
 use tokio::time::error::Elapsed;
 
@@ -38,6 +36,7 @@
 use marigoldway_platform::store::Changes;
 use marigoldway_platform::store::KvStore;
 
+use crate::packets::demand::Demand;
 use crate::packets::node::Node;
 use crate::packets::peers;
 use crate::packets::store;
@@ -52,35 +51,6 @@
 /// that lose the same follower don't all ask the next one at the same moment.
 const MAX_FAILURE_WAIT: Duration = Duration::from_millis(300);
 
-/// `Demand` tells a feed that a decision needs a confirmation.
-#[derive(Debug, Default)]
-pub(crate) struct Demand {
-    /// Latest time for which a confirmation is needed, until the feed takes it.
-    at: Cell<Option<Timestamp>>,
-    wake: Notify,
-}
-
-impl Demand {
-    /// Demands a confirmation for the time `at`.
-    pub(crate) fn raise(&self, at: Timestamp) {
-        self.at.set(self.at.get().max(Some(at)));
-        self.wake.notify_one();
-    }
-
-    /// Whether a demand is there to be taken.
-    pub(crate) fn is_raised(&self) -> bool {
-        self.at.get().is_some()
-    }
-
-    /// Waits until a demand is there to be taken.
-    async fn raised(&self) {
-        // A wake-up may be left over from a demand that was taken.
-        while !self.is_raised() {
-            self.wake.notified().await;
-        }
-    }
-}
-
 /// `Feed` says what to read, and where.
 pub(crate) struct Feed<F> {
     /// The reading process.
@@ -120,7 +90,7 @@
     let demand = reader.feed.demand.clone();
     loop {
         let now = reader.now();
-        if let Some(at) = demand.at.take() {
+        if let Some(at) = demand.take() {
             reader.sources.demand(at);
         }
         let followers = (reader.feed.followers)();
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 mod agent_records;
+mod demand;
 mod drains;
 pub mod entry;
 mod feed;
@@ -18,10 +19,12 @@
 mod peers;
 mod presence;
 mod registrar;
+mod replicas;
 mod replicate;
 mod server;
 mod signals;
 mod store;
+mod unreadable;
 
 use std::path::Path;
 use std::time::Duration;
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -36,13 +36,13 @@
 use crate::logging;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
-use crate::packets::agent_records::UnreadableKeys;
 use crate::packets::histograms::Histograms;
 use crate::packets::log_limit::LogLimiter;
 use crate::packets::peers;
-use crate::packets::replicate::Replicas;
+use crate::packets::replicas::Replicas;
 use crate::packets::server;
 use crate::packets::server::Answer;
+use crate::packets::unreadable::UnreadableKeys;
 use crate::settings::FlowSettings;
 
 /// Interval between two runs of the periodic work.
--- a/marigoldway/src/packets/replicate/tests.rs
+++ b/marigoldway/src/packets/replicas/tests.rs
@@ -15,9 +15,9 @@
 use marigoldway_net::clock::Clock;
 use marigoldway_net::wire;
 
-use crate::packets::replicate::MAX_HELD;
-use crate::packets::replicate::Replicas;
-use crate::packets::replicate::Standing;
+use crate::packets::replicas::MAX_HELD;
+use crate::packets::replicas::Replicas;
+use crate::packets::replicas::Standing;
 use crate::packets::server::Answer;
 
 /// Prefix of the replica.
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -1,254 +1,30 @@
 //! Keeps replicas of keys of the platform's store at an agent that follows the store for the other
-//! processes, and serves them.
+//! processes.
 
-#[cfg(test)]
-mod tests;
-
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use indexmap::IndexMap;
-use tokio::sync::Notify;
 use tokio::time;
 
-use marigoldway_core::flow::agents::Agents;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::Change;
 use marigoldway_core::replica::Item;
 use marigoldway_core::replica::Replica;
-use marigoldway_core::replica::followers;
-use marigoldway_core::replica::sources::Freshness;
 use marigoldway_core::replica::sources::Role;
-use marigoldway_core::replica::timing::DEMAND_HOLD;
 use marigoldway_core::replica::timing::Timing;
-use marigoldway_core::time::Timestamp;
-use marigoldway_net::clock::Clock;
 use marigoldway_net::platform::KeyValue;
-use marigoldway_net::wire;
 use marigoldway_net::wire::agents;
-use marigoldway_net::wire::replica::Request;
 
 use crate::packets::agent_records;
 use crate::packets::feed;
-use crate::packets::feed::Demand;
 use crate::packets::feed::Feed;
 use crate::packets::node::Node;
-use crate::packets::server::Answer;
+use crate::packets::replicas::Standing;
 use crate::packets::store::StoreEvent;
 
 /// Interval between two checks whether this process is a follower.
 const ROLE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum number of demands that a process holds. A follower of a domain has some 200 readers at
-/// 1,500 entries in 7 domains, each with one demand. Others are answered at once.
-const MAX_HELD: usize = 512;
-
-/// `Standing` is what a process has to do with the replica of a prefix.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Standing {
-    /// The process doesn't know yet whether it is a follower.
-    Undecided,
-    /// The process is a follower, and keeps the replica up to date.
-    Following,
-    /// The process isn't a follower.
-    Apart,
-}
-
-/// `Replicas` holds the replica of each prefix that a follower serves. Other processes have none.
-#[derive(Debug)]
-pub(crate) struct Replicas {
-    /// Age of a confirmation from which on a replica gives no answer.
-    lifetime: Duration,
-    replicas: RefCell<IndexMap<&'static str, Replica>>,
-    /// What readers of each prefix demand.
-    demands: RefCell<IndexMap<&'static str, Rc<Demand>>>,
-    /// The agents of all services, by the replica of their keys.
-    agents: RefCell<Agents>,
-    /// Standing of this process by prefix. A process that keeps no replicas has none.
-    standings: RefCell<IndexMap<&'static str, Standing>>,
-    /// Number of demands that are held.
-    held: Cell<usize>,
-    /// Wakes the demands that are held: a replica was confirmed, or a standing has changed.
-    changed: Notify,
-    /// Wakes the checks whether this process is a follower.
-    roles: Notify,
-}
-
-impl Replicas {
-    /// No replicas. Those to come give no answer whose confirmation is older than `lifetime`.
-    pub(crate) fn new(lifetime: Duration) -> Replicas {
-        Replicas {
-            lifetime,
-            replicas: RefCell::default(),
-            demands: RefCell::default(),
-            agents: RefCell::default(),
-            standings: RefCell::default(),
-            held: Cell::new(0),
-            changed: Notify::new(),
-            roles: Notify::new(),
-        }
-    }
-
-    /// Answers a reader that has asked for `path`. A demand is held until the replica has the
-    /// confirmation, for at most [`DEMAND_HOLD`].
-    pub(crate) fn respond(self: &Rc<Self>, clock: Clock, path: &str) -> Answer {
-        let arrived = clock.now();
-        let Some(request) = wire::replica::parse_path(path) else {
-            return Answer::found(None);
-        };
-        if let Freshness::AsOf(age) = request.freshness {
-            let at = arrived.before(age);
-            if let Some(held) = self.awaits(request.prefix, at) {
-                self.demand(held).raise(at);
-                if self.held.get() < MAX_HELD {
-                    let (shared, path) = (self.clone(), path.to_owned());
-                    return Answer::held(shared.respond_later(arrived, at, path));
-                }
-            }
-        }
-        Answer::found(self.answer(arrived, &request))
-    }
-
-    /// Answers a demand that arrived at `arrived`, once there is a confirmation for the time `at`.
-    async fn respond_later(
-        self: Rc<Self>,
-        arrived: Timestamp,
-        at: Timestamp,
-        path: String,
-    ) -> Answer {
-        let _held = Held::new(&self.held);
-        let Some(request) = wire::replica::parse_path(&path) else {
-            return Answer::found(None);
-        };
-        let confirmed = async {
-            while self.awaits(request.prefix, at).is_some() {
-                self.changed.notified().await;
-            }
-        };
-        // After the time limit, the reader gets what is known.
-        let _ = time::timeout(DEMAND_HOLD, confirmed).await;
-        Answer::found(self.answer(arrived, &request))
-    }
-
-    /// The prefix of the replica that doesn't have a confirmation for the time `at` yet, but may get
-    /// one. `None` if a demand is to be answered now.
-    fn awaits(&self, prefix: &str, at: Timestamp) -> Option<&'static str> {
-        let standings = self.standings.borrow();
-        let (held, standing) = standings.iter().find(|(it, _)| prefix.starts_with(**it))?;
-        let replicas = self.replicas.borrow();
-        let confirmed = replicas.get(held).and_then(Replica::confirmed);
-        let is_pending = *standing != Standing::Apart && confirmed < Some(at);
-        is_pending.then_some(*held)
-    }
-
-    /// The encoded answer to a request that arrived at `arrived`: its age is that at the arrival.
-    /// Returns `None` if this process has no replica of the keys that is up to date.
-    fn answer(&self, arrived: Timestamp, request: &Request<'_>) -> Option<Bytes> {
-        let prefix = request.prefix;
-        let replicas = self.replicas.borrow();
-        let (held, replica) = replicas.iter().find(|(it, _)| prefix.starts_with(**it))?;
-        // A reader may know of a later epoch. The store tells whether there is one.
-        if request.after.epoch > replica.epoch() {
-            self.demand(held).raise(arrived);
-        }
-        let answer = replica.answer(arrived, prefix, request.after)?;
-        match wire::replica::encode(&answer) {
-            Ok(body) => Some(Bytes::from(body)),
-            Err(error) => {
-                log::error!("event=answer-unencodable prefix={prefix} error=\"{error}\"");
-                None
-            }
-        }
-    }
-
-    /// Checks at once whether this process is a follower: its list of agents was read.
-    pub(crate) fn check_roles(&self) {
-        self.roles.notify_waiters();
-    }
-
-    /// Waits until the role of this process may have changed.
-    async fn role_check(&self) {
-        tokio::select! {
-            () = time::sleep(ROLE_INTERVAL) => {}
-            () = self.roles.notified() => {}
-        }
-    }
-
-    fn set_standing(&self, prefix: &'static str, standing: Standing) {
-        let previous = self.standings.borrow_mut().insert(prefix, standing);
-        if previous != Some(standing) {
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// The followers of all services, in the order that they have in common. Empty if this process
-    /// has no replica of the agents' keys.
-    pub(crate) fn followers(&self) -> Vec<InstanceId> {
-        followers::ranked(&self.agents.borrow())
-    }
-
-    /// Applies a change of the agents' keys.
-    fn update_agents(&self, node: &Node, event: &StoreEvent) {
-        let now = node.clock.now();
-        let mut known = self.agents.borrow_mut();
-        match event {
-            StoreEvent::Snapshot(found, _) => {
-                known.replace(now, &agent_records::decode_all(node, found));
-            }
-            StoreEvent::Put(stored) => {
-                if let Some(record) = agent_records::decode(node, stored) {
-                    known.register(record);
-                }
-            }
-            StoreEvent::Deleted(key, _) => {
-                if let Some(id) = agents::key_id(key) {
-                    known.remove(id);
-                }
-            }
-            StoreEvent::NewEpoch(_) => {}
-            StoreEvent::Confirmed(_) => {
-                known.expire(now);
-            }
-        }
-    }
-
-    fn demand(&self, prefix: &'static str) -> Rc<Demand> {
-        self.demands.borrow_mut().entry(prefix).or_default().clone()
-    }
-
-    /// Notes that the replica of a prefix lacks no change as of `as_of`, and answers the demands that
-    /// wait for this.
-    fn confirm(&self, prefix: &'static str, as_of: Timestamp) {
-        self.update(prefix, |it| it.confirm(as_of));
-        self.changed.notify_waiters();
-    }
-
-    fn update(&self, prefix: &'static str, update: impl FnOnce(&mut Replica)) {
-        let mut replicas = self.replicas.borrow_mut();
-        let replica = replicas.entry(prefix);
-        update(replica.or_insert_with(|| Replica::new(self.lifetime)));
-    }
-}
-
-/// `Held` counts a demand as held until it is dropped, also if the reader leaves.
-struct Held<'a>(&'a Cell<usize>);
-
-impl Held<'_> {
-    fn new(count: &Cell<usize>) -> Held<'_> {
-        count.set(count.get() + 1);
-        Held(count)
-    }
-}
-
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Keeps a replica of a prefix while `is_follower` says that this process is a follower. It returns
 /// `None` while that isn't known. `followers` returns all followers in their common order. Never
 /// returns.
@@ -261,18 +37,7 @@
     let own = node.settings.data;
     let timing = Timing::new(node.settings.apply_limit);
     loop {
-        loop {
-            let standing = match is_follower() {
-                None => Standing::Undecided,
-                Some(true) => Standing::Following,
-                Some(false) => Standing::Apart,
-            };
-            node.replicas.set_standing(prefix, standing);
-            if standing == Standing::Following {
-                break;
-            }
-            node.replicas.role_check().await;
-        }
+        wait_until_follower(&node, prefix, &is_follower).await;
         log::info!("event=follower-started prefix={prefix}");
         let feed = Feed {
             node: node.clone(),
@@ -301,9 +66,57 @@
     }
 }
 
+/// Waits until this process is a follower. Keeps its standing up to date meanwhile.
+async fn wait_until_follower(
+    node: &Node,
+    prefix: &'static str,
+    is_follower: impl Fn() -> Option<bool>,
+) {
+    loop {
+        let standing = match is_follower() {
+            None => Standing::Undecided,
+            Some(true) => Standing::Following,
+            Some(false) => Standing::Apart,
+        };
+        node.replicas.set_standing(prefix, standing);
+        if standing == Standing::Following {
+            return;
+        }
+        tokio::select! {
+            () = time::sleep(ROLE_INTERVAL) => {}
+            () = node.replicas.role_check_due() => {}
+        }
+    }
+}
+
+/// Applies a change of the agents' keys.
+fn update_agents(node: &Node, event: &StoreEvent) {
+    let now = node.clock.now();
+    let mut known = node.replicas.agents.borrow_mut();
+    match event {
+        StoreEvent::Snapshot(found, _) => {
+            known.replace(now, &agent_records::decode_all(node, found));
+        }
+        StoreEvent::Put(stored) => {
+            if let Some(record) = agent_records::decode(node, stored) {
+                known.register(record);
+            }
+        }
+        StoreEvent::Deleted(key, _) => {
+            if let Some(id) = agents::key_id(key) {
+                known.remove(id);
+            }
+        }
+        StoreEvent::NewEpoch(_) => {}
+        StoreEvent::Confirmed(_) => {
+            known.expire(now);
+        }
+    }
+}
+
 fn on_event(node: &Node, prefix: &'static str, event: StoreEvent) {
     if prefix == agents::AGENTS_PREFIX {
-        node.replicas.update_agents(node, &event);
+        update_agents(node, &event);
     }
     let replicas = &node.replicas;
     match event {
