--- a/marigoldway-standin/src/soak/faults.rs
+++ b/marigoldway-standin/src/soak/faults.rs
@@ -141,16 +141,7 @@
                 fleet.store.expire_leases();
                 fleet.store.set_fault(StoreFault::None);
             }
-            Fault::Restore(age, span) => {
-                fleet.store.back_up();
-                time::sleep(age).await;
-                fleet.store.set_fault(StoreFault::Silent);
-                time::sleep(span).await;
-                fleet.store.restore();
-                fleet.store.set_fault(StoreFault::None);
-                time::sleep(REPEAT_DELAY).await;
-                fleet.configure(&[]);
-            }
+            Fault::Restore(age, span) => restore(fleet, age, span).await,
             Fault::Crash(n, same_id, span) => crash(fleet, instances[n], same_id, span).await?,
             Fault::Replace(n, service) => replace(fleet, instances[n], service).await?,
             Fault::Loss(ratio, span) => {
@@ -182,6 +173,17 @@
     }
 }
 
+async fn restore(fleet: &Fleet, age: Duration, span: Duration) {
+    fleet.store.back_up();
+    time::sleep(age).await;
+    fleet.store.set_fault(StoreFault::Silent);
+    time::sleep(span).await;
+    fleet.store.restore();
+    fleet.store.set_fault(StoreFault::None);
+    time::sleep(REPEAT_DELAY).await;
+    fleet.configure(&[]);
+}
+
 async fn crash(
     fleet: &Fleet,
     instance: &Instance,
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddrV4;
 
+use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::followers;
+use marigoldway_net::platform::KeyValue;
 use marigoldway_net::wire::agents;
 
 use crate::packets::agent::Agent;
@@ -29,31 +31,7 @@
                 self.presence_keys.borrow_mut().clear();
             }
             StoreEvent::Snapshot(found, revision) => {
-                let records = agent_records::decode_all(&self.node, &found);
-                let own_key = agents::agent_key(&flows.hello(now).record);
-                let listed = found.iter().find(|it| it.key == own_key);
-                let listed = listed.map_or(0, |it| it.revision);
-                self.own_revision.set(in_epoch(listed));
-                if !records.iter().any(|record| record.id == own) {
-                    self.on_own_unregistered(in_epoch(revision));
-                }
-                let presence = agent_records::decode_presence(&self.node, &found);
-                self.presence_written
-                    .set(presence.iter().any(|it| it.id == own));
-                self.add_presence_keys(&records, &presence);
-                flows.on_list(now, &records, &presence);
-                let listed = agent_records::decode_addrs(&self.node, &found);
-                let own = listed.into_iter().find(|it| it.service == flows.service());
-                let listed = in_epoch(own.as_ref().map_or(0, |it| it.revision));
-                let addrs = own.map(|it| it.addrs).unwrap_or_default();
-                if listed.epoch > self.addrs_revision.replace(listed).epoch {
-                    flows.restore_listed_addrs(now, addrs);
-                    self.record_dirty.notify_one();
-                } else {
-                    flows.set_listed_addrs(addrs);
-                }
-                self.agents_loaded.set(true);
-                self.node.replicas.check_roles();
+                self.on_snapshot(&mut flows, &found, in_epoch(revision));
             }
             StoreEvent::Put(stored) => {
                 if let Some(record) = agent_records::decode(&self.node, &stored) {
@@ -81,6 +59,38 @@
         }
     }
 
+    /// Applies the list of all of the service's keys, at a revision.
+    fn on_snapshot(&self, flows: &mut AgentFlows, found: &[KeyValue], revision: EpochRevision) {
+        let now = self.node.clock.now();
+        let own = self.node.settings.data;
+        let records = agent_records::decode_all(&self.node, found);
+        let own_key = agents::agent_key(&flows.hello(now).record);
+        let listed = found.iter().find(|it| it.key == own_key);
+        let listed = listed.map_or(0, |it| it.revision);
+        self.own_revision
+            .set(EpochRevision::new(revision.epoch, listed));
+        if !records.iter().any(|record| record.id == own) {
+            self.on_own_unregistered(revision);
+        }
+        let presence = agent_records::decode_presence(&self.node, found);
+        self.presence_written
+            .set(presence.iter().any(|it| it.id == own));
+        self.add_presence_keys(&records, &presence);
+        flows.on_list(now, &records, &presence);
+        let listed = agent_records::decode_addrs(&self.node, found);
+        let own = listed.into_iter().find(|it| it.service == flows.service());
+        let listed = EpochRevision::new(revision.epoch, own.as_ref().map_or(0, |it| it.revision));
+        let addrs = own.map(|it| it.addrs).unwrap_or_default();
+        if listed.epoch > self.addrs_revision.replace(listed).epoch {
+            flows.restore_listed_addrs(now, addrs);
+            self.record_dirty.notify_one();
+        } else {
+            flows.set_listed_addrs(addrs);
+        }
+        self.agents_loaded.set(true);
+        self.node.replicas.check_roles();
+    }
+
     /// Whether this agent follows the store for other processes. `None` before the first list of
     /// agents from the store.
     pub(super) fn is_follower(&self) -> Option<bool> {
