--- a/marigoldway/src/packets/replicas/tests.rs
+++ b/marigoldway/src/packets/replicas/tests.rs
@@ -23,8 +23,8 @@
 /// Prefix of the replica.
 const PREFIX: &str = "config";
 
-/// A demand for the present by a reader that has everything up to revision 1.
-const PATH: &str = "/demand/0/1/config";
+/// A demand for the present by a reader that has everything up to revision 1 of epoch 0.
+const PATH: &str = "/demand/0/0.1/config";
 
 /// Replicas of a process with this standing. The copy is at revision 1, and was confirmed a moment
 /// ago.
