--- a/marigoldway/src/packets/replicate/tests.rs
+++ b/marigoldway/src/packets/replicas/tests.rs
@@ -15,16 +15,16 @@
 use marigoldway_net::clock::Clock;
 use marigoldway_net::wire;
 
-use crate::packets::replicate::MAX_HELD;
-use crate::packets::replicate::Replicas;
-use crate::packets::replicate::Standing;
+use crate::packets::replicas::MAX_HELD;
+use crate::packets::replicas::Replicas;
+use crate::packets::replicas::Standing;
 use crate::packets::server::Answer;
 
 /// Prefix of the replica.
 const PREFIX: &str = "config";
 
-/// A demand for the present by a reader that has everything up to revision 1.
-const PATH: &str = "/demand/0/1/config";
+/// A demand for the present by a reader that has everything up to revision 1 of epoch 0.
+const PATH: &str = "/demand/0/0.1/config";
 
 /// Replicas of a process with this standing. The copy is at revision 1, and was confirmed a moment
 /// ago.
