Ask a failed follower sooner where there is no other source

Change: such a process forgets failures after the hold time. The failures of followers have a file of their own.

--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -13,11 +13,14 @@
 //! holds a demand until it has the confirmation. A process has one demand outstanding at a time, and
 //! further decisions share the next one.
 
+mod failure;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::ids::InstanceId;
+use crate::replica::sources::failure::Failure;
 use crate::replica::timing::DEMAND_HOLD;
 use crate::replica::timing::DEMAND_SPACING;
 use crate::replica::timing::DIRECT_DELAY;
@@ -26,9 +29,6 @@
 use crate::replica::timing::Timing;
 use crate::time::Timestamp;
 
-/// Time for which a follower that failed isn't asked again.
-const RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Part of a process's patience after which it repeats a failed call to the store for the first
 /// time, and beyond which the wait doesn't grow.
 const RETRY_PARTS: (f64, f64) = (0.25, 0.6);
@@ -76,34 +76,6 @@
 /// stays below half a second.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// `Failure` is the last failure of a follower.
-#[derive(Clone, Copy, Debug)]
-enum Failure {
-    /// The follower didn't answer, or its answer was of no use.
-    Silent(Timestamp),
-    /// The follower answered at once that it has no copy, or no process listens there.
-    Refused(Timestamp),
-    /// The follower held a demand and didn't meet it: the store may not answer it. Other followers are
-    /// preferred for demands.
-    Unmet(Timestamp),
-}
-
-impl Failure {
-    /// Whether the follower isn't asked at `now`. `demanding` tells whether a demand is open.
-    fn excludes(self, now: Timestamp, demanding: bool) -> bool {
-        match self {
-            Failure::Refused(at) if demanding => now.since(at) < REFUSAL_RETRY,
-            Failure::Silent(at) | Failure::Refused(at) => now.since(at) < RETRY_AFTER,
-            Failure::Unmet(at) => demanding && now.since(at) < RETRY_AFTER,
-        }
-    }
-
-    /// Whether a reader, which never leads, asks the follower if all are excluded.
-    fn is_unmet(self) -> bool {
-        matches!(self, Failure::Unmet(_))
-    }
-}
-
 /// `Sources` chooses the source of each read of one prefix.
 #[derive(Clone, Debug)]
 pub struct Sources {
@@ -169,13 +141,11 @@
 
     /// The next step of a process that knows these followers, in the order in which it asks them.
     pub fn next(&mut self, now: Timestamp, followers: &[InstanceId]) -> Step {
-        let demand = self.open_demand();
-        // A process that reads from followers alone has no other source.
-        let is_urgent = demand.is_some() || self.role == Role::FollowersOnly;
-        let usable = self.usable(now, followers, is_urgent);
         if self.role == Role::FollowersOnly {
-            return self.next_from_followers(now, usable);
+            return self.next_from_followers(now, followers);
         }
+        let demand = self.open_demand();
+        let usable = self.usable(now, followers, demand.is_some());
         let leads = usable.is_none() && self.role != Role::Reader;
         let due = match usable {
             // No one else can meet the demand.
@@ -263,9 +233,12 @@
         due.max(earliest)
     }
 
-    /// The next step of a process that never asks the store. `usable` is the follower to ask.
-    fn next_from_followers(&self, now: Timestamp, usable: Option<InstanceId>) -> Step {
-        match usable {
+    /// The next step of a process that never asks the store. It asks a follower that failed again
+    /// sooner than others do, since it has no other source.
+    fn next_from_followers(&mut self, now: Timestamp, followers: &[InstanceId]) -> Step {
+        let limit = self.timing.hold;
+        self.failed.retain(|_, it| now.since(it.at()) < limit);
+        match self.usable(now, followers, false) {
             Some(id) if now >= self.next_read => Step::Follower(id, Freshness::Known),
             Some(_) => Step::Wait(self.next_read),
             None => Step::Wait(now + self.timing.relay),
