Add the command check-config

Cause: a fault in a configuration document was seen only once processes had decoded the document and logged it. Some parts, such as an invalid idle timeout or an address given twice, were replaced or overridden without any fault.

Change: `marigoldway check-config FILE [--against FILE] [--json]` reports the faults of the processes' decoder, what the decoder overrides without a fault, contradictory limits, and the routes that differ from the document in force. Files above 16 MiB and documents with more than 100,000 routes or services are refused before they are decoded.

--- a/marigoldway/src/cli.rs
+++ b/marigoldway/src/cli.rs
@@ -14,6 +14,8 @@
 use gumdrop::Options;
 
 use crate::check;
+use crate::check_config;
+use crate::check_config::CheckConfigArgs;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::errors::describe;
@@ -38,7 +40,8 @@
 /// Exit code for an invalid command line.
 pub const EXIT_USAGE: u8 = 2;
 
-/// Exit code for invalid settings; no process was started.
+/// Exit code for invalid settings, with which no process was started, and for a configuration
+/// document with errors.
 pub const EXIT_SETTINGS: u8 = 3;
 
 /// Exit code of a list change that failed because the lists changed concurrently.
@@ -46,7 +49,7 @@
 
 /// Summary of the exit codes, printed below the usage text.
 const EXIT_HELP: &str = "Exit codes: 0 success, 1 runtime failure, 2 usage, \
-                         3 invalid settings, 4 lists changed concurrently";
+                         3 invalid settings or configuration, 4 lists changed concurrently";
 
 /// Options that precede the command.
 #[derive(Debug, Options)]
@@ -78,6 +81,9 @@
     /// Validates a settings file.
     #[options(help = "validate the settings in FILE without starting a process")]
     Check(FileArgs),
+    /// Checks a configuration document.
+    #[options(help = "check the configuration document in FILE, and compare it with another")]
+    CheckConfig(CheckConfigArgs),
     /// Prints the status of a process.
     #[options(help = "print the status of the process at operator address ADDR")]
     Status(AddressArgs),
@@ -228,6 +234,7 @@
         match self {
             Command::Entry(args) | Command::Agent(args) => args.version,
             Command::Check(args) => args.version,
+            Command::CheckConfig(args) => args.version,
             Command::Lists(args) => args.version,
             Command::Status(args) => args.version,
             Command::Explain(args) => args.version,
@@ -262,6 +269,7 @@
             run_with(args.file, "FILE", |file| run_agent(&file, args.apply_limit))
         }
         Command::Check(args) => run_with(args.file, "FILE", |file| check::run(&file)),
+        Command::CheckConfig(args) => check_config::run(args),
         Command::Status(args) => run_with(args.addr, "ADDR", status::run),
         Command::Explain(args) => run_explain(args),
         Command::Lists(args) => lists::run(args),
@@ -323,7 +331,7 @@
 
 /// Prints a failure to standard error and returns its exit code: one line per fault of a settings
 /// file with [`EXIT_SETTINGS`], or one line with [`EXIT_FAILURE`] for any other error.
-fn report_failure(report: &Report<Error>) -> ExitCode {
+pub(crate) fn report_failure(report: &Report<Error>) -> ExitCode {
     if let Some(faults) = report.downcast_ref::<Faults>() {
         eprintln!("{faults}");
         return ExitCode::from(EXIT_SETTINGS);
@@ -337,7 +345,8 @@
     values::duration(text).map_err(|expected| expected.0)
 }
 
-fn usage_error(message: &str) -> ExitCode {
+/// Prints an error in the command line and returns its exit code.
+pub(crate) fn usage_error(message: &str) -> ExitCode {
     eprintln!("marigoldway: {message}\nTry marigoldway --help.");
     ExitCode::from(EXIT_USAGE)
 }
--- a/marigoldway/src/lib.rs
+++ b/marigoldway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 pub mod check;
+pub mod check_config;
 pub mod cli;
 pub mod entry;
 pub mod errors;
--- a/marigoldway/tests/cli.rs
+++ b/marigoldway/tests/cli.rs
@@ -42,12 +42,13 @@
 
 #[test]
 fn help_and_version_on_each_command() {
-    let commands: [&[&str]; 11] = [
+    let commands: [&[&str]; 12] = [
         &[],
         &["entry"],
         &["agent"],
         &["lists"],
         &["check"],
+        &["check-config"],
         &["status"],
         &["keys"],
         &["keys", "new"],
@@ -70,13 +71,15 @@
 
 #[test]
 fn usage_rejects_invalid_arguments() {
-    let invalid: [&[&str]; 9] = [
+    let invalid: [&[&str]; 11] = [
         &[],
         &["bogus"],
         &["entry"],
         &["entry", "--apply-limit=3", "a"],
         &["agent", "--apply-limit=soon", "a"],
         &["check", "a", "b"],
+        &["check-config"],
+        &["check-config", "a", "b"],
         &["status", "nowhere"],
         &["keys"],
         &["keys", "certificate"],
@@ -113,6 +116,79 @@
     }
 }
 
+/// A configuration document with a route at this address.
+fn config_document(version: u64, host: &str, kind: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"a","host":"{host}","prefix":"/80/",
+        "type":"{kind}","service":"one"}}]}}"#
+    )
+}
+
+/// Guards against exit codes by which a script would put an invalid document into the store.
+#[test]
+fn check_config_exit_codes() {
+    let scratch = Scratch::new("check-config");
+    let file = scratch.path("new.json");
+    for (kind, code, text) in [
+        ("safe", EXIT_OK, ""),
+        ("odd", EXIT_SETTINGS, "error route=\"a\" field=\"type\""),
+    ] {
+        fs::write(&file, config_document(1, "198.18.0.1", kind)).expect("a file");
+        let output = run(&["check-config", path_str(&file)]);
+        assert_eq!(exit_code(&output), code, "{kind}");
+        assert!(String::from_utf8_lossy(&output.stdout).starts_with(text));
+    }
+    let missing = run(&["check-config", path_str(&scratch.path("missing.json"))]);
+    assert_eq!(exit_code(&missing), EXIT_FAILURE);
+}
+
+/// Guards against a large file that is read whole, or refused without its reason. The file is
+/// sparse; `/dev/zero` has no size and never ends.
+#[test]
+fn check_config_refuses_large_files() {
+    let scratch = Scratch::new("check-config-large");
+    let file = scratch.path("large.json");
+    let sparse = fs::File::create(&file).expect("a file");
+    sparse.set_len(1 << 40).expect("a sparse file");
+    for path in [path_str(&file), "/dev/zero"] {
+        let output = run(&["check-config", path]);
+        assert_eq!(exit_code(&output), EXIT_FAILURE, "{path}");
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert!(stderr.contains("larger than 16777216 octets"), "{stderr}");
+    }
+}
+
+/// Guards against output that isn't one JSON document, and against lost differences.
+#[test]
+fn check_config_prints_json_differences() {
+    let scratch = Scratch::new("check-config-json");
+    let (new, current) = (scratch.path("new.json"), scratch.path("current.json"));
+    fs::write(&new, config_document(2, "198.18.0.2", "safe")).expect("a file");
+    fs::write(&current, config_document(1, "198.18.0.1", "safe")).expect("a file");
+    let against = ["--against", path_str(&current)];
+    let args = ["check-config", path_str(&new), against[0], against[1]];
+    let text = run(&args);
+    assert_eq!(exit_code(&text), EXIT_OK);
+    let expected = "moved route=\"a\" addr=198.18.0.2:80 from=198.18.0.1:80\n";
+    assert_eq!(String::from_utf8_lossy(&text.stdout), expected);
+
+    let json = run(&[&args[..], &["--json"]].concat());
+    assert_eq!(exit_code(&json), EXIT_OK);
+    let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("one document");
+    assert_eq!(json["findings"], serde_json::json!([]));
+    assert_eq!(json["differences"][0]["kind"], "moved");
+    assert_eq!(json["differences"][0]["from"], "198.18.0.1:80");
+
+    // The document in force isn't newer than itself, and the other way round it is older.
+    let back = run(&[
+        "check-config",
+        path_str(&current),
+        "--against",
+        path_str(&new),
+    ]);
+    assert_eq!(exit_code(&back), EXIT_SETTINGS);
+}
+
 #[test]
 fn keys_new_keeps_existing_file() {
     let scratch = Scratch::new("keys");
