Decide on overflow, load shedding and queue order in an overload

In an overload, requests waited in front of the slots until their client's timeout, while another service that the route names was almost idle.

- Overflow: a new flow of a saturated service goes to another service of its route if that one has a free slot.
The receiving agent has the last word, so the age of the reports doesn't matter.
Setting `overflow`.
- Load shedding: the last agent that could accept a flow resets the opening packet if its request can't be served before the client's timeout.
- Queue order: priority, then in time by clients' numbers of requests and time left, then late; a lower priority gets a tenth.
Requests of clients that have gone are removed, and their copies are dropped.
- A returned opening packet is redirected once, as before; a test shows it.

Layout: `home` in the placement hint, verdict 11 (overloaded).

--- a/marigoldway-core/examples/measure_slots.rs
+++ b/marigoldway-core/examples/measure_slots.rs
@@ -219,6 +219,7 @@
                 work: class.work,
                 waiting_since: at(now),
                 first: false,
+                guest: false,
                 maybe_answered: false,
             };
             if slot_queue.offer(at(now), SLOTS, &arrival) == QueueDecision::Admitted {
--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -8,6 +8,7 @@
 
 pub mod actions;
 mod admit;
+mod guest;
 mod health;
 mod listing;
 mod local;
@@ -44,6 +45,7 @@
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
 use crate::flow::message::RefuseReason;
+use crate::flow::overload::occupancy::Occupancy;
 use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
@@ -141,6 +143,7 @@
     /// Revision of `agents` at which the flows were last checked for strays.
     checked_revision: u64,
     slot_queue: SlotQueue,
+    occupancy: Occupancy,
     health: Health,
     openings: Openings,
     searches: Searches,
@@ -175,6 +178,7 @@
             stray_until: None,
             checked_revision: 0,
             slot_queue: SlotQueue::default(),
+            occupancy: Occupancy::default(),
             health: Health::default(),
             openings: Openings::default(),
             searches: Searches::default(),
@@ -312,6 +316,7 @@
                 self.route_packet(now, header, segment, packet, actions);
             }
         }
+        self.record_occupancy(now);
     }
 
     /// Does the periodic work: registers flows whose directory agents have changed, and removes
@@ -332,6 +337,7 @@
         self.flush_searches(now, actions);
         self.expire_requests(now, actions);
         self.release(now, actions);
+        self.record_occupancy(now);
         if self.epoch != self.agents.epoch() {
             self.epoch = self.agents.epoch();
             self.register_all(now, actions);
--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -34,6 +34,8 @@
     TargetReset(FlowKey, Option<Phase>),
     /// A queued request was removed because its client no longer waits.
     TimedOut(FlowKey),
+    /// A queued request was removed because its client closed the flow, or replaced it by a new one.
+    ClientGone(FlowKey),
     /// Send the current packet to its client.
     ToClient,
     /// Send the current packet to other agents, with this header.
@@ -57,13 +59,15 @@
     Drop(DropReason),
 }
 
-/// `ResetReason` states how an agent knows that a flow no longer exists.
+/// `ResetReason` states why an agent resets a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ResetReason {
     /// A heartbeat of a later incarnation of the target arrived.
     TargetRestarted,
     /// The target returned a packet of a flow that it had answered.
     TargetForgot,
+    /// The flow isn't open yet, and its request couldn't be served before the client times out.
+    Overloaded,
 }
 
 impl ResetReason {
@@ -72,6 +76,7 @@
         match self {
             ResetReason::TargetRestarted => "target-restarted",
             ResetReason::TargetForgot => "target-forgot",
+            ResetReason::Overloaded => "overloaded",
         }
     }
 }
@@ -91,6 +96,8 @@
     Held,
     /// A search for the flow is in progress.
     Searched,
+    /// The packet repeats a request that was removed since its client has gone.
+    Abandoned,
 }
 
 impl DropReason {
@@ -103,6 +110,7 @@
             DropReason::Closed => "closed",
             DropReason::Held => "held",
             DropReason::Searched => "searched",
+            DropReason::Abandoned => "abandoned",
         }
     }
 }
--- a/marigoldway-core/src/flow/agent/admit.rs
+++ b/marigoldway-core/src/flow/agent/admit.rs
@@ -21,6 +21,7 @@
             actions.push(AgentAction::Unanswered(flow));
         }
         for flow in expired.timed_out {
+            self.abandon(now, &flow);
             actions.push(AgentAction::TimedOut(flow));
         }
     }
@@ -49,6 +50,15 @@
         });
     }
 
+    /// Removes the request of a flow whose client has gone before it was admitted. Repeated packets
+    /// of the request are dropped from now on, so that it doesn't run after all.
+    pub(super) fn abandon(&mut self, now: Timestamp, flow: &FlowKey) {
+        self.forget_request(flow);
+        if let Some(local) = self.flows.touch(now, flow) {
+            local.abandoned = true;
+        }
+    }
+
     /// Removes the request of a flow that was reset or that sends none.
     pub(super) fn forget_request(&mut self, flow: &FlowKey) {
         self.openings.end(flow);
--- a/marigoldway-core/src/flow/agent/local.rs
+++ b/marigoldway-core/src/flow/agent/local.rs
@@ -44,6 +44,12 @@
     pub target_end: Option<u32>,
     /// Whether the flow was open before this process saw it.
     pub preexisting: bool,
+    /// Whether the flow belongs to another service, from which it overflowed.
+    pub guest: bool,
+    /// Whether the latest request was removed before it was admitted, since its client has gone.
+    pub abandoned: bool,
+    /// Sequence number of the opening packet, if this process saw it.
+    pub opening_seq: Option<u32>,
     /// When the client began to wait for the flow to open. If the agent saw no opening packet, when
     /// it first saw the flow.
     pub waiting_since: Timestamp,
@@ -66,6 +72,9 @@
             client_end: None,
             target_end: None,
             preexisting: false,
+            guest: false,
+            abandoned: false,
+            opening_seq: None,
             waiting_since,
             client_done: false,
             target_done: false,
@@ -93,6 +102,13 @@
         advance(&mut self.client_end, segment)
     }
 
+    /// Whether a client's packet repeats a request that was removed since its client has gone. A
+    /// client that sends new data hasn't.
+    pub fn is_abandoned(&mut self, segment: &Segment, fresh: bool) -> bool {
+        self.abandoned &= !fresh;
+        self.abandoned && (segment.len > 0 || segment.flags.fin)
+    }
+
     /// Updates the state from a packet of the target. Returns whether the packet answers a request:
     /// it carries new data or ends the target's side of the flow.
     pub fn on_target(&mut self, now: Timestamp, segment: &Segment) -> bool {
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -55,12 +55,17 @@
                 local.waiting_since
             };
             let fresh = local.on_client(now, segment);
+            if local.is_abandoned(segment, fresh) {
+                return actions.push(AgentAction::Drop(DropReason::Abandoned));
+            }
+            let guest = local.guest;
             let arrival = Arrival {
                 flow,
                 packet,
                 work: header.work,
                 waiting_since,
                 first: !has_sent_data,
+                guest,
                 maybe_answered,
             };
             self.deliver(now, segment, fresh, &arrival, actions);
@@ -193,9 +198,14 @@
         if fresh {
             self.openings.end(&arrival.flow);
         }
-        if fresh || (segment.flags.fin && self.slot_queue.is_queued(&arrival.flow)) {
+        if fresh {
             return self.admit(now, arrival, actions);
         }
+        if segment.flags.fin && self.slot_queue.is_queued(&arrival.flow) {
+            self.abandon(now, &arrival.flow);
+            actions.push(AgentAction::ClientGone(arrival.flow));
+            return actions.push(AgentAction::Drop(DropReason::Abandoned));
+        }
         if segment.len > 0 && self.slot_queue.is_queued(&arrival.flow) {
             // The first copy is queued.
             return actions.push(AgentAction::Drop(DropReason::Held));
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -8,6 +8,8 @@
 use crate::flow::agent::AgentFlows;
 use crate::flow::agent::actions::AgentAction;
 use crate::flow::agent::actions::DropReason;
+use crate::flow::agent::actions::ResetReason;
+use crate::flow::agent::guest;
 use crate::flow::agent::local::LocalFlow;
 use crate::flow::agent::local::Phase;
 use crate::flow::key::FlowKey;
@@ -16,6 +18,9 @@
 use crate::flow::message::RefuseReason;
 use crate::flow::message::TargetState;
 use crate::flow::message::Verdict;
+use crate::flow::overload::shedding::NewFlow;
+use crate::flow::routes::WorkClass;
+use crate::flow::segment::Reset;
 use crate::flow::segment::Segment;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
@@ -31,9 +36,8 @@
 const SECOND_RETRANSMIT: Duration = Duration::from_millis(600);
 
 impl AgentFlows {
-    /// Handles an opening packet: sends it to the target, forwards it to another agent, or refuses
-    /// it. If the target is silent and there is another agent, the packet is forwarded, and from time
-    /// to time also goes to the target, to find out whether it answers again.
+    /// Handles an opening packet: sends it to the target, forwards it to another agent, refuses it,
+    /// or resets it.
     pub(super) fn open(
         &mut self,
         now: Timestamp,
@@ -48,6 +52,10 @@
             return self.refuse(now, header, flow, RefuseReason::Version, actions);
         }
         self.see_version(now, header.version);
+        if self.return_guest(now, header, flow, actions) {
+            return;
+        }
+        self.replace_flow(segment, actions);
         let reason = match self.state(now) {
             TargetState::Serving => None,
             TargetState::Draining => Some(RefuseReason::Draining),
@@ -56,24 +64,58 @@
         if let Some(reason) = reason {
             return self.forward_or_refuse(now, header, flow, reason, actions);
         }
+        if self.accepts(now, header, segment, actions) {
+            self.accept(now, header, segment, actions);
+        }
+    }
+
+    /// Whether an opening packet goes to the target. If not, it has been forwarded or reset. If the
+    /// target is silent and there is another agent, the packet is forwarded, and from time to time
+    /// also goes to the target, to find out whether it answers again.
+    fn accepts(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        actions: &mut Vec<AgentAction>,
+    ) -> bool {
+        let flow = segment.inbound_flow();
         if self.health.is_silent(now)
             && let Some(header) = self.to_other_agent(header, &flow)
         {
             self.forward_or_refuse(now, &header, flow, RefuseReason::Silent, actions);
-            if !self.health.take_trial(now) {
-                return;
+            return self.health.take_trial(now);
+        } else if self.flows.peek(&flow).is_none() {
+            let hopeless = self.is_hopeless(now, header, segment);
+            if let Some((next, onward)) = self.redirect(now, header, &flow, hopeless) {
+                self.report(now, header.entry, flow, Verdict::PassedOn, actions);
+                actions.push(AgentAction::ToAgents(vec![next], onward));
+                return false;
+            }
+            if hopeless {
+                self.shed(now, header, flow, actions);
+                return false;
             }
-        } else if self.flows.peek(&flow).is_none()
-            && let Some((next, onward)) = self.redirect(now, header, &flow)
-        {
-            self.report(now, header.entry, flow, Verdict::PassedOn, actions);
-            return actions.push(AgentAction::ToAgents(vec![next], onward));
         }
+        true
+    }
+
+    /// Sends an opening packet to the target, and tracks its flow.
+    fn accept(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        segment: &Segment,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let flow = segment.inbound_flow();
         if let Some(local) = self.flows.touch(now, &flow) {
             local.header = *header;
         } else {
             let waiting_since = first_sent_at(now, segment.ack);
-            let local = LocalFlow::new(Phase::Opening, *header, waiting_since);
+            let mut local = LocalFlow::new(Phase::Opening, *header, waiting_since);
+            local.guest = header.placement_hint.home.is_some();
+            local.opening_seq = Some(segment.seq);
             self.flows.insert(now, flow, local);
             self.openings.begin(now, flow);
             self.open_flows += 1;
@@ -83,6 +125,44 @@
         actions.push(AgentAction::ToTarget);
     }
 
+    /// Removes a flow with a queued request if its client has repeated the opening packet of
+    /// another flow between the same addresses, which replaces it.
+    fn replace_flow(&mut self, segment: &Segment, actions: &mut Vec<AgentAction>) {
+        let flow = segment.inbound_flow();
+        let known = self.flows.peek(&flow).and_then(|it| it.opening_seq);
+        // The first copy may be an old packet that was delayed.
+        let replaces = segment.ack > 0 && known.is_some_and(|it| it != segment.seq);
+        if replaces && self.slot_queue.is_queued(&flow) {
+            self.forget_request(&flow);
+            self.flows.remove(&flow);
+            actions.push(AgentAction::ClientGone(flow));
+        }
+    }
+
+    /// Whether the request of a new flow can't be answered before its client times out. Uploads
+    /// don't wait for slots.
+    fn is_hopeless(&self, now: Timestamp, header: &Header, segment: &Segment) -> bool {
+        let new = NewFlow {
+            flow: segment.inbound_flow(),
+            work: header.work,
+            waited: now.since(first_sent_at(now, segment.ack)),
+            opening: self.openings.len(),
+            slow_start: self.target.slow_start(now),
+        };
+        let is_upload = header.work.class == WorkClass::Upload;
+        !is_upload && self.slot_queue.is_hopeless(now, self.slots(), &new)
+    }
+
+    /// Resets a flow that isn't open yet and whose request can't be served in time, and reports
+    /// that to the entry.
+    fn shed(&self, now: Timestamp, header: &Header, flow: FlowKey, actions: &mut Vec<AgentAction>) {
+        let verdict = Verdict::Refused(RefuseReason::Overloaded);
+        self.report(now, header.entry, flow, verdict, actions);
+        // The client has received nothing that the reset could follow.
+        let reset = Reset { flow, seq: 0 };
+        actions.push(AgentAction::Reset(reset, ResetReason::Overloaded));
+    }
+
     /// Forwards an opening packet to the alternate agent, or drops it if the header names no other
     /// agent. Reports the refusal and its reason to the entry in both cases.
     pub(super) fn forward_or_refuse(
@@ -97,12 +177,7 @@
             return self.refuse(now, header, flow, reason, actions);
         };
         self.report(now, header.entry, flow, Verdict::Refused(reason), actions);
-        let header = Header {
-            hops: header.hops.saturating_add(1),
-            other: None,
-            ..*header
-        };
-        actions.push(AgentAction::ToAgents(vec![other], header));
+        actions.push(AgentAction::ToAgents(vec![other], guest::onward(header)));
     }
 
     /// Drops a packet and reports the refusal and its reason to the entry.
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -26,6 +26,11 @@
 impl AgentFlows {
     /// Handles a packet that the target sent, or a client's packet that it returned.
     pub fn on_target(&mut self, now: Timestamp, segment: &Segment, actions: &mut Vec<AgentAction>) {
+        self.on_packet(now, segment, actions);
+        self.record_occupancy(now);
+    }
+
+    fn on_packet(&mut self, now: Timestamp, segment: &Segment, actions: &mut Vec<AgentAction>) {
         self.health.on_packet();
         if segment.flags.bounced {
             return self.on_bounced(now, segment, actions);
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -27,24 +27,34 @@
 
 impl AgentFlows {
     /// Returns the agent to forward a new flow to, with the header to send. Returns `None` if this
-    /// agent accepts the flow: a bulk flow, a load within the threshold, no other agent that fits, or
-    /// this agent being the least loaded one.
+    /// agent accepts or rejects the flow: a bulk flow, a load within the threshold, no other agent
+    /// that fits, or this agent being the least loaded one. A flow whose request is `hopeless` here
+    /// is forwarded whatever the threshold is.
     pub(super) fn redirect(
         &self,
         now: Timestamp,
         header: &Header,
         flow: &FlowKey,
+        hopeless: bool,
     ) -> Option<(InstanceId, Header)> {
-        let PlacementHint { threshold, best } = header.placement_hint;
+        let PlacementHint {
+            threshold,
+            best,
+            home,
+        } = header.placement_hint;
         // Bulk data loses more by crossing failure domains than by waiting.
         if header.work.class.is_bulk() {
             return None;
         }
+        // The agents of a service can't return a flow of another one to it.
+        if home.is_some() {
+            return None;
+        }
         let own = (
             self.options.own,
             selection::load_level(&self.load(now), header.work.class),
         );
-        if own.1 <= threshold {
+        if own.1 <= threshold && !hopeless {
             return None;
         }
         let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
--- a/marigoldway-core/src/flow/agent/slot_queue.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue.rs
@@ -6,16 +6,20 @@
 //! and every answer is late.
 //!
 //! The slot queue therefore admits as many requests as the target has slots and a few more, and
-//! holds the first packets of the others. Requests that can still be answered within their
-//! objective go first, by the priority of their route and then by the time left. Requests that
-//! are already late use the remaining room, by priority and then newest first, since the clients
-//! of the oldest ones time out soonest.
+//! holds the first packets of the others. The order in which these are admitted is decided in
+//! [`order`](crate::flow::overload::order).
+
+mod backlog;
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::flow::key::FlowKey;
+use crate::flow::overload::order::QueueOrder;
+use crate::flow::overload::order::Rank;
+use crate::flow::overload::order::Waiting;
+use crate::flow::overload::shedding::Arrivals;
 use crate::flow::routes::Work;
 use crate::time::Timestamp;
 
@@ -81,6 +85,8 @@
     options: SlotQueueOptions,
     running: IndexMap<FlowKey, RunningRequest>,
     waiting: IndexMap<FlowKey, QueuedRequest>,
+    order: QueueOrder,
+    arrivals: Arrivals,
     /// Number of octets in queued packets.
     octets: usize,
     /// Moving mean of the times of measured requests, or `None` before the first one.
@@ -95,6 +101,7 @@
     /// Whether the request counts in the mean time, and as unanswered if it is overdue. False if it
     /// may have been answered before this process saw its flow.
     measured: bool,
+    rank: Rank,
 }
 
 #[derive(Debug)]
@@ -104,7 +111,7 @@
     objective_end: Timestamp,
     /// When the client of the request times out.
     end: Timestamp,
-    priority: u8,
+    rank: Rank,
     packets: Vec<Vec<u8>>,
 }
 
@@ -130,6 +137,9 @@
     pub waiting_since: Timestamp,
     /// Whether the packet carries the first data of the flow that the agent sees.
     pub first: bool,
+    /// Whether the flow belongs to another service, and runs only in slots that the requests of the
+    /// own service leave free.
+    pub guest: bool,
     /// Whether the data may belong to a request that was already answered.
     pub maybe_answered: bool,
 }
@@ -186,16 +196,19 @@
             self.octets += arrival.packet.len();
             return QueueDecision::Queued;
         }
+        let rank = arrival.rank();
+        self.arrivals.record(now, rank.priority);
+        self.order.add(&arrival.flow);
         let full = self.waiting.len() >= MAX_QUEUED_REQUESTS || self.octets >= MAX_QUEUED_OCTETS;
-        if full || self.has_room(slots) {
-            self.start(now, arrival.flow, arrival.work, arrival.maybe_answered);
+        if full || self.has_room(slots, rank) {
+            self.start(now, arrival, rank);
             return QueueDecision::Admitted;
         }
         let waiting = QueuedRequest {
             since: now,
             objective_end: arrival.waiting_since + arrival.work.objective,
             end: arrival.waiting_since + arrival.work.timeout,
-            priority: arrival.work.priority,
+            rank,
             packets: vec![arrival.packet.to_vec()],
         };
         self.octets += arrival.packet.len();
@@ -216,18 +229,19 @@
     /// Removes the running request of a flow, which the target has answered or will not answer.
     /// Returns the time since its admission, or `None` if the flow has no running request.
     pub fn finish(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Duration> {
-        let running = self.running.swap_remove(flow)?;
+        let running = self.remove_running(flow)?;
         let took = now.since(running.since);
         if running.measured {
             let mean = self.mean.unwrap_or(took);
             self.mean = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
+            self.order.record_time(running.rank, took);
         }
         Some(took)
     }
 
     /// Removes all requests of a flow that has ended.
     pub fn remove(&mut self, flow: &FlowKey) {
-        self.running.swap_remove(flow);
+        self.remove_running(flow);
         self.remove_waiting(flow);
     }
 
@@ -235,6 +249,7 @@
     pub fn clear(&mut self) {
         self.running.clear();
         self.waiting.clear();
+        self.order.clear();
         self.octets = 0;
     }
 
@@ -248,7 +263,7 @@
         let expired: Vec<(FlowKey, bool)> =
             expired.map(|(flow, it)| (*flow, it.measured)).collect();
         for (flow, _) in &expired {
-            self.running.swap_remove(flow);
+            self.remove_running(flow);
         }
         let abandoned = self.waiting.iter().filter(|(_, it)| now >= it.end);
         let abandoned: Vec<FlowKey> = abandoned.map(|(flow, _)| *flow).collect();
@@ -264,22 +279,21 @@
 
     /// Time after which the target is assumed to have dropped a request.
     fn overdue_time(&self) -> Duration {
-        let mean = self.mean.unwrap_or(DEFAULT_REQUEST_TIME);
+        let mean = self.request_time();
         mean.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE_TIME)
     }
 
     /// Admits the next queued request, or returns `None` if none is queued or the target has no
     /// room.
     pub fn release(&mut self, now: Timestamp, slots: u16) -> Option<ReleasedRequest> {
-        if self.waiting.is_empty() || !self.has_room(slots) {
-            return None;
-        }
-        let flow = self.next_flow(now)?;
+        let flow = self.next_flow(now, slots)?;
         let waiting = self.remove_waiting(&flow)?;
+        self.order.add(&flow);
         let running = RunningRequest {
             since: now,
             end: waiting.end.max(now + MAYBE_ANSWERED_LIFETIME),
             measured: true,
+            rank: waiting.rank,
         };
         self.running.insert(flow, running);
         Some(ReleasedRequest {
@@ -289,49 +303,88 @@
         })
     }
 
-    /// Whether a further request may be admitted.
-    fn has_room(&self, slots: u16) -> bool {
-        self.running.len() < usize::from(slots) + self.options.overcommit
+    /// Whether a further request of a rank may be admitted. Requests of other services get only free
+    /// slots, so those of the own one find no more than the running ones before them.
+    fn has_room(&self, slots: u16, rank: Rank) -> bool {
+        let overcommit = if rank.guest {
+            0
+        } else {
+            self.options.overcommit
+        };
+        self.running.len() < usize::from(slots) + overcommit
     }
 
     /// Adds a request that is admitted on arrival.
-    fn start(&mut self, now: Timestamp, flow: FlowKey, work: Work, maybe_answered: bool) {
-        let lifetime = if maybe_answered {
+    fn start(&mut self, now: Timestamp, arrival: &Arrival<'_>, rank: Rank) {
+        let lifetime = if arrival.maybe_answered {
             MAYBE_ANSWERED_LIFETIME
         } else {
-            work.timeout.min(MAX_RUNNING_TIME)
+            arrival.work.timeout.min(MAX_RUNNING_TIME)
         };
         let running = RunningRequest {
             since: now,
             end: now + lifetime,
-            measured: !maybe_answered,
+            measured: !arrival.maybe_answered,
+            rank,
         };
-        self.running.insert(flow, running);
+        self.running.insert(arrival.flow, running);
     }
 
-    /// Selects the next request, or returns `None` if none is queued. Requests that can be answered
-    /// in time come first, by priority and then by time left. The others follow by priority and
-    /// then newest first.
-    fn next_flow(&self, now: Timestamp) -> Option<FlowKey> {
-        let mean = self.mean.unwrap_or(DEFAULT_REQUEST_TIME);
-        let needed = now + mean.mul_f64(self.options.reserve_factor) + NETWORK_TIME;
-        let in_time = self
+    /// Selects the next request for which the target has room, or returns `None` if there is none.
+    /// A request whose client has timed out is left for [`expire`](SlotQueue::expire).
+    fn next_flow(&mut self, now: Timestamp, slots: u16) -> Option<FlowKey> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let needed = now + self.needed_time();
+        let eligible = self
             .waiting
             .iter()
-            .filter(|(_, it)| it.objective_end >= needed);
-        let first = in_time.min_by_key(|(_, it)| (it.priority, it.objective_end));
-        let newest = || {
-            self.waiting
-                .iter()
-                .min_by_key(|(_, it)| (it.priority, std::cmp::Reverse(it.since)))
-        };
-        first.or_else(newest).map(|(flow, _)| *flow)
+            .filter(|(_, it)| now < it.end && self.has_room(slots, it.rank));
+        let eligible: Vec<Waiting> = eligible
+            .map(|(flow, it)| Waiting {
+                flow: *flow,
+                rank: it.rank,
+                in_time: it.objective_end >= needed,
+                objective_end: it.objective_end,
+                since: it.since,
+            })
+            .collect();
+        let mean = self.request_time();
+        self.order.take_next(&eligible, mean)
+    }
+
+    /// Mean time of a request at the target.
+    fn request_time(&self) -> Duration {
+        self.mean.unwrap_or(DEFAULT_REQUEST_TIME)
+    }
+
+    /// Time before the end of its objective at which a request must be admitted to be in time.
+    fn needed_time(&self) -> Duration {
+        let reserve = self.request_time().mul_f64(self.options.reserve_factor);
+        reserve + NETWORK_TIME
+    }
+
+    fn remove_running(&mut self, flow: &FlowKey) -> Option<RunningRequest> {
+        let running = self.running.swap_remove(flow)?;
+        self.order.remove(flow);
+        Some(running)
     }
 
     fn remove_waiting(&mut self, flow: &FlowKey) -> Option<QueuedRequest> {
         let waiting = self.waiting.swap_remove(flow)?;
+        self.order.remove(flow);
         let octets: usize = waiting.packets.iter().map(Vec::len).sum();
         self.octets -= octets;
         Some(waiting)
     }
 }
+
+impl Arrival<'_> {
+    fn rank(&self) -> Rank {
+        Rank {
+            guest: self.guest,
+            priority: self.work.priority,
+        }
+    }
+}
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -40,6 +40,7 @@
 use crate::flow::message::PlacementHint;
 use crate::flow::message::RefuseReason;
 use crate::flow::message::Verdict;
+use crate::flow::overload::overflow::Overflow;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
 use crate::flow::segment::Segment;
@@ -63,6 +64,9 @@
     /// Time within which a change of the configuration takes effect. The entry resets new flows to
     /// addresses without a route as long as its routes were the newest ones this long ago.
     pub apply_limit: Duration,
+    /// Whether new flows of a saturated service go to another service of their route that has spare
+    /// capacity.
+    pub overflow: bool,
     /// Seed of the random draws among agents.
     pub seed: u64,
 }
@@ -97,6 +101,7 @@
     demands: bool,
     agents: Agents,
     views: AgentViews,
+    overflow: Overflow,
     addr_services: AddrServices,
     flows: FlowTable<FlowState>,
     rng: StdRng,
@@ -113,6 +118,7 @@
             demands: false,
             agents: Agents::default(),
             views: AgentViews::default(),
+            overflow: Overflow::default(),
             addr_services: AddrServices::new(options.idle_timeout),
             flows: FlowTable::new(options.max_flows, options.idle_timeout),
             rng: StdRng::seed_from_u64(options.seed),
@@ -222,7 +228,7 @@
         match report.verdict {
             Verdict::Holds => self.on_holds(now, from, report.flow),
             // The agent that accepts the flow sends its own report.
-            Verdict::PassedOn => {}
+            Verdict::PassedOn => self.on_passed_on(now, from, &report.flow),
             Verdict::Unknown => return self.on_unknown(now, from, &report.flow),
             Verdict::NotHeld => return self.on_not_held(now, from, &report.flow),
             Verdict::Refused(reason) => self.on_refusal(now, from, report, reason),
@@ -308,6 +314,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel::MAX,
                 best: None,
+                home: None,
             },
         }
     }
@@ -321,10 +328,18 @@
         report: &FlowReport,
         reason: RefuseReason,
     ) {
-        if reason == RefuseReason::Service {
-            self.remove_agent(from);
-        } else {
-            self.views.on_refusal(now, from);
+        match reason {
+            RefuseReason::Service => self.remove_agent(from),
+            // The client was told, and the agent's load shows what it has to do.
+            RefuseReason::Overloaded => {
+                self.flows.remove(&report.flow);
+                return;
+            }
+            RefuseReason::Version
+            | RefuseReason::Draining
+            | RefuseReason::Absent
+            | RefuseReason::Silent
+            | RefuseReason::Bounced => self.views.on_refusal(now, from),
         }
         match self.flows.touch(now, &report.flow) {
             Some(state @ FlowState::Located { .. }) => {
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -63,6 +63,10 @@
     /// The least loaded agent, with its load, among those that forwarded the flow
     /// instead of accepting it. `None` if no agent has forwarded it.
     pub best: Option<(InstanceId, LoadLevel)>,
+    /// The service that the flow belongs to by the weights of its route, if it overflows from there
+    /// to another one. [`Header::other`] is then an agent of this service, to which an agent
+    /// without room returns the packet.
+    pub home: Option<NameKey>,
 }
 
 /// `LoadLevel` is the load of an agent's target relative to its slots, in
@@ -134,17 +138,20 @@
     Silent,
     /// The target returned the packet because it doesn't hold the flow.
     Bounced,
+    /// The request couldn't be served in time, so the agent reset the opening packet.
+    Overloaded,
 }
 
 impl RefuseReason {
     /// All reasons, in the order in which counters list them.
-    pub const ALL: [RefuseReason; 6] = [
+    pub const ALL: [RefuseReason; 7] = [
         RefuseReason::Service,
         RefuseReason::Version,
         RefuseReason::Draining,
         RefuseReason::Absent,
         RefuseReason::Silent,
         RefuseReason::Bounced,
+        RefuseReason::Overloaded,
     ];
 
     /// The reason as it stands in logs and counters.
@@ -156,6 +163,7 @@
             RefuseReason::Absent => "absent",
             RefuseReason::Silent => "silent",
             RefuseReason::Bounced => "bounced",
+            RefuseReason::Overloaded => "overloaded",
         }
     }
 }
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -22,6 +22,7 @@
 //! - An [`agent::AgentFlows`] decides for an agent. It processes every packet to
 //!   and from its target, so it knows the flows that the target holds. It registers
 //!   each of them with the flow's directory agents.
+//! - The decisions under overload are in one folder ([`overload`]).
 //!
 //! All flow tables hold soft state: they are bounded, and a lost record of a flow
 //! is rebuilt from the flow's packets by the processes that know the flow.
@@ -33,6 +34,7 @@
 pub mod entry;
 pub mod key;
 pub mod message;
+pub mod overload;
 pub mod ring;
 pub mod routes;
 pub mod segment;
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -135,6 +135,8 @@
     Mute,
     /// The target answers no packet.
     Silent,
+    /// The target returns opening packets.
+    Returning,
 }
 
 /// Model of a target that handles flows like the platform's targets.
@@ -315,6 +317,7 @@
             max_flows: 10_000,
             idle_timeout: IDLE_TIMEOUT,
             apply_limit: APPLY_LIMIT,
+            overflow: true,
             seed: self.rng.random(),
         });
         entry.set_routes(self.now, self.routes.clone());
@@ -597,6 +600,19 @@
         actions.contains(&AgentAction::ToTarget)
     }
 
+    /// Delivers a client's packet to agent `n` as to the owner of the flow, and returns what the
+    /// agent decides.
+    pub fn send_owned(&mut self, n: u16, segment: Segment) -> Vec<AgentAction> {
+        let node = self.agents.get_mut(&agent_id(n)).unwrap();
+        let mut header = search_header(node.flows.service());
+        header.intent = Intent::Owned;
+        header.hops = 0;
+        let mut actions = Vec::new();
+        let flows = &mut node.flows;
+        flows.on_client(self.now, &header, &segment, &[], &mut actions);
+        actions
+    }
+
     /// Number of flows that agent `n` claims to hold when it is asked for `key`.
     pub fn claims(&mut self, n: u16, key: FlowKey) -> usize {
         let node = self.agents.get_mut(&agent_id(n)).unwrap();
@@ -796,6 +812,7 @@
                 | AgentAction::SearchWaits(..)
                 | AgentAction::Release(_)
                 | AgentAction::TimedOut(_)
+                | AgentAction::ClientGone(_)
                 | AgentAction::Request(_)
                 | AgentAction::Answered(..)
                 | AgentAction::TargetReset(..)
@@ -825,6 +842,11 @@
         }
         let held = target.open.get(&key).copied();
         let answer = match (segment.opens(), held) {
+            (true, _) if mode == Mode::Returning => {
+                let mut returned = segment;
+                returned.flags.bounced = true;
+                returned
+            }
             (true, held) => {
                 let origin = *target.open.entry(key).or_insert(held.unwrap_or(origin));
                 let flags = Flags {
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod locate;
 mod moved;
+mod overload;
 mod properties;
 mod refused;
 mod slot_queue;
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -94,10 +94,11 @@
 fn arb_header() -> impl Strategy<Value = Header> {
     let intents = [Intent::Open, Intent::Owned, Intent::Locate, Intent::Search];
     let ids = (1..9_u16, prop::option::of(0..9_u16));
-    let hint = (any::<u16>(), prop::option::of((0..9_u16, any::<u16>())));
+    let best = prop::option::of((0..9_u16, any::<u16>()));
+    let hint = (any::<u16>(), best, any::<bool>());
     let rest = (any::<u8>(), any::<u64>(), any::<bool>());
     (prop::sample::select(intents.to_vec()), ids, hint, rest).prop_map(
-        |(intent, (entry, other), (threshold, best), (hops, version, search))| Header {
+        |(intent, (entry, other), (threshold, best, home), (hops, version, search))| Header {
             intent,
             hops,
             service: service("orders"),
@@ -109,6 +110,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel(threshold),
                 best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
+                home: home.then(|| service("papers")),
             },
         },
     )
--- a/marigoldway-core/tests/flow/slot_queue.rs
+++ b/marigoldway-core/tests/flow/slot_queue.rs
@@ -1,6 +1,7 @@
 //! Tests of the slot queue of a target under overload. The queue holds requests at the agent until
 //! the target has a free slot.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use marigoldway_core::flow::agent::slot_queue::Arrival;
@@ -8,6 +9,7 @@
 use marigoldway_core::flow::agent::slot_queue::SlotQueue;
 use marigoldway_core::flow::agent::slot_queue::SlotQueueOptions;
 use marigoldway_core::flow::key::FlowKey;
+use marigoldway_core::flow::overload::shedding::NewFlow;
 use marigoldway_core::flow::routes::Work;
 use marigoldway_core::flow::routes::WorkClass;
 use marigoldway_core::time::Timestamp;
@@ -41,6 +43,7 @@
         },
         waiting_since: at(ms),
         first: true,
+        guest: false,
         maybe_answered: false,
     }
 }
@@ -154,3 +157,104 @@
     }
     assert!(queue.waiting() <= 512);
 }
+
+/// A request of a client address of its own.
+fn request_of(client: u8, n: u16, ms: u64) -> Arrival<'static> {
+    let mut arrival = request(n, 1, ms);
+    arrival
+        .flow
+        .client
+        .set_ip(Ipv4Addr::new(100, 64, 1, client));
+    arrival
+}
+
+/// Guards against a client address whose many requests, with less time left, keep those of others
+/// waiting.
+#[test]
+fn release_prefers_clients_with_fewer_requests() {
+    let mut queue = full_queue();
+    for n in 0..8 {
+        queue.offer(at(5), SLOTS, &request_of(1, 20 + n, 1));
+    }
+    queue.offer(at(6), SLOTS, &request_of(2, 40, 6));
+    assert_eq!(release_order(&mut queue, 20, 5)[0], 40);
+}
+
+/// Guards against a request that runs after its client's timeout, before the next `expire`.
+#[test]
+fn release_skips_a_request_past_its_timeout() {
+    let mut queue = full_queue();
+    queue.offer(at(1), SLOTS, &request(9, 1, 1));
+    queue.finish(at(3_100), &key(0));
+    assert_eq!(queue.release(at(3_100), SLOTS), None);
+    assert_eq!(queue.expire(at(3_100)).timed_out, [key(9)]);
+}
+
+/// Guards against requests of another service that take slots before those of the own one.
+#[test]
+fn release_of_a_guest_needs_a_free_slot() {
+    let mut queue = full_queue();
+    let guest = Arrival {
+        guest: true,
+        ..request(9, 0, 1)
+    };
+    queue.offer(at(1), SLOTS, &guest);
+    queue.offer(at(2), SLOTS, &request(10, 2, 2));
+    queue.finish(at(20), &key(0));
+    let released = queue.release(at(20), SLOTS).map(|it| it.flow);
+    assert_eq!(released, Some(key(10)));
+    queue.finish(at(21), &key(1));
+    queue.finish(at(22), &key(2));
+    assert_eq!(queue.release(at(22), SLOTS), None);
+    queue.finish(at(23), &key(3));
+    let released = queue.release(at(23), SLOTS).map(|it| it.flow);
+    assert_eq!(released, Some(key(9)));
+}
+
+/// Guards against a lower priority that never runs while higher ones wait.
+#[test]
+fn release_gives_a_lower_priority_a_tenth() {
+    let mut queue = full_queue();
+    for n in 0..200 {
+        let priority = if n < 150 { 1 } else { 2 };
+        queue.offer(at(1), SLOTS, &request(100 + n, priority, 1));
+    }
+    let order = release_order(&mut queue, 5, 5);
+    let lower = order[..100].iter().filter(|it| **it >= 250).count();
+    assert!((9..=11).contains(&lower), "{lower} of 100");
+}
+
+fn new_flow(waited: u64, opening: usize, slow_start: u64) -> NewFlow {
+    NewFlow {
+        flow: key(9_000),
+        work: request(0, 1, 0).work,
+        waited: Duration::from_millis(waited),
+        opening,
+        slow_start: Duration::from_millis(slow_start),
+    }
+}
+
+/// Guards against a new agent, which knows no request and no rate, that rejects flows.
+#[test]
+fn is_hopeless_is_false_at_a_new_agent() {
+    let queue = SlotQueue::new(SlotQueueOptions::default());
+    assert!(!queue.is_hopeless(at(0), SLOTS, &new_flow(0, 0, 0)));
+    assert!(!queue.is_hopeless(at(0), SLOTS, &new_flow(600, 60, 0)));
+}
+
+/// Guards against flows that are accepted although the ones accepted before take longer than the
+/// client waits: 300 requests of 30 ms in two slots take 4.5 s, and the client waits 3 s.
+#[test]
+fn is_hopeless_counts_accepted_flows() {
+    let queue = SlotQueue::new(SlotQueueOptions::default());
+    assert!(queue.is_hopeless(at(0), SLOTS, &new_flow(0, 300, 0)));
+}
+
+/// Guards against flows that are rejected by the times of a slow start that ends soon: 220 requests
+/// of 30 ms take 3.3 s, or 2.2 s if the target is slow for only 0.3 s more.
+#[test]
+fn is_hopeless_regards_the_end_of_the_slow_start() {
+    let queue = SlotQueue::new(SlotQueueOptions::default());
+    assert!(queue.is_hopeless(at(0), SLOTS, &new_flow(0, 220, 0)));
+    assert!(!queue.is_hopeless(at(0), SLOTS, &new_flow(0, 220, 300)));
+}
--- a/marigoldway-net/src/wire/flows/layout.rs
+++ b/marigoldway-net/src/wire/flows/layout.rs
@@ -67,6 +67,8 @@
     /// Least loaded agent that forwarded the flow; port 0 means none.
     pub(super) best: WireAddr,
     pub(super) best_load: U16,
+    /// Service that the flow overflows from; 0 means none.
+    pub(super) home: U64,
 }
 
 #[derive(Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -186,6 +188,7 @@
             threshold: header.placement_hint.threshold.0.into(),
             best: best.0.into(),
             best_load: best.1.0.into(),
+            home: header.placement_hint.home.map_or(0, |home| home.0).into(),
         }
     }
 }
@@ -220,6 +223,7 @@
             placement_hint: PlacementHint {
                 threshold: LoadLevel(wire.threshold.get()),
                 best: (best.port() > 0).then_some((InstanceId(best), best_load)),
+                home: (wire.home.get() > 0).then_some(NameKey(wire.home.get())),
             },
         })
     }
@@ -277,6 +281,7 @@
                 Verdict::Refused(RefuseReason::Absent) => 5,
                 Verdict::Refused(RefuseReason::Bounced) => 6,
                 Verdict::Refused(RefuseReason::Silent) => 7,
+                Verdict::Refused(RefuseReason::Overloaded) => 11,
                 Verdict::PassedOn => 1,
                 Verdict::Unknown => 8,
                 Verdict::NotHeld => 9,
@@ -302,6 +307,7 @@
                 5 => Verdict::Refused(RefuseReason::Absent),
                 6 => Verdict::Refused(RefuseReason::Bounced),
                 7 => Verdict::Refused(RefuseReason::Silent),
+                11 => Verdict::Refused(RefuseReason::Overloaded),
                 1 => Verdict::PassedOn,
                 8 => Verdict::Unknown,
                 9 => Verdict::NotHeld,
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -75,9 +75,13 @@
     let rest = (any::<u8>(), any::<u64>(), any::<u64>(), any::<bool>());
     let others = (arb_id(), prop::option::of(arb_id()), arb_work());
     let best = prop::option::of((arb_id(), any::<u16>().prop_map(LoadLevel)));
-    let placement_hint = (any::<u16>().prop_map(LoadLevel), best);
-    let placement_hint =
-        placement_hint.prop_map(|(threshold, best)| PlacementHint { threshold, best });
+    let home = prop::option::of((1..u64::MAX).prop_map(NameKey));
+    let placement_hint = (any::<u16>().prop_map(LoadLevel), best, home);
+    let placement_hint = placement_hint.prop_map(|(threshold, best, home)| PlacementHint {
+        threshold,
+        best,
+        home,
+    });
     (intent, rest, others, placement_hint).prop_map(
         |(intent, (hops, service, version, search), (entry, other, work), placement_hint)| Header {
             intent,
@@ -151,16 +155,16 @@
     #[test]
     fn decode_flow_report(
         flow in arb_flow(),
-        verdict in 0..10_usize,
+        verdict in 0..RefuseReason::ALL.len() + 4,
         load in arb_load(),
         version: u64,
     ) {
         let verdict = match verdict {
             0 => Verdict::Holds,
             1 => Verdict::PassedOn,
-            8 => Verdict::Unknown,
-            9 => Verdict::NotHeld,
-            n => Verdict::Refused(RefuseReason::ALL[n - 2]),
+            2 => Verdict::Unknown,
+            3 => Verdict::NotHeld,
+            n => Verdict::Refused(RefuseReason::ALL[n - 4]),
         };
         let report = FlowReport { flow, verdict, load, version };
         let datagram = flows::encode_flow_report(&report);
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -74,6 +74,7 @@
                 | AgentAction::Unanswered(_)
                 | AgentAction::TargetReset(..)
                 | AgentAction::TimedOut(_)
+                | AgentAction::ClientGone(_)
                 | AgentAction::Drop(_) => {}
             }
         }
--- a/marigoldway/src/packets/agent/log_actions.rs
+++ b/marigoldway/src/packets/agent/log_actions.rs
@@ -41,6 +41,11 @@
                 self.node.count(event);
                 return self.log_flow(event, flow, "reason=timeout");
             }
+            AgentAction::ClientGone(flow) => {
+                let event = "request-given-up";
+                self.node.count(event);
+                return self.log_flow(event, flow, "reason=client-gone");
+            }
             AgentAction::TargetReset(flow, phase) => {
                 let event = "target-reset";
                 self.node.count(event);
@@ -78,6 +83,10 @@
             }
             AgentAction::ToAgents(agents, header) => {
                 let event = match header.intent {
+                    // The agent had no room for a flow of another service.
+                    Intent::Open if header.service != self.flows.borrow().service() => {
+                        "flow-returned"
+                    }
                     Intent::Open => "flow-passed-on",
                     Intent::Owned => "packet-to-owner",
                     Intent::Locate => "packet-to-home",
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -89,6 +89,7 @@
         max_flows: settings.memory as usize * FLOWS_PER_MB,
         idle_timeout: settings.lifetime,
         apply_limit: settings.apply_limit,
+        overflow: settings.overflow,
         seed: rand::random(),
     };
     let entry = Rc::new(Entry {
@@ -220,6 +221,7 @@
         // An opening packet acknowledges nothing: its `ack` counts earlier copies.
         let copy = if segment.opens() { segment.ack } else { 0 };
         self.log_action(now, &segment.inbound_flow(), copy, &action);
+        self.log_overflow(now);
         self.execute(datagram, action);
     }
 
--- a/marigoldway/src/packets/entry/log_actions.rs
+++ b/marigoldway/src/packets/entry/log_actions.rs
@@ -51,19 +51,41 @@
             Intent::Owned | Intent::Search => return self.node.count("packet-passed"),
         };
         self.node.count(event);
+        let home = header.placement_hint.home;
+        if home.is_some() {
+            self.node.count("flow-overflowed");
+        }
         if self.node.log_limiter.allows(now, event) {
             let agent = Some(agent.0);
             let other = header.other.map(|it| it.0);
             let service = header.service;
             let threshold = header.placement_hint.threshold.0;
             let version = self.node.version();
+            let home = home.map_or_else(String::new, |it| format!(" overflow-from={it}"));
             log::info!(
                 "event={event} flow={flow} agent={agent:?} other={other:?} \
-                 service={service} copy={copy} bar={threshold} version={version}"
+                 service={service} copy={copy} bar={threshold} version={version}{home}"
             );
         }
     }
 
+    /// Counts and logs the services from which flows begin or cease to overflow.
+    pub(super) fn log_overflow(&self, now: Timestamp) {
+        let changes = self.flows.borrow_mut().take_overflow_changes();
+        for (service, is_saturated) in changes {
+            let event = if is_saturated {
+                "service-saturated"
+            } else {
+                "service-relieved"
+            };
+            self.node.count(event);
+            if self.node.log_limiter.allows(now, event) {
+                let version = self.node.version();
+                log::info!("event={event} service={service} version={version}");
+            }
+        }
+    }
+
     fn log_reset(&self, now: Timestamp, flow: &FlowKey, reason: ResetReason) {
         self.node.count("flow-reset");
         if self.node.log_limiter.allows(now, "flow-reset") {
--- a/marigoldway/src/settings/flows.rs
+++ b/marigoldway/src/settings/flows.rs
@@ -59,6 +59,9 @@
     /// [`DEFAULT_APPLY_LIMIT`] by default. It determines how old the confirmation of what a process
     /// has read may be.
     pub apply_limit: Duration,
+    /// Whether an entry sends new flows of a saturated service to another service of their route
+    /// that has spare capacity; true by default.
+    pub overflow: bool,
     /// Memory of the process in megabytes. It determines the maximum number of flows.
     pub memory: u32,
     /// Log level, [`DEFAULT_LEVEL`] by default.
@@ -141,6 +144,7 @@
         let lifetime = section.required("lifetime", values::duration);
         let grace = section.required("grace", values::duration);
         let apply_limit = section.optional("apply-limit", values::duration);
+        let overflow = section.optional("overflow", values::switch);
         let memory = section.required("memory-mb", |text| values::number(text, 1..=MAX_MEMORY_MB));
         let log_level = section.optional("log-level", values::level);
 
@@ -157,6 +161,7 @@
             lifetime: lifetime?,
             grace: grace?,
             apply_limit: apply_limit?.unwrap_or(DEFAULT_APPLY_LIMIT),
+            overflow: overflow?.unwrap_or(true),
             memory: memory?,
             log_level: log_level?.unwrap_or(DEFAULT_LEVEL),
             platform: platform?,
--- a/marigoldway/src/settings/values.rs
+++ b/marigoldway/src/settings/values.rs
@@ -118,6 +118,15 @@
     Ok(span)
 }
 
+/// Parses `on` or `off`.
+pub(crate) fn switch(text: &str) -> Result<bool, Expected> {
+    match text {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        _ => Err(Expected::new("on or off")),
+    }
+}
+
 /// Parses a log level.
 pub(crate) fn level(text: &str) -> Result<LevelFilter, Expected> {
     match text {
