--- a/marigoldway/tests/settings.rs
+++ b/marigoldway/tests/settings.rs
@@ -28,6 +28,7 @@
 use marigoldway::settings::Document;
 use marigoldway::settings::EntrySettings;
 use marigoldway::settings::FleetKeys;
+use marigoldway::settings::FlowSettings;
 use marigoldway::settings::KeySource;
 use samples::AGENT;
 use samples::ENTRY;
@@ -231,3 +232,21 @@
         }
     }
 }
+
+/// Guards against an `overflow` that is off by default, is ignored, or takes other words.
+#[test]
+fn flow_settings_read_overflow() {
+    let scratch = Scratch::new("flow_settings_read_overflow");
+    let load = |line: &str| {
+        let text = format!(
+            "[flows]\nname = a\ndomain = d\ndata = 127.0.0.1:1\nlisten = 127.0.0.1:2\n\
+             ready = 127.0.0.1:3\nheartbeat = 1s\nlifetime = 60s\ngrace = 1s\nmemory-mb = 64\n\
+             {line}\n[platform]\naddress = 127.0.0.1:4\n"
+        );
+        FlowSettings::load(&write_settings(&scratch, &text)).map(|it| it.overflow)
+    };
+    assert_eq!(load("").ok(), Some(true));
+    assert_eq!(load("overflow = on").ok(), Some(true));
+    assert_eq!(load("overflow = off").ok(), Some(false));
+    assert!(load("overflow = no").is_err());
+}
