--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -43,11 +43,8 @@
             home,
         } = header.placement_hint;
         // Bulk data loses more by crossing failure domains than by waiting.
-        if header.work.class.is_bulk() {
-            return None;
-        }
         // The agents of a service can't return a flow of another one to it.
-        if home.is_some() {
+        if header.work.class.is_bulk() || home.is_some() {
             return None;
         }
         let own = (
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod properties;
 mod refused;
+mod rejected;
 mod slot_queue;
 mod target;
 mod unconfirmed;
