Merge the decisions under overload

An agent decides on an opening packet in this order: service, version, drained domain and target state; return of a flow of another service and replacement of an earlier flow; ramp; silent target; redirect and shedding; the queue of the ramp; acceptance. A flow is known, and neither redirected nor reset, also while its opening packet waits in the queue of the ramp.

- Overflow starts after the check for services whose targets are all in drained domains.
The candidates of both services are compared by capacity::compare; the hint keeps the reference of the flow's own service, to which it may return.
Overflow counts requests per usable slot, as the capacity estimate defines it.
So do the check of a free slot for a flow of another service, and its admission.
- A flow that overflows keeps the ramp of its own service in the header.
The agent of the other service doesn't apply that ramp to its target.
- The candidates that an agent knows are of its own service, so a flow of another service is only ever forwarded to the agent that its header names.
- The time for which the client has waited includes the time in the queues of other agents.
Queued opening packets keep their sequence number, and flows of other services their mark, when they are released.
- The slot queue's estimate of a wait uses its own mean request time and all slots. capacity::expected_wait uses the estimated service time and the usable slots.
They differ if the concurrency limit is reduced.
- On the wire, Drained keeps code 10 and Overloaded has code 11.
The header ends with the service that a flow overflows from.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -8,6 +8,7 @@
 
 pub mod actions;
 mod admit;
+mod guest;
 mod health;
 mod listing;
 mod local;
@@ -16,6 +17,7 @@
 mod openings;
 mod outbound;
 mod peer_messages;
+mod periodic;
 pub mod ramp;
 mod record;
 mod redirect;
@@ -51,7 +53,7 @@
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
 use crate::flow::message::RefuseReason;
-use crate::flow::segment::Reset;
+use crate::flow::overload::occupancy::Occupancy;
 use crate::flow::segment::Segment;
 use crate::flow::table::FlowTable;
 use crate::flow::target::Heartbeat;
@@ -76,9 +78,6 @@
 /// clocks.
 const START_HEARTBEATS: u64 = 3;
 
-/// Time for which the last packets of a closed flow are still delivered.
-const CLOSED_LIFETIME: Duration = Duration::from_secs(3);
-
 /// `AgentOptions` identifies an agent and sets its limits.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentOptions {
@@ -154,6 +153,7 @@
     /// Revision of `agents` at which the flows were last checked for strays.
     checked_revision: u64,
     slot_queue: SlotQueue,
+    occupancy: Occupancy,
     health: Health,
     openings: Openings,
     /// Limits the opening packets that are sent to a target in slow start.
@@ -194,6 +194,7 @@
             stray_check: None,
             checked_revision: 0,
             slot_queue: SlotQueue::with_capacity_policy(options.capacity),
+            occupancy: Occupancy::default(),
             health: Health::default(),
             openings: Openings::default(),
             limiter: RampLimiter::new(options.started),
@@ -348,65 +349,6 @@
                 self.route_packet(now, header, segment, packet, actions);
             }
         }
-    }
-
-    /// Does the periodic work: registers flows whose directory agents have changed, and removes
-    /// expired state. Returns the unregistered agents to probe, to find out whether they are alive.
-    pub fn tick(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) -> Vec<InstanceId> {
-        self.agents.expire(now);
-        let lifetime = self.options.idle_timeout;
-        self.agents.drains_mut().expire(now, lifetime);
-        self.note_strays(now, actions);
-        self.update_number(now);
-        self.flows
-            .retain(|_, flow| flow.closed.is_none_or(|at| now.since(at) < CLOSED_LIFETIME));
-        self.flows.sweep(now);
-        self.directory.sweep(now);
-        self.searches.expire(now);
-        self.review_searches(now, actions);
-        self.openings.expire(now);
-        self.recount();
-        self.send_hello(now, actions);
-        self.flush_searches(now, actions);
-        self.expire_requests(now, actions);
-        let slow_start = !self.target.slow_start(now).is_zero();
-        self.slot_queue.observe_tick(now, self.slots(), slow_start);
-        self.release(now, actions);
-        self.review_openings(now, actions);
-        self.release_openings(now, actions);
-        if self.epoch != self.agents.epoch() {
-            self.epoch = self.agents.epoch();
-            self.register_all(now, actions);
-        }
-        self.agents.due_probes(now)
-    }
-
-    /// Counts `open_flows` anew.
-    fn recount(&mut self) {
-        let flows = self.flows.iter();
-        let open = flows.filter(|(key, it)| {
-            let begun = it.phase == Phase::Open || self.openings.contains(key);
-            begun && it.closed.is_none()
-        });
-        self.open_flows = u32::try_from(open.count()).unwrap_or(u32::MAX);
-    }
-
-    /// Resets every open flow of an earlier incarnation of the target, and removes all flows and
-    /// requests.
-    fn reset_flows(&mut self, actions: &mut Vec<AgentAction>) {
-        self.flows.retain(|key, flow| {
-            if flow.phase == Phase::Open && flow.closed.is_none() {
-                let reset = Reset {
-                    flow: *key,
-                    seq: flow.acked,
-                };
-                actions.push(AgentAction::Reset(reset, ResetReason::TargetRestarted));
-            }
-            false
-        });
-        self.slot_queue.clear();
-        self.openings.clear();
-        self.searches.clear_not_held();
-        self.recount();
+        self.record_occupancy(now);
     }
 }
--- a/marigoldway-core/src/flow/agent/ramp.rs
+++ b/marigoldway-core/src/flow/agent/ramp.rs
@@ -11,6 +11,7 @@
 
 use indexmap::IndexMap;
 
+use crate::flow::agent::open::Opening;
 use crate::flow::key::FlowKey;
 use crate::flow::message::Header;
 use crate::time::Timestamp;
@@ -127,22 +128,20 @@
 /// `QueuedOpening` is an opening packet over the limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueuedOpening {
-    /// Flow that the packet opens.
-    pub flow: FlowKey,
+    /// Flow and sequence number of the packet, and when the client first sent it.
+    pub opening: Opening,
     /// Header with which the packet arrived.
     pub header: Header,
     /// The whole packet.
     pub packet: Vec<u8>,
     /// When the packet was queued.
     pub since: Timestamp,
-    /// When the client sent the first copy of the packet.
-    pub first_sent: Timestamp,
 }
 
 impl QueuedOpening {
     /// Until when the packet has to be sent for the client to see the answer.
     pub fn deadline(&self) -> Timestamp {
-        self.first_sent + (OPEN_TIMEOUT - NETWORK_TIME)
+        self.opening.first_sent + (OPEN_TIMEOUT - NETWORK_TIME)
     }
 }
 
@@ -188,12 +187,13 @@
 
     /// Queues a packet. A packet of a flow that is queued already replaces the earlier one.
     pub fn push(&mut self, opening: QueuedOpening) {
-        self.remove(&opening.flow);
+        let flow = opening.opening.flow;
+        self.remove(&flow);
         let index = self.position(&opening);
         let key = self.key(&opening);
         self.pushed += 1;
-        self.order.insert(index, (key, opening.flow));
-        self.openings.insert(opening.flow, (key, opening));
+        self.order.insert(index, (key, flow));
+        self.openings.insert(flow, (key, opening));
     }
 
     /// The next packet, or `None` if none is queued.
--- a/marigoldway-core/src/flow/agent/redirect.rs
+++ b/marigoldway-core/src/flow/agent/redirect.rs
@@ -27,21 +27,24 @@
 
 impl AgentFlows {
     /// Returns the agent to forward a new flow to, with the header to send. Returns `None` if this
-    /// agent accepts the flow: a bulk flow, a load within the threshold, no other agent that fits, or
-    /// this agent being the least loaded one.
+    /// agent accepts or rejects the flow: a bulk flow, a load within the threshold, no other agent
+    /// that fits, or this agent being the least loaded one. A flow whose request is `hopeless` here
+    /// is forwarded whatever the threshold is.
     pub(super) fn redirect(
         &self,
         now: Timestamp,
         header: &Header,
         flow: &FlowKey,
+        hopeless: bool,
     ) -> Option<(InstanceId, Header)> {
         let hint = header.placement_hint;
         // Bulk data loses more by crossing failure domains than by waiting.
-        if header.work.class.is_bulk() {
+        // The agents of a service can't return a flow of another one to it.
+        if header.work.class.is_bulk() || hint.home.is_some() {
             return None;
         }
         let own = (self.options.own, self.offered_level(now, header));
-        if own.1 <= hint.threshold {
+        if own.1 <= hint.threshold && !hopeless {
             return None;
         }
         let best = hint
@@ -115,6 +118,10 @@
         if let Some(other) = header.other.filter(fits) {
             return Some(other);
         }
+        if header.placement_hint.home.is_some() {
+            // The candidates known here are of another service than the flow.
+            return None;
+        }
         let class = header.work.class;
         let ids = self
             .agents
--- a/marigoldway-core/src/flow/agent/slow_start.rs
+++ b/marigoldway-core/src/flow/agent/slow_start.rs
@@ -13,6 +13,8 @@
 use crate::flow::agent::actions::AgentAction;
 use crate::flow::agent::actions::DropReason;
 use crate::flow::agent::actions::ReleasedOpening;
+use crate::flow::agent::guest;
+use crate::flow::agent::open::Opening;
 use crate::flow::agent::ramp::QueuedOpening;
 use crate::flow::agent::redirect::MAX_REDIRECTS;
 use crate::flow::key::FlowKey;
@@ -66,11 +68,10 @@
             return actions.push(AgentAction::ToAgents(vec![next], onward));
         }
         let opening = QueuedOpening {
-            flow,
+            opening: Opening::new(now, header, segment),
             header: *header,
             packet: packet.to_vec(),
             since: now,
-            first_sent: super::open::first_sent_at(now, segment.ack).before(header.waited),
         };
         let position = self.opening_queue.position(&opening);
         let ready = self.ready_at(now, position);
@@ -144,7 +145,7 @@
     /// Sends the queued opening packets that are within the ramp. The state of the target is checked
     /// again for each.
     pub fn release_openings(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
-        while let Some(flow) = self.opening_queue.first().map(|it| it.flow) {
+        while let Some(flow) = self.opening_queue.first().map(|it| it.opening.flow) {
             if self.ready_at(now, 0) > now {
                 return;
             }
@@ -177,7 +178,7 @@
         }
         let refused = self.opening_queue.iter().filter_map(|it| {
             let reason = self.refusal(now, &it.header)?;
-            Some((it.flow, reason))
+            Some((it.opening.flow, reason))
         });
         let refused: Vec<(FlowKey, RefuseReason)> = refused.collect();
         for (flow, reason) in refused {
@@ -206,7 +207,7 @@
         for opening in self.opening_queue.iter() {
             // A packet that is removed leaves its place to the next one.
             if times[kept].min(slow_start_end.max(now)) > opening.deadline() {
-                late.push(opening.flow);
+                late.push(opening.opening.flow);
             } else {
                 kept += 1;
             }
@@ -221,15 +222,9 @@
         opening: QueuedOpening,
         actions: &mut Vec<AgentAction>,
     ) {
-        self.accept(
-            now,
-            &opening.header,
-            opening.flow,
-            opening.first_sent,
-            actions,
-        );
+        self.accept(now, &opening.header, &opening.opening, actions);
         actions.push(AgentAction::ReleaseOpening(ReleasedOpening {
-            flow: opening.flow,
+            flow: opening.opening.flow,
             waited: now.since(opening.since),
             packet: opening.packet,
         }));
@@ -249,7 +244,7 @@
         self.report(
             now,
             header.entry,
-            opening.flow,
+            opening.opening.flow,
             Verdict::Refused(reason),
             actions,
         );
@@ -259,32 +254,35 @@
         let Some(next) = next else {
             return self.reject_opening(opening, ResetReason::Refused(reason), actions);
         };
-        let onward = Header {
-            hops: header.hops.saturating_add(1),
-            other: None,
-            placement_hint: PlacementHint {
-                threshold: LoadLevel::MAX,
-                best: None,
-                ..header.placement_hint
-            },
-            waited: waited(now, opening),
-            ..*header
-        };
+        let mut onward = guest::onward(header);
+        onward.placement_hint.threshold = LoadLevel::MAX;
+        onward.placement_hint.best = None;
+        onward.waited = waited(now, opening);
         let packet = opening.packet.clone();
-        actions.push(AgentAction::MoveOpening(next, onward, opening.flow, packet));
+        actions.push(AgentAction::MoveOpening(
+            next,
+            onward,
+            opening.opening.flow,
+            packet,
+        ));
     }
 
-    /// Another serving candidate for a queued opening packet. `None` for a copy of a packet that the
-    /// target has received, since the flow may be open here.
+    /// Another serving candidate for a queued opening packet, or the agent to which a flow of another
+    /// service returns. `None` for a copy of a packet that the target has received, since the flow
+    /// may be open here.
     fn other_candidate(&self, opening: &QueuedOpening) -> Option<InstanceId> {
-        if self.flows.peek(&opening.flow).is_some() {
+        let flow = opening.opening.flow;
+        if self.flows.peek(&flow).is_some() {
             return None;
         }
+        if opening.header.placement_hint.home.is_some() {
+            return opening.header.other;
+        }
         let header = Header {
             placement_hint: PlacementHint::default(),
             ..opening.header
         };
-        self.pick_peer(&header, &opening.flow)
+        self.pick_peer(&header, &flow)
     }
 
     /// Resets a flow whose opening packet no target has received. Drops a copy of a packet that the
@@ -295,7 +293,7 @@
         reason: ResetReason,
         actions: &mut Vec<AgentAction>,
     ) {
-        let flow = opening.flow;
+        let flow = opening.opening.flow;
         if self.flows.peek(&flow).is_some() {
             return actions.push(AgentAction::OpeningDropped(flow));
         }
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -56,7 +56,8 @@
     /// How agents decide which of them accepts a new flow.
     pub placement_hint: PlacementHint,
     /// For an opening packet, the maximum number of them that a target of the service
-    /// in slow start receives in any second. `None` if there is no limit.
+    /// in slow start receives in any second. `None` if there is no limit. A flow that overflows
+    /// keeps the limit of the service it comes from, for the case that it returns.
     pub ramp: Option<NonZeroU32>,
     /// Time that an opening packet has spent in queues of agents.
     pub waited: Duration,
@@ -74,6 +75,10 @@
     /// Mean service time with which the entry compared the candidates, and with which the agents
     /// compare their own. All loads and the threshold of one flow rest on the same reference.
     pub reference: LogTime,
+    /// The service that the flow belongs to by the weights of its route, if it overflows from there
+    /// to another one. [`Header::other`] is then an agent of this service, to which an agent
+    /// without room returns the packet.
+    pub home: Option<NameKey>,
 }
 
 /// `LoadLevel` is the load of an agent's target relative to its slots, in
@@ -150,11 +155,13 @@
     Bounced,
     /// The failure domain of the target is drained.
     Drained,
+    /// The request couldn't be served in time, so the agent reset the opening packet.
+    Overloaded,
 }
 
 impl RefuseReason {
     /// All reasons, in the order in which counters list them.
-    pub const ALL: [RefuseReason; 7] = [
+    pub const ALL: [RefuseReason; 8] = [
         RefuseReason::Service,
         RefuseReason::Version,
         RefuseReason::Draining,
@@ -162,6 +169,7 @@
         RefuseReason::Silent,
         RefuseReason::Bounced,
         RefuseReason::Drained,
+        RefuseReason::Overloaded,
     ];
 
     /// The reason as it stands in logs and counters.
@@ -174,6 +182,7 @@
             RefuseReason::Silent => "silent",
             RefuseReason::Bounced => "bounced",
             RefuseReason::Drained => "drained",
+            RefuseReason::Overloaded => "overloaded",
         }
     }
 }
--- a/marigoldway-core/tests/capacity/sim.rs
+++ b/marigoldway-core/tests/capacity/sim.rs
@@ -202,6 +202,7 @@
             },
             waiting_since: self.now,
             first: true,
+            guest: false,
             maybe_answered: false,
         };
         let decision = self.targets[target].offer(self.now, self.flows, &arrival);
--- a/marigoldway-core/tests/flow/properties.rs
+++ b/marigoldway-core/tests/flow/properties.rs
@@ -96,11 +96,17 @@
 fn arb_header() -> impl Strategy<Value = Header> {
     let intents = [Intent::Open, Intent::Owned, Intent::Locate, Intent::Search];
     let ids = (1..9_u16, prop::option::of(0..9_u16));
-    let hint = (any::<u16>(), prop::option::of((0..9_u16, any::<u16>())));
+    let best = prop::option::of((0..9_u16, any::<u16>()));
+    let hint = (any::<u16>(), best, any::<bool>());
     let rest = (any::<u8>(), any::<u64>(), any::<bool>());
     let rest = (rest, any::<u32>(), any::<u32>());
     (prop::sample::select(intents.to_vec()), ids, hint, rest).prop_map(
-        |(intent, (entry, other), (threshold, best), ((hops, version, search), ramp, waited))| {
+        |(
+            intent,
+            (entry, other),
+            (threshold, best, home),
+            ((hops, version, search), ramp, waited),
+        )| {
             Header {
                 intent,
                 hops,
@@ -114,6 +120,7 @@
                     threshold: LoadLevel(threshold),
                     best: best.map(|(id, load)| (agent_id(id), LoadLevel(load))),
                     reference: LogTime(threshold),
+                    home: home.then(|| service("papers")),
                 },
                 ramp: NonZeroU32::new(ramp),
                 waited: Duration::from_millis(u64::from(waited)),
--- a/marigoldway-net/src/wire/flows/layout/header.rs
+++ b/marigoldway-net/src/wire/flows/layout/header.rs
@@ -54,6 +54,8 @@
     /// Rate limit of a target in slow start; 0 means none.
     pub(in crate::wire::flows) ramp: U32,
     pub(in crate::wire::flows) waited_ms: U32,
+    /// Service that the flow overflows from; 0 means none.
+    pub(in crate::wire::flows) home: U64,
 }
 
 impl From<&Header> for WireHeader {
@@ -84,6 +86,7 @@
             reference: header.placement_hint.reference.0.into(),
             ramp: header.ramp.map_or(0, NonZeroU32::get).into(),
             waited_ms: millis(header.waited),
+            home: header.placement_hint.home.map_or(0, |home| home.0).into(),
         }
     }
 }
@@ -119,6 +122,7 @@
                 threshold: LoadLevel(wire.threshold.get()),
                 best: (best.port() > 0).then_some((InstanceId(best), best_load)),
                 reference: LogTime(wire.reference.get()),
+                home: (wire.home.get() > 0).then_some(NameKey(wire.home.get())),
             },
             ramp: NonZeroU32::new(wire.ramp.get()),
             waited: duration(wire.waited_ms),
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -87,6 +87,7 @@
                 | AgentAction::Unanswered(_)
                 | AgentAction::TargetReset(..)
                 | AgentAction::TimedOut(_)
+                | AgentAction::ClientGone(_)
                 | AgentAction::Drop(_) => {}
             }
         }
--- a/marigoldway/src/settings/flows.rs
+++ b/marigoldway/src/settings/flows.rs
@@ -65,6 +65,9 @@
     /// [`DEFAULT_APPLY_LIMIT`] by default. It determines how old the confirmation of what a process
     /// has read may be.
     pub apply_limit: Duration,
+    /// Whether an entry sends new flows of a saturated service to another service of their route
+    /// that has spare capacity; true by default.
+    pub overflow: bool,
     /// Whether estimates of the targets' capacity affect decisions, and the lowest capacity assumed of
     /// a target; [`CapacityPolicy::default`] by default.
     pub capacity: CapacityPolicy,
@@ -150,6 +153,7 @@
         let lifetime = section.required("lifetime", values::duration);
         let grace = section.required("grace", values::duration);
         let apply_limit = section.optional("apply-limit", values::duration);
+        let overflow = section.optional("overflow", values::switch);
         let adaptive = section.optional("capacity", capacity_mode);
         let floor = section.optional("capacity-floor", capacity_floor);
         let memory = section.required("memory-mb", |text| values::number(text, 1..=MAX_MEMORY_MB));
@@ -168,6 +172,7 @@
             lifetime: lifetime?,
             grace: grace?,
             apply_limit: apply_limit?.unwrap_or(DEFAULT_APPLY_LIMIT),
+            overflow: overflow?.unwrap_or(true),
             capacity: CapacityPolicy {
                 adaptive: adaptive?.unwrap_or(true),
                 floor: floor?.unwrap_or(DEFAULT_FLOOR),
