Test overflow beside drained domains, and marks of queued opening packets

The tests guard against overflow to a service in a drained domain or from a service that is drained altogether, against a flow of another service that a drained agent keeps, and against a queued opening packet that loses its sequence number.

--- a/marigoldway-core/tests/flow/overload/mod.rs
+++ b/marigoldway-core/tests/flow/overload/mod.rs
@@ -4,6 +4,7 @@
 //! result that the capacity allows, and asserts a bound derived from it. `docs/design/overload.md`
 //! has the figures.
 
+mod guests;
 mod model;
 mod overflow;
 mod queue;
--- a/marigoldway-core/tests/flow/slow_start.rs
+++ b/marigoldway-core/tests/flow/slow_start.rs
@@ -47,7 +47,7 @@
 
 /// A fleet whose processes are older than a second and whose targets have just started, with a
 /// ramp of `ramp`, 0 for none.
-fn slow_fleet(seed: u64, entries: usize, targets: &[(u16, &str)], ramp: u32) -> Fleet {
+pub fn slow_fleet(seed: u64, entries: usize, targets: &[(u16, &str)], ramp: u32) -> Fleet {
     let mut fleet = Fleet::new(seed, entries, targets);
     fleet.apply_routes(ramp_routes(2, ramp));
     fleet.advance(Duration::from_secs(2));
