--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -47,6 +47,8 @@
     TargetReset(FlowKey, Option<Phase>),
     /// A queued request was removed because its client no longer waits.
     TimedOut(FlowKey),
+    /// A queued request was removed because its client closed the flow, or replaced it by a new one.
+    ClientGone(FlowKey),
     /// Send the current packet to its client.
     ToClient,
     /// Send the current packet to other agents, with this header.
@@ -96,6 +98,8 @@
     SlowStart,
     /// The queued opening packet may no longer be sent to the target, and there is no other agent.
     Refused(RefuseReason),
+    /// The flow isn't open yet, and its request couldn't be served before the client times out.
+    Overloaded,
 }
 
 impl ResetReason {
@@ -106,6 +110,7 @@
             ResetReason::TargetForgot => "target-forgot",
             ResetReason::SlowStart => "slow-start",
             ResetReason::Refused(reason) => reason.as_str(),
+            ResetReason::Overloaded => "overloaded",
         }
     }
 }
@@ -125,6 +130,8 @@
     Held,
     /// A search for the flow is in progress.
     Searched,
+    /// The packet repeats a request that was removed since its client has gone.
+    Abandoned,
 }
 
 impl DropReason {
@@ -137,6 +144,7 @@
             DropReason::Closed => "closed",
             DropReason::Held => "held",
             DropReason::Searched => "searched",
+            DropReason::Abandoned => "abandoned",
         }
     }
 }
--- a/marigoldway-core/src/flow/agent/slot_queue.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue.rs
@@ -6,20 +6,29 @@
 //! and every answer is late.
 //!
 //! The slot queue therefore admits as many requests as the target has slots and a few more, and
-//! holds the first packets of the others. Requests that can still be answered within their
-//! objective go first, by the priority of their route and then by the time left. Requests that
-//! are already late use the remaining room, by priority and then newest first, since the clients
-//! of the oldest ones time out soonest.
+//! holds the first packets of the others. The order in which these are admitted is decided in
+//! [`order`](crate::flow::overload::order).
+
+mod backlog;
+mod types;
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+pub use crate::flow::agent::slot_queue::types::Arrival;
+pub use crate::flow::agent::slot_queue::types::ExpiredRequests;
+pub use crate::flow::agent::slot_queue::types::QueueDecision;
+pub use crate::flow::agent::slot_queue::types::ReleasedRequest;
+pub use crate::flow::agent::slot_queue::types::SlotQueueOptions;
 use crate::flow::capacity::CapacityPolicy;
 use crate::flow::capacity::observer::RequestEnd;
 use crate::flow::capacity::observer::ServiceObserver;
 use crate::flow::key::FlowKey;
-use crate::flow::routes::Work;
+use crate::flow::overload::order::QueueOrder;
+use crate::flow::overload::order::Rank;
+use crate::flow::overload::order::Waiting;
+use crate::flow::overload::shedding::Arrivals;
 use crate::flow::routes::WorkClass;
 use crate::time::Timestamp;
 
@@ -57,27 +66,6 @@
 /// requests whose route sets no timeout.
 const MAX_RUNNING_TIME: Duration = Duration::from_secs(3);
 
-/// `SlotQueueOptions` sets how many requests are admitted, and which of them count as in time.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SlotQueueOptions {
-    /// Number of requests admitted beyond the target's slots. When a slot becomes free, the next
-    /// request is then already at the target. The agent could send it only some milliseconds
-    /// later, when it gets its turn on the core.
-    pub overcommit: usize,
-    /// Time that must be left of a request's objective, beside the travel time, for it to count as
-    /// in time, as a multiple of the mean request time. Few requests take longer than that.
-    pub reserve_factor: f64,
-}
-
-impl Default for SlotQueueOptions {
-    fn default() -> SlotQueueOptions {
-        SlotQueueOptions {
-            overcommit: 2,
-            reserve_factor: 1.5,
-        }
-    }
-}
-
 /// `SlotQueue` tracks the requests admitted to one target and queues further ones until a slot is
 /// free.
 #[derive(Debug, Default)]
@@ -85,6 +73,8 @@
     options: SlotQueueOptions,
     running: IndexMap<FlowKey, RunningRequest>,
     waiting: IndexMap<FlowKey, QueuedRequest>,
+    order: QueueOrder,
+    arrivals: Arrivals,
     /// Number of octets in queued packets.
     octets: usize,
     /// Moving mean of the times of measured requests, or `None` before the first one.
@@ -100,6 +90,7 @@
     /// Whether the request counts in the mean time, and as unanswered if it is overdue. False if it
     /// may have been answered before this process saw its flow.
     measured: bool,
+    rank: Rank,
 }
 
 #[derive(Debug)]
@@ -109,58 +100,11 @@
     objective_end: Timestamp,
     /// When the client of the request times out.
     end: Timestamp,
-    priority: u8,
     class: WorkClass,
+    rank: Rank,
     packets: Vec<Vec<u8>>,
 }
 
-/// `QueueDecision` is the decision on a packet that carries data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QueueDecision {
-    /// The packet is admitted: it goes to the target.
-    Admitted,
-    /// The packet is queued.
-    Queued,
-}
-
-/// `Arrival` describes a client's packet with new data.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival<'a> {
-    /// Flow of the packet.
-    pub flow: FlowKey,
-    /// The whole packet, which is copied if it is queued.
-    pub packet: &'a [u8],
-    /// Class, priority, objective and timeout that the route sets for the request.
-    pub work: Work,
-    /// When the client began to wait for the answer.
-    pub waiting_since: Timestamp,
-    /// Whether the packet carries the first data of the flow that the agent sees.
-    pub first: bool,
-    /// Whether the data may belong to a request that was already answered.
-    pub maybe_answered: bool,
-}
-
-/// `ReleasedRequest` is a queued request that has been admitted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReleasedRequest {
-    /// Flow of the request.
-    pub flow: FlowKey,
-    /// Time that the request spent in the queue.
-    pub waited: Duration,
-    /// Packets of the request, in order of arrival.
-    pub packets: Vec<Vec<u8>>,
-}
-
-/// `ExpiredRequests` lists the requests that [`SlotQueue::expire`] removed.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ExpiredRequests {
-    /// Flows with an admitted request that the target didn't answer in time. Requests that may have
-    /// been answered before this process saw their flow are left out.
-    pub unanswered: Vec<FlowKey>,
-    /// Flows whose queued request has timed out at the client.
-    pub timed_out: Vec<FlowKey>,
-}
-
 impl SlotQueue {
     /// Creates an empty queue.
     pub fn new(options: SlotQueueOptions) -> SlotQueue {
@@ -209,17 +153,20 @@
             self.octets += arrival.packet.len();
             return QueueDecision::Queued;
         }
+        let rank = arrival.rank();
+        self.arrivals.record(now, rank.priority);
+        self.order.add(&arrival.flow);
         let full = self.waiting.len() >= MAX_QUEUED_REQUESTS || self.octets >= MAX_QUEUED_OCTETS;
-        if full || self.has_room(slots) {
-            self.start(now, slots, arrival);
+        if full || self.has_room(slots, rank) {
+            self.start(now, slots, arrival, rank);
             return QueueDecision::Admitted;
         }
         let waiting = QueuedRequest {
             since: now,
             objective_end: arrival.waiting_since + arrival.work.objective,
             end: arrival.waiting_since + arrival.work.timeout,
-            priority: arrival.work.priority,
             class: arrival.work.class,
+            rank,
             packets: vec![arrival.packet.to_vec()],
         };
         self.octets += arrival.packet.len();
@@ -247,18 +194,19 @@
     /// Returns the time since its admission, or `None` if the flow has no running request.
     pub fn end(&mut self, now: Timestamp, flow: &FlowKey, end: RequestEnd) -> Option<Duration> {
         self.observer.end(now, flow, end);
-        let running = self.running.swap_remove(flow)?;
+        let running = self.remove_running(flow)?;
         let took = now.since(running.since);
         if running.measured {
             let mean = self.mean.unwrap_or(took);
             self.mean = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
+            self.order.record_time(running.rank, took);
         }
         Some(took)
     }
 
     /// Removes all requests of a flow that has ended.
     pub fn remove(&mut self, flow: &FlowKey) {
-        self.running.swap_remove(flow);
+        self.remove_running(flow);
         self.observer.forget(flow);
         self.remove_waiting(flow);
     }
@@ -268,6 +216,7 @@
         self.running.clear();
         self.observer.clear();
         self.waiting.clear();
+        self.order.clear();
         self.octets = 0;
     }
 
@@ -281,7 +230,7 @@
         let expired: Vec<(FlowKey, bool)> =
             expired.map(|(flow, it)| (*flow, it.measured)).collect();
         for (flow, _) in &expired {
-            self.running.swap_remove(flow);
+            self.remove_running(flow);
             self.observer.end(now, flow, RequestEnd::Overdue);
         }
         let abandoned = self.waiting.iter().filter(|(_, it)| now >= it.end);
@@ -298,22 +247,21 @@
 
     /// Time after which the target is assumed to have dropped a request.
     fn overdue_time(&self) -> Duration {
-        let mean = self.mean.unwrap_or(DEFAULT_REQUEST_TIME);
+        let mean = self.request_time();
         mean.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE_TIME)
     }
 
     /// Admits the next queued request, or returns `None` if none is queued or the target has no
     /// room.
     pub fn release(&mut self, now: Timestamp, slots: u16) -> Option<ReleasedRequest> {
-        if self.waiting.is_empty() || !self.has_room(slots) {
-            return None;
-        }
-        let flow = self.next_flow(now)?;
+        let flow = self.next_flow(now, slots)?;
         let waiting = self.remove_waiting(&flow)?;
+        self.order.add(&flow);
         let running = RunningRequest {
             since: now,
             end: waiting.end.max(now + MAYBE_ANSWERED_LIFETIME),
             measured: true,
+            rank: waiting.rank,
         };
         self.running.insert(flow, running);
         self.observer.admit(now, slots, flow, Some(waiting.class));
@@ -324,23 +272,24 @@
         })
     }
 
-    /// Whether a further request may be admitted.
-    fn has_room(&self, slots: u16) -> bool {
-        self.running.len() < self.admission_limit(slots)
+    /// Whether a further request of a rank may be admitted.
+    fn has_room(&self, slots: u16, rank: Rank) -> bool {
+        self.running.len() < self.admission_limit(slots, rank)
     }
 
     /// Number of requests that may be at the target at a time. The target would run a request beyond
-    /// a reduced concurrency limit at once, so there are none beyond it.
-    fn admission_limit(&self, slots: u16) -> usize {
+    /// a reduced concurrency limit at once, so there are none beyond it. Requests of other services
+    /// get only free slots, so those of the own one find no more than the running ones before them.
+    fn admission_limit(&self, slots: u16, rank: Rank) -> usize {
         let limit = self.observer.limit(slots);
-        if limit < slots {
+        if limit < slots || rank.guest {
             return usize::from(limit);
         }
         usize::from(slots) + self.options.overcommit
     }
 
     /// Adds a request that is admitted on arrival.
-    fn start(&mut self, now: Timestamp, slots: u16, arrival: &Arrival<'_>) {
+    fn start(&mut self, now: Timestamp, slots: u16, arrival: &Arrival<'_>, rank: Rank) {
         let lifetime = if arrival.maybe_answered {
             MAYBE_ANSWERED_LIFETIME
         } else {
@@ -350,33 +299,57 @@
             since: now,
             end: now + lifetime,
             measured: !arrival.maybe_answered,
+            rank,
         };
         self.running.insert(arrival.flow, running);
         let class = running.measured.then_some(arrival.work.class);
         self.observer.admit(now, slots, arrival.flow, class);
     }
 
-    /// Selects the next request, or returns `None` if none is queued. Requests that can be answered
-    /// in time come first, by priority and then by time left. The others follow by priority and
-    /// then newest first.
-    fn next_flow(&self, now: Timestamp) -> Option<FlowKey> {
-        let mean = self.mean.unwrap_or(DEFAULT_REQUEST_TIME);
-        let needed = now + mean.mul_f64(self.options.reserve_factor) + NETWORK_TIME;
-        let in_time = self
+    /// Selects the next request for which the target has room, or returns `None` if there is none.
+    /// A request whose client has timed out is left for [`expire`](SlotQueue::expire).
+    fn next_flow(&mut self, now: Timestamp, slots: u16) -> Option<FlowKey> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let needed = now + self.needed_time();
+        let eligible = self
             .waiting
             .iter()
-            .filter(|(_, it)| it.objective_end >= needed);
-        let first = in_time.min_by_key(|(_, it)| (it.priority, it.objective_end));
-        let newest = || {
-            self.waiting
-                .iter()
-                .min_by_key(|(_, it)| (it.priority, std::cmp::Reverse(it.since)))
-        };
-        first.or_else(newest).map(|(flow, _)| *flow)
+            .filter(|(_, it)| now < it.end && self.has_room(slots, it.rank));
+        let eligible: Vec<Waiting> = eligible
+            .map(|(flow, it)| Waiting {
+                flow: *flow,
+                rank: it.rank,
+                in_time: it.objective_end >= needed,
+                objective_end: it.objective_end,
+                since: it.since,
+            })
+            .collect();
+        let mean = self.request_time();
+        self.order.take_next(&eligible, mean)
+    }
+
+    /// Mean time of a request at the target.
+    fn request_time(&self) -> Duration {
+        self.mean.unwrap_or(DEFAULT_REQUEST_TIME)
+    }
+
+    /// Time before the end of its objective at which a request must be admitted to be in time.
+    fn needed_time(&self) -> Duration {
+        let reserve = self.request_time().mul_f64(self.options.reserve_factor);
+        reserve + NETWORK_TIME
+    }
+
+    fn remove_running(&mut self, flow: &FlowKey) -> Option<RunningRequest> {
+        let running = self.running.swap_remove(flow)?;
+        self.order.remove(flow);
+        Some(running)
     }
 
     fn remove_waiting(&mut self, flow: &FlowKey) -> Option<QueuedRequest> {
         let waiting = self.waiting.swap_remove(flow)?;
+        self.order.remove(flow);
         let octets: usize = waiting.packets.iter().map(Vec::len).sum();
         self.octets -= octets;
         Some(waiting)
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -42,8 +42,8 @@
 use crate::flow::message::Load;
 use crate::flow::message::LoadLevel;
 use crate::flow::message::PlacementHint;
-use crate::flow::message::RefuseReason;
 use crate::flow::message::Verdict;
+use crate::flow::overload::overflow::Overflow;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
 use crate::flow::segment::Segment;
@@ -67,6 +67,9 @@
     /// Time within which a change of the configuration takes effect. The entry resets new flows to
     /// addresses without a route as long as its routes were the newest ones this long ago.
     pub apply_limit: Duration,
+    /// Whether new flows of a saturated service go to another service of their route that has spare
+    /// capacity.
+    pub overflow: bool,
     /// Seed of the random draws among agents.
     pub seed: u64,
     /// Whether and how far estimates of capacity affect the selection of agents.
@@ -104,6 +107,7 @@
     reset_times: Vec<Duration>,
     agents: Agents,
     views: AgentViews,
+    overflow: Overflow,
     addr_services: AddrServices,
     flows: FlowTable<FlowState>,
     rng: StdRng,
@@ -121,6 +125,7 @@
             reset_times: Vec::new(),
             agents: Agents::default(),
             views: AgentViews::default(),
+            overflow: Overflow::default(),
             addr_services: AddrServices::new(options.idle_timeout),
             flows: FlowTable::new(options.max_flows, options.idle_timeout),
             rng: StdRng::seed_from_u64(options.seed),
@@ -239,7 +244,7 @@
         match report.verdict {
             Verdict::Holds => self.on_holds(now, from, report.flow),
             // The agent that accepts the flow sends its own report.
-            Verdict::PassedOn => {}
+            Verdict::PassedOn => self.on_passed_on(now, from, &report.flow),
             Verdict::Unknown => return self.on_unknown(now, from, &report.flow),
             Verdict::NotHeld => return self.on_not_held(now, from, &report.flow),
             Verdict::Refused(reason) => self.on_refusal(now, from, report, reason),
@@ -344,6 +349,7 @@
                 threshold: LoadLevel::MAX,
                 best: None,
                 reference: LogTime::UNKNOWN,
+                home: None,
             },
             ramp: self.ramp(intent, service),
             waited: Duration::ZERO,
@@ -356,32 +362,6 @@
         routes.ramps.get(&service).copied()
     }
 
-    /// Prefers other agents for new flows after a refusal, and for the refused flow.
-    /// Removes the agent if its target belongs to another service.
-    fn on_refusal(
-        &mut self,
-        now: Timestamp,
-        from: InstanceId,
-        report: &FlowReport,
-        reason: RefuseReason,
-    ) {
-        if reason == RefuseReason::Service {
-            self.remove_agent(from);
-        } else {
-            self.views.on_refusal(now, from);
-        }
-        match self.flows.touch(now, &report.flow) {
-            Some(state @ FlowState::Located { .. }) => {
-                if matches!(state, FlowState::Located { agent, .. } if *agent == from) {
-                    *state = FlowState::Opening { tried: vec![from] };
-                }
-            }
-            Some(FlowState::Opening { tried }) if !tried.contains(&from) => tried.push(from),
-            Some(FlowState::Opening { .. } | FlowState::Locating(_) | FlowState::Unrouted(_))
-            | None => {}
-        }
-    }
-
     /// Applies a load that a known agent reported. After that, no answer of the agent is
     /// awaited. Has no effect if the agent is unknown.
     fn update_load(&mut self, now: Timestamp, id: InstanceId, load: Load) {
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -1,6 +1,7 @@
 //! Places new flows: forwards opening packets to one of the flow's candidates.
 
 use crate::flow::capacity;
+use crate::flow::capacity::LogTime;
 use crate::flow::entry::EntryAction;
 use crate::flow::entry::EntryFlows;
 use crate::flow::entry::FlowState;
@@ -9,8 +10,10 @@
 use crate::flow::entry::actions::ResetReason;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
+use crate::flow::message::FlowReport;
 use crate::flow::message::Intent;
 use crate::flow::message::PlacementHint;
+use crate::flow::message::RefuseReason;
 use crate::flow::routes::Route;
 use crate::flow::routes::Work;
 use crate::flow::segment::Reset;
@@ -51,17 +54,28 @@
         if self.agents.is_service_drained(service) {
             return self.on_drained_service(flow, copies);
         }
-        let Some((selected, hint)) = self.select(now, service, &flow, route.work, &tried) else {
+        let (all, reference) = self.known_candidates(now, service, &flow, route.work);
+        let Some(selected) = self.select(&all, route.work, &tried) else {
             return EntryAction::Drop(DropReason::Unserved);
         };
-        let agent = selected.agent;
+        let overflow = self.overflow(now, &flow, route, &all, &tried);
+        let agent = overflow.map_or(selected.agent, |it| it.0);
         self.views.expect_answer(now, agent);
         self.views.on_open(agent);
         let mut tried = tried;
         tried.push(agent);
         self.flows.insert(now, flow, FlowState::Opening { tried });
         let mut header = self.header(Intent::Open, service, route, selected.alternate);
-        header.placement_hint = hint;
+        header.placement_hint = PlacementHint {
+            threshold: selection::threshold(&all, route.work.class),
+            best: None,
+            reference,
+            home: overflow.map(|_| service),
+        };
+        if let Some((_, other_service)) = overflow {
+            header.service = other_service;
+            header.other = Some(selected.agent);
+        }
         EntryAction::Forward(vec![Forwarding { agent, header }])
     }
 
@@ -85,35 +99,116 @@
         EntryAction::Reset(Reset { flow, seq: 0 }, ResetReason::Drained)
     }
 
-    /// Selects one of the candidates of a new flow, and returns it with what the agents need
-    /// to decide whether to accept the flow. Agents in `tried` are considered only if
-    /// there are no other ones. Returns `None` if the service has no known agent.
-    fn select(
-        &mut self,
+    /// What the entry knows about the candidates of a new flow in a service, and the mean service
+    /// time with which they are compared.
+    fn known_candidates(
+        &self,
         now: Timestamp,
         service: NameKey,
         flow: &FlowKey,
         work: Work,
-        tried: &[InstanceId],
-    ) -> Option<(Selection, PlacementHint)> {
+    ) -> (Vec<Candidate>, LogTime) {
         let domain = self.options.domain;
         let ids = self
             .agents
             .candidates(service, flow.hash(), work.class, domain);
         let mut all = self.views.candidates(now, &self.agents, &ids, domain);
         let reference = capacity::compare(&mut all, work.class, self.options.capacity);
+        (all, reference)
+    }
+
+    /// Selects one of the candidates of a new flow. Agents in `tried` are considered only if there
+    /// are no other ones. Returns `None` if the service has no known agent.
+    fn select(&mut self, all: &[Candidate], work: Work, tried: &[InstanceId]) -> Option<Selection> {
         let untried: Vec<Candidate> = all
             .iter()
             .filter(|it| !tried.contains(&it.id))
             .copied()
             .collect();
-        let candidates = if untried.is_empty() { &all } else { &untried };
-        let selected = selection::choose(candidates, work.class, &mut self.rng)?;
-        let hint = PlacementHint {
-            threshold: selection::threshold(&all, work.class),
-            best: None,
-            reference,
-        };
-        Some((selected, hint))
+        let candidates = if untried.is_empty() { all } else { &untried };
+        selection::choose(candidates, work.class, &mut self.rng)
+    }
+
+    /// Selects an agent with room, and its service, for a flow whose own service is saturated:
+    /// `own` are the candidates there. Considers the other services of the route that have a
+    /// weight. Returns `None` if the flow stays in its service. Uploads and downloads stay, since
+    /// the amount of data binds them rather than the slots.
+    fn overflow(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        route: &Route,
+        own: &[Candidate],
+        tried: &[InstanceId],
+    ) -> Option<(InstanceId, NameKey)> {
+        if !self.options.overflow || route.shares.len() < 2 || route.work.class.is_bulk() {
+            return None;
+        }
+        let service = route.service(flow);
+        if !self.overflow.is_saturated(service, own) {
+            return None;
+        }
+        let others = route.shares.iter().filter(|it| it.weight > 0);
+        for share in others.filter(|it| it.service != service) {
+            let (mut candidates, _) = self.known_candidates(now, share.service, flow, route.work);
+            candidates.retain(|it| !tried.contains(&it.id) && self.overflow.has_room(now, it));
+            if let Some(selected) = self.select(&candidates, route.work, &[]) {
+                return Some((selected.agent, share.service));
+            }
+        }
+        None
+    }
+
+    /// Processes the report of an agent that forwarded a new flow. If it belongs to another service
+    /// than the flow, the flow had overflowed to it, and it has no room.
+    pub(super) fn on_passed_on(&mut self, now: Timestamp, from: InstanceId, flow: &FlowKey) {
+        let service = self.agents.record(from).map(|it| it.service);
+        let route = self.routes.as_ref();
+        let route = route.and_then(|it| it.by_addr.get(&flow.server));
+        let home = route.map(|it| it.service(flow));
+        if service.is_some() && home.is_some() && service != home {
+            self.overflow.on_returned(now, from);
+        }
+    }
+
+    /// Prefers other agents for new flows after a refusal, and for the refused flow.
+    /// Removes the agent if its target belongs to another service.
+    pub(super) fn on_refusal(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        report: &FlowReport,
+        reason: RefuseReason,
+    ) {
+        match reason {
+            RefuseReason::Service => self.remove_agent(from),
+            // The client was told, and the agent's load shows what it has to do.
+            RefuseReason::Overloaded => {
+                self.flows.remove(&report.flow);
+                return;
+            }
+            RefuseReason::Version
+            | RefuseReason::Draining
+            | RefuseReason::Absent
+            | RefuseReason::Silent
+            | RefuseReason::Bounced
+            | RefuseReason::Drained => self.views.on_refusal(now, from),
+        }
+        match self.flows.touch(now, &report.flow) {
+            Some(state @ FlowState::Located { .. }) => {
+                if matches!(state, FlowState::Located { agent, .. } if *agent == from) {
+                    *state = FlowState::Opening { tried: vec![from] };
+                }
+            }
+            Some(FlowState::Opening { tried }) if !tried.contains(&from) => tried.push(from),
+            Some(FlowState::Opening { .. } | FlowState::Locating(_) | FlowState::Unrouted(_))
+            | None => {}
+        }
+    }
+
+    /// Returns the services that became (true) or ceased to be (false) saturated since the last
+    /// call, for the log.
+    pub fn take_overflow_changes(&mut self) -> Vec<(NameKey, bool)> {
+        self.overflow.take_changes()
     }
 }
--- a/marigoldway-core/tests/flow/load.rs
+++ b/marigoldway-core/tests/flow/load.rs
@@ -154,6 +154,7 @@
             threshold,
             best: None,
             reference,
+            home: None,
         },
         ramp: None,
         waited: Duration::ZERO,
--- a/marigoldway-net/tests/wire_flows.rs
+++ b/marigoldway-net/tests/wire_flows.rs
@@ -80,12 +80,15 @@
     let others = (arb_id(), prop::option::of(arb_id()), arb_work());
     let best = prop::option::of((arb_id(), any::<u16>().prop_map(LoadLevel)));
     let reference = any::<u16>().prop_map(LogTime);
-    let placement_hint = (any::<u16>().prop_map(LoadLevel), best, reference);
-    let placement_hint = placement_hint.prop_map(|(threshold, best, reference)| PlacementHint {
-        threshold,
-        best,
-        reference,
-    });
+    let home = prop::option::of((1..u64::MAX).prop_map(NameKey));
+    let placement_hint = (any::<u16>().prop_map(LoadLevel), best, reference, home);
+    let placement_hint =
+        placement_hint.prop_map(|(threshold, best, reference, home)| PlacementHint {
+            threshold,
+            best,
+            reference,
+            home,
+        });
     let slow_start = (any::<u32>().prop_map(NonZeroU32::new), arb_millis());
     let rest = (rest, slow_start);
     (intent, rest, others, placement_hint).prop_map(
@@ -180,17 +183,16 @@
     #[test]
     fn decode_flow_report(
         flow in arb_flow(),
-        verdict in 0..11_usize,
+        verdict in 0..RefuseReason::ALL.len() + 4,
         load in arb_load(),
         version: u64,
     ) {
         let verdict = match verdict {
             0 => Verdict::Holds,
             1 => Verdict::PassedOn,
-            8 => Verdict::Unknown,
-            9 => Verdict::NotHeld,
-            10 => Verdict::Refused(RefuseReason::Drained),
-            n => Verdict::Refused(RefuseReason::ALL[n - 2]),
+            2 => Verdict::Unknown,
+            3 => Verdict::NotHeld,
+            n => Verdict::Refused(RefuseReason::ALL[n - 4]),
         };
         let report = FlowReport { flow, verdict, load, version };
         let datagram = flows::encode_flow_report(&report);
