--- a/marigoldway-core/src/flow/target.rs
+++ b/marigoldway-core/src/flow/target.rs
@@ -136,7 +136,7 @@
         TargetState::Serving
     }
 
-    /// Remaining time of the target's slow start, at most [`MAX_SLOW_START`] from the first
+    /// Remaining time of the target's slow start, at most `MAX_SLOW_START` from the first
     /// heartbeat on; zero if the slow start is over or there is no current incarnation.
     pub fn slow_start(&self, now: Timestamp) -> Duration {
         let remaining = self
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -66,7 +66,7 @@
     /// What the follower has.
     Known,
     /// A confirmation for a time this long before the request. The follower holds the request until
-    /// it has one, for at most [`DEMAND_HOLD`](crate::replica::timing::DEMAND_HOLD). The time is that
+    /// it has one, for at most [`DEMAND_HOLD`]. The time is that
     /// of the decision, so a call to the store that was made since meets the demand, although the
     /// demand arrived later.
     AsOf(Duration),
