Mend what a read-through of the diff found

Faults: an opening packet over the ramp could go to a drained agent that was the least loaded one so far; load shedding counted all stated slots although the concurrency limit was lower; a change of a watch from before the last read was reported as a restore of the platform.

Wording: doc comments that said other than the code, stories of tuning, and terms that weren't defined.

--- a/marigoldway-core/src/flow/agent/guest.rs
+++ b/marigoldway-core/src/flow/agent/guest.rs
@@ -2,7 +2,7 @@
 //!
 //! A flow of a saturated service may overflow to another service of its route ([`overflow`]). Such
 //! a flow is a guest at the agent that accepts it: its requests run only in slots that the requests
-//! of the agent's own service leave free.
+//! of the agent's own service leave free, but for the part of the time that every rank gets.
 //!
 //! [`overflow`]: crate::flow::overload::overflow
 
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -247,7 +247,8 @@
             slow_start: self.target.slow_start(now),
         };
         let is_upload = header.work.class == WorkClass::Upload;
-        !is_upload && self.slot_queue.is_hopeless(now, self.slots(), &new)
+        let slots = self.slot_queue.observer().limit(self.slots());
+        !is_upload && self.slot_queue.is_hopeless(now, slots, &new)
     }
 
     /// Resets a flow that isn't open yet and whose request can't be served in time, and reports
--- a/marigoldway-core/src/flow/agent/ramp.rs
+++ b/marigoldway-core/src/flow/agent/ramp.rs
@@ -41,7 +41,7 @@
     version: u64,
     /// The limit that this version specifies.
     ramp: Option<NonZeroU32>,
-    /// Until when the budget counts as used up by an earlier process of the agent.
+    /// Until when the limit counts as used up by an earlier process of the agent.
     blocked_until: Timestamp,
     /// Number of packets sent in each millisecond of the window, oldest first.
     sent: VecDeque<(u64, u32)>,
@@ -49,7 +49,7 @@
 
 impl RampLimiter {
     /// Creates the limiter of a process that starts at `started`. An earlier process may have used
-    /// up the budget until then, so nothing is free within the first second.
+    /// up the limit until then, so nothing is free within the first second.
     pub fn new(started: Timestamp) -> RampLimiter {
         RampLimiter {
             version: 0,
@@ -103,7 +103,7 @@
             let free = Timestamp::from_millis(*ms) + RELEASE_TIME;
             times.extend(std::iter::repeat_n(free.max(earliest), places));
         }
-        // Each further packet waits for the one that is a whole budget ahead of it.
+        // Each further packet waits for the one that is `ramp` positions ahead of it.
         for position in ramp..count {
             times.push(times[position - ramp] + RELEASE_TIME);
         }
--- a/marigoldway-core/src/flow/agent/record.rs
+++ b/marigoldway-core/src/flow/agent/record.rs
@@ -22,8 +22,8 @@
 /// matters for which agents may hold a flow. More than one, since clocks differ.
 const AGED_LIFETIMES: u32 = 2;
 
-/// Time from the first suspicion of a stray to the announcement. In between, an entry tells which
-/// domains are drained, over one connection.
+/// Time from the first suspicion of a stray to the announcement. It is long enough to ask an entry
+/// which domains are drained.
 const STRAY_GRACE: Duration = Duration::from_millis(300);
 
 /// `PublishedState` is the part of an agent's record that depends on its target.
--- a/marigoldway-core/src/flow/agent/slot_queue.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue.rs
@@ -277,9 +277,9 @@
         self.running.len() < self.admission_limit(slots, rank)
     }
 
-    /// Number of requests that may be at the target at a time. The target would run a request beyond
-    /// a reduced concurrency limit at once, so there are none beyond it. Requests of other services
-    /// get only free slots, so those of the own one find no more than the running ones before them.
+    /// Number of requests that may be at the target at a time. A reduced concurrency limit is never
+    /// exceeded, since the target would run the surplus requests at once. Requests of other
+    /// services aren't admitted beyond the limit either.
     fn admission_limit(&self, slots: u16, rank: Rank) -> usize {
         let limit = self.observer.limit(slots);
         if limit < slots || rank.guest {
--- a/marigoldway-core/src/flow/agent/slow_start.rs
+++ b/marigoldway-core/src/flow/agent/slow_start.rs
@@ -127,7 +127,8 @@
             return None;
         }
         let own = (self.options.own, self.offered_level(now, header));
-        let best = best.filter(|it| it.1 <= own.1).unwrap_or(own);
+        let best = best.filter(|it| it.1 <= own.1 && !self.agents.is_drained(it.0));
+        let best = best.unwrap_or(own);
         let mut onward = Header {
             hops: header.hops.saturating_add(1),
             other: None,
--- a/marigoldway-core/src/flow/capacity.rs
+++ b/marigoldway-core/src/flow/capacity.rs
@@ -1,7 +1,7 @@
 //! This module defines how much load a target handles well.
 //!
 //! The agent beside a target estimates the target's service time by work class, and the number of
-//! requests from which on more concurrency yields no more throughput ([`estimator`]). Its load
+//! requests beyond which more concurrency lowers throughput ([`estimator`]). Its load
 //! reports carry both as [`Capacity`]. An entry compares the candidates of a new flow with the
 //! mean of those that it knows ([`compare`]), and sends this mean along with the opening packet, so
 //! that the agents that receive the packet compare themselves with the same reference.
@@ -30,7 +30,7 @@
 /// that take 7 times as long, so a difference within 2.5 standard deviations may be noise.
 const DEAD_BAND: f64 = 0.3;
 
-/// Number of units of a [`LogTime`] in one factor of e.
+/// Number of units of a [`LogTime`] in 1 of the natural logarithm.
 const UNITS: f64 = 1_000.0;
 
 /// Confidence in an estimate that has as many observations as it can use.
--- a/marigoldway-core/src/flow/capacity/estimator.rs
+++ b/marigoldway-core/src/flow/capacity/estimator.rs
@@ -5,8 +5,8 @@
 //! Confidence in the estimate falls while no request ends, so a target that gets no requests
 //! because it was slow is tried again.
 //!
-//! Concurrency is reduced if the target completes no more requests per second with more than half of
-//! its slots in use than with half of them.
+//! Concurrency is reduced if the target completes clearly fewer requests per second with more than
+//! half of its slots in use than with half of them.
 
 use std::time::Duration;
 
@@ -44,14 +44,14 @@
 const MIN_THROUGHPUT_EVIDENCE: f64 = 8.0;
 
 /// Loss of throughput, in logarithms, from which on concurrency is reduced, apart from the error of
-/// the comparison. A target whose service times don't depend on concurrency gains 0.4 or more.
+/// the comparison. A target whose service times don't depend on concurrency loses nothing.
 const THROUGHPUT_LOSS: f64 = 0.05;
 
 /// Standard deviation assumed of the logarithm of a service time, outliers included.
 const DEVIATION: f64 = 0.6;
 
-/// Number of standard errors by which a loss has to exceed `THROUGHPUT_LOSS`. With fewer, and with a
-/// minimum evidence of 4, uniform targets at 0.95 of their capacity were limited by mistake.
+/// Number of standard errors by which a loss has to exceed `THROUGHPUT_LOSS`. With fewer, a target
+/// that loses none is limited too often by chance.
 const CERTAINTY: f64 = 1.5;
 
 /// Time after the last observed loss of throughput for which concurrency stays reduced.
@@ -60,7 +60,7 @@
 /// Interval between two changes of the concurrency limit, by 1 each.
 const LIMIT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// `Observation` is the service time of one request that ended at the target.
+/// `Observation` is the service time of one request, or a lower bound of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Observation {
     /// Class of the request.
--- a/marigoldway-core/src/flow/entry/open.rs
+++ b/marigoldway-core/src/flow/entry/open.rs
@@ -132,7 +132,7 @@
     /// Selects an agent with room, and its service, for a flow whose own service is saturated:
     /// `own` are the candidates there. Considers the other services of the route that have a
     /// weight. Returns `None` if the flow stays in its service. Uploads and downloads stay, since
-    /// the amount of data binds them rather than the slots.
+    /// the amount of data limits them rather than the slots.
     fn overflow(
         &mut self,
         now: Timestamp,
@@ -182,7 +182,7 @@
     ) {
         match reason {
             RefuseReason::Service => self.remove_agent(from),
-            // The client was told, and the agent's load shows what it has to do.
+            // The agent has reset the flow, and its load report shows the overload.
             RefuseReason::Overloaded => {
                 self.flows.remove(&report.flow);
                 return;
--- a/marigoldway-core/src/flow/entry/views.rs
+++ b/marigoldway-core/src/flow/entry/views.rs
@@ -22,8 +22,8 @@
 /// flows, even if the agent reports that its target is serving.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time after a load report for which its estimate of the target's capacity is used. An agent's
-/// own estimate is neutral after about this time without requests.
+/// Time after a load report for which its estimate of the target's capacity is used. An agent's own
+/// estimate has less than half of its confidence after this time without requests.
 const CAPACITY_LIFETIME: Duration = Duration::from_secs(10);
 
 /// `AgentViews` holds what an entry knows about each agent.
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -57,7 +57,7 @@
     pub placement_hint: PlacementHint,
     /// For an opening packet, the maximum number of them that a target of the service
     /// in slow start receives in any second. `None` if there is no limit. A flow that overflows
-    /// keeps the limit of the service it comes from, for the case that it returns.
+    /// keeps the limit of the service it comes from, in case it returns.
     pub ramp: Option<NonZeroU32>,
     /// Time that an opening packet has spent in queues of agents.
     pub waited: Duration,
--- a/marigoldway-core/src/flow/overload/order.rs
+++ b/marigoldway-core/src/flow/overload/order.rs
@@ -1,9 +1,9 @@
 //! Decides which queued request is admitted next.
 //!
-//! By rank, which is the priority of the route, with flows of other services after all own ones.
-//! Within a rank, requests that can be answered in time go first. Of these, the clients with fewer
-//! requests at this agent go first, and then the request with the least time left; of the late
-//! ones the newest, since the clients of the oldest time out soonest.
+//! Requests go by rank: the priority of the route, with flows of other services after all own ones.
+//! Within a rank, requests that can be answered in time go first. Among these, and among the late
+//! ones, the clients with fewer requests at this agent go first. Then follows the request with the
+//! least time left; of the late ones the newest, since the clients of the oldest time out soonest.
 //!
 //! A lower rank gets at least a tenth of the slots' time while it has requests waiting, so that
 //! none starves.
--- a/marigoldway-core/src/flow/overload/overflow.rs
+++ b/marigoldway-core/src/flow/overload/overflow.rs
@@ -32,13 +32,12 @@
 const END_LEVEL: f64 = 1.5;
 
 /// Requests per slot of an agent of another service below which flows are proposed to it. It is
-/// above one, since the report may be old: an agent with few targets beside it that was busy at the
-/// moment of its report would get nothing for a second.
+/// above one, since the report may be old: an agent that was busy at the moment of its report, but
+/// has a free slot soon after, would otherwise get nothing for a second.
 const ROOM_LEVEL: f64 = 1.5;
 
 /// Time after an agent sent a flow back for which it isn't proposed again: about the time of a
-/// request, after which a slot is free. With 100 ms, four entries used less than half of the other
-/// service.
+/// request, after which a slot is free. A longer period would leave free slots unused.
 const RETURN_PERIOD: Duration = Duration::from_millis(30);
 
 /// `Overflow` holds which services are saturated, and which agents have lately sent flows of other
--- a/marigoldway-core/src/flow/overload/shedding.rs
+++ b/marigoldway-core/src/flow/overload/shedding.rs
@@ -25,7 +25,7 @@
 /// Time constant of the moving mean of arrivals: some 40 requests at a target of two slots.
 const TIME_CONSTANT: Duration = Duration::from_millis(500);
 
-/// Factor by which requests take longer in slow start.
+/// Assumed factor by which requests take longer in slow start than after it.
 const SLOW_START_FACTOR: f64 = 1.6;
 
 /// `Backlog` is the work that a target would do before a new request.
--- a/marigoldway-core/src/replica/epoch.rs
+++ b/marigoldway-core/src/replica/epoch.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 /// `Epoch` is the number of an epoch of the store. It rises with each restore, and is 0 while the
-/// store hasn't told any.
+/// store hasn't stated one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Epoch(pub u64);
 
--- a/marigoldway-core/src/replica/sources.rs
+++ b/marigoldway-core/src/replica/sources.rs
@@ -1,15 +1,15 @@
 //! This module decides where a process reads the keys that it needs, and when: from a follower or
 //! from the store.
 //!
-//! What a process knows is borne by a confirmation: a time as of which the store had no change that
+//! A process holds a confirmation of what it knows: a time as of which the store had no change that
 //! the process lacks. An answer of the store confirms the time at which it was asked; the answer of
 //! a follower confirms as much as the follower's own confirmation. A call that waits confirms
 //! nothing, since the store may never answer it. A confirmation that no source renews in time makes
 //! the process ask the store itself. So each process, whatever it reads and from whom, learns of a
 //! change within the limit, or knows that it may be late.
 //!
-//! A decision may need a later confirmation than there is. The process then demands one of its
-//! follower, and this one of the leading follower, which asks the store once for all. A follower
+//! A decision may need a later confirmation than there is. The process then demands one from its
+//! follower, and that follower from the leading one, which asks the store once for all. A follower
 //! holds a demand until it has the confirmation. A process has one demand outstanding at a time, and
 //! further decisions share the next one.
 
@@ -109,7 +109,7 @@
 
 impl Sources {
     /// The state of a process that knows nothing. It reads from a follower each `interval`, or
-    /// sooner if its confirmation is about to age.
+    /// sooner if its confirmation is about to become too old.
     pub fn new(role: Role, timing: Timing, interval: Duration) -> Sources {
         Sources {
             role,
@@ -309,14 +309,14 @@
         confirmed
     }
 
-    /// Notes that a follower didn't answer, or that its answer is of no use. The next read is due
-    /// after `wait`, or at once if a demand is open.
+    /// Notes that a follower didn't answer in time. The next read is due after `wait`, or at once
+    /// if a demand is open.
     pub fn on_failure(&mut self, now: Timestamp, follower: InstanceId, wait: Duration) {
         self.fail(now, follower, Failure::Silent(now), wait);
     }
 
-    /// Notes that a follower answered that it has no copy, or that no process listens at its
-    /// address. The next read is due after `wait`, or at once if a demand is open.
+    /// Notes that a follower has no copy, that its answer is of no use, or that no process listens
+    /// at its address. The next read is due after `wait`, or at once if a demand is open.
     pub fn on_refusal(&mut self, now: Timestamp, follower: InstanceId, wait: Duration) {
         self.fail(now, follower, Failure::Refused(now), wait);
     }
--- a/marigoldway-core/src/replica/sources/failure.rs
+++ b/marigoldway-core/src/replica/sources/failure.rs
@@ -11,9 +11,9 @@
 /// `Failure` is the last failure of a follower.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Failure {
-    /// The follower didn't answer, or its answer was of no use.
+    /// The follower didn't answer in time.
     Silent(Timestamp),
-    /// The follower answered at once that it has no copy, or no process listens there.
+    /// The follower has no copy, its answer was of no use, or no process listens there.
     Refused(Timestamp),
     /// The follower held a demand and didn't meet it: the store may not answer it. Other followers are
     /// preferred for demands.
@@ -36,7 +36,8 @@
         at
     }
 
-    /// Whether a reader, which never leads, asks the follower if all are excluded.
+    /// Whether the follower didn't meet a demand. A reader, which never leads, asks such a follower
+    /// if all are excluded.
     pub(super) fn is_unmet(self) -> bool {
         matches!(self, Failure::Unmet(_))
     }
--- a/marigoldway-core/tests/flow/drains.rs
+++ b/marigoldway-core/tests/flow/drains.rs
@@ -1,5 +1,6 @@
 //! No opening packet reaches a target in a drained domain, on any path.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use marigoldway_core::flow::agent::AgentAction;
@@ -239,6 +240,25 @@
     assert!(redirected > 100, "{redirected}");
 }
 
+/// Guards against a packet over the ramp of a target in slow start that goes to a drained agent,
+/// which entered itself in the header as the least loaded one.
+#[test]
+fn packet_over_the_ramp_avoids_drained_agents() {
+    let mut fleet = start(8, 1);
+    fleet.advance(Duration::from_secs(2));
+    fleet.start_slow_target(1, "orders", Duration::from_secs(2));
+    tell_agents(&mut fleet, &drain("a"));
+    let drained = members("a").next().map(agent_id);
+    for client in 0..4 {
+        let header = Header {
+            ramp: NonZeroU32::new(1),
+            ..header(None, drained, 3)
+        };
+        let actions = open_at(&mut fleet, 1, &header, 5_000 + client);
+        assert!(forwarded(&actions).is_empty(), "{actions:?}");
+    }
+}
+
 /// Guards against an agent that hands a refused packet to the alternate of an entry that doesn't
 /// know of the drain.
 #[test]
--- a/marigoldway-core/tests/revisions.rs
+++ b/marigoldway-core/tests/revisions.rs
@@ -359,6 +359,17 @@
     assert_eq!(observed, expected);
 }
 
+/// Guards against a report of a restore if a watch delivers a change from before the last read.
+#[test]
+fn rollback_is_not_seen_in_an_earlier_change() {
+    let mut detector = RollbackDetector::default();
+    assert_eq!(detector.observe(105), None);
+    detector.on_change(103);
+    assert_eq!(detector.observe(105), None);
+    detector.on_change(107);
+    assert_eq!(detector.observe(106), Some(107));
+}
+
 #[test]
 fn number_increases_with_revision() {
     let revision = |generation, change| Revision {
--- a/marigoldway-net/src/platform/mod.rs
+++ b/marigoldway-net/src/platform/mod.rs
@@ -67,7 +67,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Swap {
     /// Epoch of the revisions in `compares`. In a later one they belong to other writes, so the
-    /// swap isn't applied knowingly, and its response isn't taken as a success.
+    /// swap isn't sent if a later one is known, nor its response taken as a success if it is of
+    /// one.
     pub epoch: Epoch,
     /// Keys and their expected revisions.
     pub compares: Vec<(String, u64)>,
--- a/marigoldway/src/lists/watcher.rs
+++ b/marigoldway/src/lists/watcher.rs
@@ -133,11 +133,11 @@
             tokio::select! {
                 change = watch.next() => match change {
                     Some(Change::Put(stored)) => {
-                        self.on_revision(stored.revision);
+                        self.rollbacks.on_change(stored.revision);
                         self.send_snapshot(&stored).await;
                     }
                     Some(Change::Deleted { key, revision }) => {
-                        self.on_revision(revision);
+                        self.rollbacks.on_change(revision);
                         log::warn!("event=list-deleted key={key}");
                     }
                     Some(Change::UpToDate) => {}
@@ -154,12 +154,12 @@
         }
     }
 
-    /// Notes the platform's revision, and reports that it went back: edits that were accepted since
-    /// then are lost, unless a process holds them and writes them again.
+    /// Notes the platform's revision at a read, and reports that it went back: edits that were
+    /// accepted since then are lost, unless a process holds them and writes them again.
     fn on_revision(&mut self, revision: u64) {
-        if let Some(highest) = self.rollbacks.observe(revision) {
+        if let Some(last) = self.rollbacks.observe(revision) {
             self.metrics.count(Counter::Event("platform-restored"));
-            log::warn!("event=platform-restored highest={highest} revision={revision}");
+            log::warn!("event=platform-restored last={last} revision={revision}");
         }
     }
 
--- a/marigoldway/src/packets/agent/capacity.rs
+++ b/marigoldway/src/packets/agent/capacity.rs
@@ -29,7 +29,7 @@
 
 impl Agent {
     /// Publishes the estimate as metrics. Logs each change of the concurrency limit, and the
-    /// estimates of the classes with requests in each [`LOG_INTERVAL`].
+    /// estimates of the classes that have had requests, once per [`LOG_INTERVAL`].
     pub(super) fn publish_capacity(&self, now: Timestamp, log: &mut CapacityLog) {
         let load = self.flows.borrow().load(now);
         let capacity = load.capacity;
--- a/marigoldway/src/packets/agent/drains.rs
+++ b/marigoldway/src/packets/agent/drains.rs
@@ -33,7 +33,7 @@
 }
 
 impl DrainAsker {
-    /// Asks an entry soon, instead of one that wasn't asked yet.
+    /// Has an entry asked soon. Replaces one that is still to be asked.
     pub(super) fn ask(&self, entry: SocketAddrV4) {
         self.entry.set(Some(entry));
         self.wake.notify_one();
@@ -92,7 +92,7 @@
         let Some(entry) = asker.entry.take() else {
             continue;
         };
-        // The entry of a flow that an earlier process had accepted isn't known.
+        // If the entry of a flow isn't known, the flow's header names this agent instead.
         if entry != agent.node.settings.data.0 && !agent.fetch_drains(entry).await {
             time::sleep(RETRY_PAUSE).await;
         }
--- a/marigoldway/src/packets/registrar/epoch.rs
+++ b/marigoldway/src/packets/registrar/epoch.rs
@@ -49,7 +49,7 @@
                 time::sleep(EPOCH_WAIT_STEP).await;
             }
         }
-        // The epoch may have changed again meanwhile. Nothing is known of any then.
+        // The epoch may have changed again meanwhile. Nothing is known of the store in either.
         self.epoch = self.store.epochs().latest();
     }
 
--- a/marigoldway/src/packets/replicas.rs
+++ b/marigoldway/src/packets/replicas.rs
@@ -39,7 +39,7 @@
     /// The process is a follower, and keeps the replica up to date.
     Following,
     /// The process isn't a follower.
-    Apart,
+    NotFollowing,
 }
 
 /// `Replicas` holds the replica of each prefix that a follower serves. Other processes have none.
@@ -125,7 +125,7 @@
         let (held, standing) = standings.iter().find(|(it, _)| prefix.starts_with(**it))?;
         let replicas = self.replicas.borrow();
         let confirmed = replicas.get(held).and_then(Replica::confirmed);
-        let is_pending = *standing != Standing::Apart && confirmed < Some(at);
+        let is_pending = *standing != Standing::NotFollowing && confirmed < Some(at);
         is_pending.then_some(*held)
     }
 
--- a/marigoldway/src/packets/replicas/tests.rs
+++ b/marigoldway/src/packets/replicas/tests.rs
@@ -97,7 +97,7 @@
         let clock = Clock::start();
         let replicas = replicas(clock, Standing::Undecided).await;
         let answer = start(&replicas, clock).await;
-        replicas.set_standing(PREFIX, Standing::Apart);
+        replicas.set_standing(PREFIX, Standing::NotFollowing);
         assert_eq!(answer.await.unwrap().0, StatusCode::NOT_FOUND);
         let (status, _) = replicas.respond(clock, PATH).wait().await;
         assert_eq!(status, StatusCode::NOT_FOUND);
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -57,7 +57,7 @@
             () = feed::follow(feed, |event| on_event(&node, prefix, event)) => {}
             () = stopped => {}
         }
-        node.replicas.set_standing(prefix, Standing::Apart);
+        node.replicas.set_standing(prefix, Standing::NotFollowing);
         node.replicas.update(prefix, Replica::suspend);
         if prefix == agents::AGENTS_PREFIX {
             node.replicas.agents.take();
@@ -76,7 +76,7 @@
         let standing = match is_follower() {
             None => Standing::Undecided,
             Some(true) => Standing::Following,
-            Some(false) => Standing::Apart,
+            Some(false) => Standing::NotFollowing,
         };
         node.replicas.set_standing(prefix, standing);
         if standing == Standing::Following {
