Admit requests in time before late ones of a higher priority again

Cause: with the decisions under overload, the slot queue went by priority before in time. Late requests of a higher priority then made others late.

Change: requests of the own service that can be in time go first, by priority; late ones follow. The part of the time that every rank gets stays. Load shedding counts only requests in time as ahead.

--- a/marigoldway-core/src/flow/agent/slot_queue/backlog.rs
+++ b/marigoldway-core/src/flow/agent/slot_queue/backlog.rs
@@ -16,14 +16,17 @@
         let level = self.order.client_level(&new.flow, 1);
         let own = self.waiting.iter().filter(|(_, it)| !it.rank.guest);
         let of_priority = own.clone().filter(|(_, it)| it.rank.priority == priority);
-        let equals = of_priority.clone().filter(|(flow, it)| {
-            it.objective_end >= needed && self.order.client_level(flow, 0) <= level
+        // Late requests are behind one that is in time, whatever their priority.
+        let in_time = own.clone().filter(|(_, it)| it.objective_end >= needed);
+        let ahead = in_time.filter(|(flow, it)| {
+            let is_equal = it.rank.priority == priority;
+            let precedes = is_equal && self.order.client_level(flow, 0) <= level;
+            it.rank.priority < priority || precedes
         });
-        let higher = own.filter(|(_, it)| it.rank.priority < priority);
         let request_time = self.request_time();
         let arriving = self.arrivals.rate(now, priority) * request_time.as_secs_f64();
         let backlog = Backlog {
-            ahead: equals.count() + higher.count() + self.running.len() + new.opening,
+            ahead: ahead.count() + self.running.len() + new.opening,
             of_priority: of_priority.count() + new.opening,
             slots,
             request_time,
--- a/marigoldway-core/src/flow/overload/order.rs
+++ b/marigoldway-core/src/flow/overload/order.rs
@@ -1,12 +1,14 @@
 //! Decides which queued request is admitted next.
 //!
-//! Requests go by rank: the priority of the route, with flows of other services after all own ones.
-//! Within a rank, requests that can be answered in time go first. Among these, and among the late
-//! ones, the clients with fewer requests at this agent go first. Then follows the request with the
-//! least time left; of the late ones the newest, since the clients of the oldest time out soonest.
+//! Requests of the own service that can be answered in time go first, by their rank, which is the
+//! priority of the route. If there are none, late ones go by rank. Flows of other services come
+//! after all own ones. Within a rank, requests that can be answered in time go first. Among these,
+//! and among the late ones, the clients with fewer requests at this agent go first. Then follows the
+//! request with the least time left; of the late ones the newest, since the clients of the oldest
+//! time out soonest.
 //!
-//! A lower rank gets at least a tenth of the slots' time while it has requests waiting, so that
-//! none starves.
+//! Another rank than the one that is served gets at least a tenth of the slots' time while it has
+//! requests waiting, so that none starves.
 
 use std::cmp::Reverse;
 use std::net::Ipv4Addr;
@@ -20,7 +22,7 @@
 /// Inverse of the least part of the slots' time that a rank gets while it has requests waiting.
 pub(crate) const LEAST_SHARE_INVERSE: f64 = 10.0;
 
-/// Time that a waiting lower rank is owed for the time that a higher one was served.
+/// Time that a waiting rank is owed for the time that another one was served.
 const OWED_PART: f64 = 1.0 / (LEAST_SHARE_INVERSE - 1.0);
 
 /// Maximum time that a rank is owed, in requests of it. It bounds the burst after a wait.
@@ -113,14 +115,16 @@
         let mut ranks: Vec<Rank> = waiting.iter().map(|it| it.rank).collect();
         ranks.sort_unstable();
         ranks.dedup();
-        let rank = self.take_rank(&ranks, request_time)?;
+        let in_time = waiting.iter().filter(|it| it.in_time && !it.rank.guest);
+        let first = in_time.map(|it| it.rank).min();
+        let first = first.or(ranks.first().copied())?;
+        let rank = self.take_rank(&ranks, first, request_time);
         let of_rank = waiting.iter().filter(|it| it.rank == rank);
         of_rank.min_by_key(|it| self.key(it)).map(|it| it.flow)
     }
 
-    /// Selects the rank to serve: the first one, or a lower one that is owed the time of a request.
-    fn take_rank(&mut self, ranks: &[Rank], request_time: Duration) -> Option<Rank> {
-        let first = *ranks.first()?;
+    /// Selects the rank to serve: `first`, or another one that is owed the time of a request.
+    fn take_rank(&mut self, ranks: &[Rank], first: Rank, request_time: Duration) -> Rank {
         self.shares.retain(|rank, share| {
             if !ranks.contains(rank) {
                 share.owed = Duration::ZERO;
@@ -131,7 +135,8 @@
             let owed = self.shares.get(*rank).map_or(Duration::ZERO, |it| it.owed);
             owed >= self.mean(**rank, request_time)
         };
-        let due = ranks.iter().skip(1).filter(is_due);
+        let others = ranks.iter().filter(|rank| **rank != first);
+        let due = others.filter(is_due);
         let chosen = due.max_by_key(|it| self.shares[*it].owed);
         let chosen = chosen.copied().unwrap_or(first);
         let spent = self.mean(chosen, request_time);
@@ -140,12 +145,12 @@
             let share = self.shares.entry(*rank).or_default();
             if *rank == chosen {
                 share.owed = share.owed.saturating_sub(spent);
-            } else if *rank > first {
+            } else if *rank != first {
                 let owed = share.owed + spent.mul_f64(OWED_PART);
                 share.owed = owed.min(mean.mul_f64(MAX_OWED_REQUESTS));
             }
         }
-        Some(chosen)
+        chosen
     }
 
     fn mean(&self, rank: Rank, request_time: Duration) -> Duration {
--- a/marigoldway-core/tests/flow/slot_queue.rs
+++ b/marigoldway-core/tests/flow/slot_queue.rs
@@ -91,6 +91,19 @@
     assert_eq!(release_order(&mut queue, 20, 5), [13, 11, 12, 10]);
 }
 
+/// Guards against late requests of a higher priority that make others late too.
+#[test]
+fn release_of_requests_in_time_precedes_late_ones_of_a_higher_priority() {
+    let mut queue = full_queue();
+    let late = Arrival {
+        waiting_since: at(0).before(Duration::from_millis(250)),
+        ..request(10, 1, 0)
+    };
+    queue.offer(at(1), SLOTS, &late);
+    queue.offer(at(1), SLOTS, &request(11, 2, 1));
+    assert_eq!(release_order(&mut queue, 20, 5), [11, 10]);
+}
+
 #[test]
 fn release_of_late_requests_is_last_and_newest_first() {
     let mut queue = full_queue();
