--- a/marigoldway-core/src/flow/overload/shedding.rs
+++ b/marigoldway-core/src/flow/overload/shedding.rs
@@ -25,9 +25,6 @@
 /// Time constant of the moving mean of arrivals: some 40 requests at a target of two slots.
 const TIME_CONSTANT: Duration = Duration::from_millis(500);
 
-/// Assumed factor by which requests take longer in slow start than after it.
-const SLOW_START_FACTOR: f64 = 1.6;
-
 /// `Backlog` is the work that a target would do before a new request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Backlog {
@@ -45,6 +42,7 @@
     /// them.
     pub arriving: f64,
     /// Remaining time of the slow start, after which requests take less time than `request_time`.
+    /// Nothing is rejected before.
     pub slow_start: Duration,
 }
 
@@ -80,17 +78,14 @@
             return Duration::ZERO;
         }
         let rounds = (self.ahead + 1 - slots) as f64 / slots as f64;
-        let wait = self.request_time.mul_f64(rounds);
-        if self.slow_start.is_zero() || wait <= self.slow_start {
-            return wait;
-        }
-        self.slow_start + (wait - self.slow_start).div_f64(SLOW_START_FACTOR)
+        self.request_time.mul_f64(rounds)
     }
 
     /// Whether the request can't be answered before its client times out.
     pub fn is_hopeless(&self, left: TimeLeft) -> bool {
         let wait = self.wait();
-        if wait <= left.objective {
+        // An overload in slow start often ends with it, since requests then take less time.
+        if wait <= left.objective || !self.slow_start.is_zero() {
             return false;
         }
         // A priority gets at least a part of the slots' time, whatever arrives in higher ones.
