--- a/review/standin-2/reused.rs
+++ b/review/standin-2/reused.rs
@@ -58,9 +58,10 @@
         deadline: Duration::from_millis(2_500),
         life: (Duration::from_secs(5), Duration::from_secs(14)),
     };
-    for number in 0..10 {
+    for number in 0..14 {
         let address = SocketAddrV4::new(net.ip(64, 10 + number), net.datagram);
-        let habits = vec![habit(1), habit(2), habit(2), habit(2)];
+        let mut habits = vec![habit(2); 6];
+        habits.push(habit(1));
         client::start(world, &stage.router, address, habits, judge.clone());
     }
     world.sleep_until(8_000);
