--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -19,6 +19,6 @@
 watch=$!
 wait "$group"
 code=$?
-kill -KILL -- -"$watch" 2>/dev/null
+{ kill -KILL -- -"$watch"; wait "$watch"; } 2>/dev/null
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -11,7 +11,7 @@
     exit 2
 fi
 # The stand-in and the processes that it starts are one process group, which ends with the script.
-"$standin" reused "$binary" "$folder/record.txt" &
+"$standin" moved "$binary" "$folder/record.txt" &
 group=$!
 trap 'kill -KILL -- -"$group" 2>/dev/null' EXIT
 trap 'exit 2' INT TERM
@@ -19,6 +19,6 @@
 watch=$!
 wait "$group"
 code=$?
-kill -KILL -- -"$watch" 2>/dev/null
+{ kill -KILL -- -"$watch"; wait "$watch"; } 2>/dev/null
 [ "$code" -le 2 ] || code=2
 exit "$code"
