Judge a denial by the entry's own list of agents

Cause: "no target of the service holds this flow" rested on the list of the directory agent that searched, however old it was. The entry that reset the flow had the missing agent in its own list, and only its routes were known to be the newest ones.

Change: a denial now names the agents that have replied. The entry computes by its own list which agents may hold the flow, and asks those that no search has asked, by a query, or by the client's next packet where only the target can tell. Agents of which the store has only the presence record are in the entry's list too, without receiving new flows. So the link has its evidence where the decision is made, whatever a directory agent knows.

--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -300,13 +300,23 @@
         verdict: Verdict,
         actions: &mut Vec<AgentAction>,
     ) {
-        let report = FlowReport {
+        let report = self.flow_report(now, flow, verdict);
+        actions.push(AgentAction::ToEntry(entry, report));
+    }
+
+    /// A report on a flow, with the state and load of the target.
+    pub(super) fn flow_report(
+        &self,
+        now: Timestamp,
+        flow: FlowKey,
+        verdict: Verdict,
+    ) -> FlowReport {
+        FlowReport {
             flow,
             verdict,
             load: self.load(now),
             version: self.version,
-        };
-        actions.push(AgentAction::ToEntry(entry, report));
+        }
     }
 }
 
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -59,7 +59,8 @@
                 self.searches.add_reply(from, *flow);
             }
         }
-        if !held.is_empty() {
+        // An entry that asks for itself isn't a directory agent.
+        if !held.is_empty() && from != entry {
             actions.push(AgentAction::ToDirectory(from, self.directory_update(held)));
         }
         self.flush_searches(now, actions);
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -98,6 +98,11 @@
         missing.copied().collect()
     }
 
+    /// The agents that have replied.
+    pub(super) fn into_replied(self) -> Vec<InstanceId> {
+        self.replied
+    }
+
     /// Whether a packet of the flow is to be sent to the missing agents, since none was sent within
     /// `SEARCH_TIMEOUT`. If so, notes that they are asked now.
     pub(super) fn takes_packet(&mut self, now: Timestamp) -> bool {
--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -5,6 +5,7 @@
 use crate::flow::agent::DropReason;
 use crate::flow::agent::search::Search;
 use crate::flow::key::FlowKey;
+use crate::flow::message::Denial;
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
 use crate::flow::message::Verdict;
@@ -147,7 +148,8 @@
     }
 
     /// Reports to the entry that asked for a flow that the service doesn't hold it, if all agents
-    /// that may hold it have replied. Returns whether the search has ended.
+    /// that may hold it have replied, as far as they are known here. The entry judges by its own list
+    /// of agents whether the reply of one is missing. Returns whether the search has ended.
     fn conclude_search(
         &mut self,
         now: Timestamp,
@@ -163,7 +165,10 @@
         if let Some(search) = ended
             && self.flows.peek(flow).is_none()
         {
-            self.report(now, search.entry, *flow, Verdict::NotHeld, actions);
+            let report = self.flow_report(now, *flow, Verdict::NotHeld);
+            let entry = search.entry;
+            let searched = search.into_replied();
+            actions.push(AgentAction::Deny(entry, Denial { report, searched }));
         }
         true
     }
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -9,6 +9,7 @@
 mod early;
 mod locate;
 mod open;
+mod proof;
 mod views;
 
 use std::net::SocketAddrV4;
@@ -35,6 +36,7 @@
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
+use crate::flow::message::Denial;
 use crate::flow::message::FlowReport;
 use crate::flow::message::Header;
 use crate::flow::message::Hello;
@@ -42,6 +44,7 @@
 use crate::flow::message::Load;
 use crate::flow::message::LoadLevel;
 use crate::flow::message::PlacementHint;
+use crate::flow::message::TargetState;
 use crate::flow::message::Verdict;
 use crate::flow::overload::overflow::Overflow;
 use crate::flow::routes::Route;
@@ -70,6 +73,10 @@
     /// Whether new flows of a saturated service go to another service of their route that has spare
     /// capacity.
     pub overflow: bool,
+    /// When the process started, by its monotonic clock.
+    pub started: Timestamp,
+    /// When the process started, by the instance's clock, in Unix milliseconds.
+    pub started_at: u64,
     /// Seed of the random draws among agents.
     pub seed: u64,
     /// Whether and how far estimates of capacity affect the selection of agents.
@@ -99,8 +106,11 @@
     routes: Option<Arc<Routes>>,
     /// Latest time at which `routes` is known to have been the newest configuration, or `None`
     /// before the first confirmation.
-    confirmed: Option<Timestamp>,
-    /// Flows that no target holds under `routes`, until these are confirmed.
+    routes_confirmed: Option<Timestamp>,
+    /// Latest time at which the store is known to have had no agent that `agents` lacks, or `None`
+    /// before the first confirmation.
+    agents_confirmed: Option<Timestamp>,
+    /// Flows that no target holds by `routes` and `agents`, until these are confirmed.
     unconfirmed: IndexSet<FlowKey>,
     demands: Demands,
     /// Times from the first packets of flows to their resets, until they are taken.
@@ -119,7 +129,8 @@
         EntryFlows {
             options,
             routes: None,
-            confirmed: None,
+            routes_confirmed: None,
+            agents_confirmed: None,
             unconfirmed: IndexSet::new(),
             demands: Demands::default(),
             reset_times: Vec::new(),
@@ -188,6 +199,19 @@
         self.views.remove(id);
     }
 
+    /// Applies the presence records of the store: those of agents that may be alive though they aren't
+    /// registered. They may hold flows, and are probed. They receive no new flow before they reply.
+    pub fn add_present_agents(&mut self, now: Timestamp, presence: &[AgentRecord]) {
+        for record in presence {
+            let record = AgentRecord {
+                state: TargetState::Absent,
+                complete: false,
+                ..*record
+            };
+            self.agents.add_unregistered(now, record);
+        }
+    }
+
     /// Applies an agent's record from the store.
     pub fn register_agent(&mut self, record: AgentRecord) {
         self.agents.register(record);
@@ -246,7 +270,11 @@
             // The agent that accepts the flow sends its own report.
             Verdict::PassedOn => self.on_passed_on(now, from, &report.flow),
             Verdict::Unknown => return self.on_unknown(now, from, &report.flow),
-            Verdict::NotHeld => return self.on_not_held(now, from, &report.flow),
+            Verdict::NotHeld => {
+                let searched = Vec::new();
+                let report = *report;
+                return self.on_denial(now, from, &Denial { report, searched });
+            }
             Verdict::Refused(reason) => self.on_refusal(now, from, report, reason),
         }
         None
--- a/marigoldway-core/src/flow/entry/confirmation.rs
+++ b/marigoldway-core/src/flow/entry/confirmation.rs
@@ -1,8 +1,9 @@
-//! Decides which flows an entry may reset by its routes.
+//! Decides which flows an entry may reset by its routes and its list of agents.
 //!
 //! A flow was opened through an entry that had the newest configuration at that time, or one a
-//! little older. This entry may have neither. So what its routes say of an open flow counts only if
-//! they are known to have been the newest ones when the flow was open already.
+//! little older, at an agent of the list of that time. This entry may have neither. So what its
+//! routes and its list say of an open flow counts only if they are known to have been the newest ones
+//! when the flow was open already.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -29,7 +30,7 @@
 /// rotation.
 const MAX_UNKNOWN: usize = 1_024;
 
-/// `Demands` decides for which time a confirmation of the routes is demanded, and when.
+/// `Demands` decides for which time confirmations are demanded, and when.
 #[derive(Debug, Default)]
 pub(super) struct Demands {
     /// Flows that the entry didn't know, in the order of their first packets, with its time.
@@ -67,20 +68,27 @@
 
 impl EntryFlows {
     /// Notes that the routes in use were the newest configuration at `as_of`, according to the
-    /// store. Returns the resets of flows that are known to be gone by this.
+    /// store. Returns the resets of flows that are known to be gone by this, and requests for others.
     pub fn confirm_routes(&mut self, now: Timestamp, as_of: Timestamp) -> Vec<EntryAction> {
-        self.confirmed = self.confirmed.max(Some(as_of));
-        let mut resets = Vec::new();
-        for flow in std::mem::take(&mut self.unconfirmed) {
-            if let Some(reset) = self.conclude(now, &flow) {
-                resets.push(EntryAction::Reset(reset, ResetReason::NotHeld));
-            }
-        }
-        resets
+        self.routes_confirmed = self.routes_confirmed.max(Some(as_of));
+        self.conclude_unconfirmed(now)
+    }
+
+    /// Notes that the list of agents lacked no agent that the store had at `as_of`. Returns the resets
+    /// of flows that are known to be gone by this, and the requests to agents that it has brought.
+    pub fn confirm_agents(&mut self, now: Timestamp, as_of: Timestamp) -> Vec<EntryAction> {
+        self.agents_confirmed = self.agents_confirmed.max(Some(as_of));
+        self.conclude_unconfirmed(now)
     }
 
-    /// The time for which a confirmation of the routes is to be demanded now: a flow may have to be
-    /// reset by it. `None` if there is none, or if it was told before.
+    fn conclude_unconfirmed(&mut self, now: Timestamp) -> Vec<EntryAction> {
+        let flows = std::mem::take(&mut self.unconfirmed);
+        let actions = flows.iter().filter_map(|flow| self.conclude(now, flow));
+        actions.collect()
+    }
+
+    /// The time for which confirmations of the routes and of the agents are to be demanded now: a flow
+    /// may have to be reset by them. `None` if there is none, or if it was told before.
     pub fn take_demand(&mut self, now: Timestamp) -> Option<Timestamp> {
         while let Some((since, flow)) = self.demands.next_unknown(now) {
             let state = self.flows.peek(&flow);
@@ -108,16 +116,22 @@
         std::mem::take(&mut self.reset_times)
     }
 
-    /// Whether the routes in use were the newest configuration at `at` or later. Only then do they
-    /// have the route of each flow that was open at that time, unless it was dropped since.
+    /// Whether the routes in use were the newest configuration at `at` or later, and the list of agents
+    /// lacked none then. Only then do they have the route of each flow that was open at that time,
+    /// unless it was dropped since, and the agent whose target held it.
     pub(super) fn is_confirmed_since(&self, at: Timestamp) -> bool {
-        self.confirmed >= Some(at)
+        self.are_routes_confirmed(at) && self.agents_confirmed >= Some(at)
+    }
+
+    /// Whether the routes in use were the newest configuration at `at` or later.
+    fn are_routes_confirmed(&self, at: Timestamp) -> bool {
+        self.routes_confirmed >= Some(at)
     }
 
     /// Whether the routes in use may decide on new flows: a newer configuration doesn't have to be
     /// in effect yet.
     fn is_current(&self, now: Timestamp) -> bool {
-        let confirmed = self.confirmed;
+        let confirmed = self.routes_confirmed;
         confirmed.is_some_and(|at| now.since(at) <= self.options.apply_limit)
     }
 
@@ -151,7 +165,7 @@
                 arrived
             }
         };
-        if !self.is_confirmed_since(since) {
+        if !self.are_routes_confirmed(since) {
             return EntryAction::Keep;
         }
         self.flows.remove(&flow);
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -7,38 +7,38 @@
 //! a reset at once instead of waiting for its timeout.
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::flow::entry::EntryAction;
 use crate::flow::entry::EntryFlows;
 use crate::flow::entry::FlowState;
 use crate::flow::entry::actions::DropReason;
 use crate::flow::entry::actions::Forwarding;
-use crate::flow::entry::actions::ResetReason;
+use crate::flow::entry::proof::Missing;
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::Intent;
 use crate::flow::routes::Route;
-use crate::flow::segment::Reset;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
-/// Maximum number of flows that are reset as soon as the routes are confirmed. Others are reset at
-/// the client's next packet.
-const MAX_UNCONFIRMED: usize = 4_096;
-
 /// `Locating` is what an entry knows about an open flow that no agent is known to hold.
 #[derive(Clone, Debug)]
 pub(super) struct Locating {
     /// Arrival of the first packet that was forwarded to a directory agent. The flow was open then.
-    since: Timestamp,
+    pub(super) since: Timestamp,
     /// Number of packets that were forwarded to directory agents.
     queries: u32,
     /// Acknowledgement number of the client's latest packet.
-    acked: u32,
+    pub(super) acked: u32,
     /// Directory agents that don't know the flow, by their service.
     unknown: IndexMap<NameKey, InstanceId>,
     /// Services that the flow doesn't belong to: none of their targets holds it.
-    not_held: Vec<NameKey>,
+    pub(super) not_held: Vec<NameKey>,
+    /// Agents that have replied that their target doesn't hold the flow.
+    pub(super) replied: IndexSet<InstanceId>,
+    /// When services or agents were last asked that searches had left out.
+    pub(super) asked: Option<Timestamp>,
 }
 
 impl Locating {
@@ -49,13 +49,35 @@
             acked: 0,
             unknown: IndexMap::new(),
             not_held: Vec::new(),
+            replied: IndexSet::new(),
+            asked: None,
+        }
+    }
+
+    /// Notes that a directory agent has searched its service in vain, and who has replied to it.
+    pub(super) fn on_denial(
+        &mut self,
+        service: NameKey,
+        from: InstanceId,
+        searched: &[InstanceId],
+    ) {
+        if !self.not_held.contains(&service) {
+            self.not_held.push(service);
         }
+        self.replied.insert(from);
+        self.replied.extend(searched);
+    }
+
+    /// Notes that an agent has replied that its target doesn't hold the flow.
+    pub(super) fn on_reply(&mut self, from: InstanceId) {
+        self.replied.insert(from);
     }
 }
 
 impl EntryFlows {
-    /// Forwards a packet, which arrived at `arrived`, to a directory agent of each service that may
-    /// hold the flow. If the flow is already known to be gone, resets it.
+    /// Forwards a packet, which arrived at `arrived`, to those that may know the flow: a directory
+    /// agent of each service, or the agents that a search has left out. If the flow is already known
+    /// to be gone, resets it.
     pub(super) fn locate(
         &mut self,
         now: Timestamp,
@@ -74,36 +96,67 @@
         let (since, queries) = (state.since, state.queries);
         state.queries += 1;
         state.acked = acked;
-        let services = self.services(now, &flow, route);
-        let asked: Vec<NameKey> = services
-            .iter()
-            .filter(|it| !state.not_held.contains(it))
-            .copied()
-            .collect();
+        let missing = self.missing(now, &flow, route, &state);
         self.flows.insert(now, flow, FlowState::Locating(state));
-        if let Some(reset) = self.conclude(now, &flow) {
-            return EntryAction::Reset(reset, ResetReason::NotHeld);
+        let forwardings = match missing {
+            None => return self.reset_lost(now, &flow),
+            Some(Missing::Services(services)) => {
+                self.to_directory_agents(now, &flow, route, &services, queries)
+            }
+            Some(Missing::Agents(agents)) => self.to_holders(route, agents),
+            Some(Missing::Confirmation) => {
+                self.conclude(now, &flow);
+                Vec::new()
+            }
+        };
+        if forwardings.is_empty() {
+            return EntryAction::Drop(DropReason::Unserved);
+        }
+        if queries == 0 {
+            self.demands.on_unknown(since, flow);
         }
+        EntryAction::Forward(forwardings)
+    }
+
+    /// Copies of a packet for a directory agent of each service, after `queries` earlier ones.
+    fn to_directory_agents(
+        &mut self,
+        now: Timestamp,
+        flow: &FlowKey,
+        route: &Route,
+        services: &[NameKey],
+        queries: u32,
+    ) -> Vec<Forwarding> {
         // The directory agents of the right service know the flow as a rule. A search in the
         // other services would be in vain, so the entry first waits for their reports.
-        let search = services.len() == 1 || queries > 0;
+        let search = queries > 0 || self.services(now, flow, route).len() == 1;
         let mut forwardings = Vec::new();
-        for service in asked {
-            let Some(agent) = self.directory_agent(now, service, &flow, queries) else {
+        for service in services {
+            let Some(agent) = self.directory_agent(now, *service, flow, queries) else {
                 continue;
             };
             self.views.expect_answer(now, agent);
-            let mut header = self.header(Intent::Locate, service, route, None);
+            let mut header = self.header(Intent::Locate, *service, route, None);
             header.search = search;
             forwardings.push(Forwarding { agent, header });
         }
-        if forwardings.is_empty() {
-            return EntryAction::Drop(DropReason::Unserved);
-        }
-        if queries == 0 {
-            self.demands.on_unknown(since, flow);
-        }
-        EntryAction::Forward(forwardings)
+        forwardings
+    }
+
+    /// Copies of a packet for agents that may hold the flow and that no search has asked. They reply
+    /// to this entry.
+    fn to_holders(&self, route: &Route, agents: Vec<InstanceId>) -> Vec<Forwarding> {
+        let records = agents.into_iter().filter_map(|id| self.agents.record(id));
+        let copies = records.map(|record| Forwarding {
+            agent: record.id,
+            header: self.header(
+                Intent::Search,
+                record.service,
+                route,
+                Some(self.options.own),
+            ),
+        });
+        copies.collect()
     }
 
     /// Processes a directory agent's report that it doesn't know the flow. Returns the request for a
@@ -118,72 +171,23 @@
         let routes = self.routes.clone()?;
         let route = routes.by_addr.get(&flow.server)?;
         let class = route.work.class;
-        let services = self.services(now, flow, route);
-        let FlowState::Locating(state) = self.flows.touch(now, flow)? else {
+        let FlowState::Locating(state) = self.flows.peek(flow)? else {
             return None;
         };
-        state.unknown.insert(service, from);
-        let remaining = services.iter().filter(|it| !state.not_held.contains(it));
-        let agents: Option<Vec<InstanceId>> =
-            remaining.map(|it| state.unknown.get(it).copied()).collect();
-        let agents = agents?;
-        state.unknown.clear();
-        Some(EntryAction::Search(agents, class, *flow))
-    }
-
-    /// Processes an agent's report that no target of its service holds the flow. Returns the reset
-    /// to send if the flow is gone.
-    pub(super) fn on_not_held(
-        &mut self,
-        now: Timestamp,
-        from: InstanceId,
-        flow: &FlowKey,
-    ) -> Option<EntryAction> {
-        let service = self.agents.record(from)?.service;
+        let suspects = self.suspects(now, flow, route, state);
         let FlowState::Locating(state) = self.flows.touch(now, flow)? else {
             return None;
         };
-        if !state.not_held.contains(&service) {
-            state.not_held.push(service);
-        }
-        let reset = self.conclude(now, flow)?;
-        Some(EntryAction::Reset(reset, ResetReason::NotHeld))
-    }
-
-    /// Removes a flow that no target holds, and returns the reset for its client. Returns `None` if
-    /// a target may hold it: a service hasn't been searched, or this entry may not know all
-    /// services of the address. A newer configuration may have assigned the address to another
-    /// service, at which the flow was opened, so the routes must be confirmed for a time at which
-    /// the flow was open.
-    pub(super) fn conclude(&mut self, now: Timestamp, flow: &FlowKey) -> Option<Reset> {
-        if !self.agents.is_loaded() {
-            return None;
-        }
-        let routes = self.routes.clone()?;
-        let route = routes.by_addr.get(&flow.server)?;
-        let FlowState::Locating(state) = self.flows.peek(flow)? else {
-            return None;
-        };
-        let services = self.services(now, flow, route);
-        if !services.iter().all(|it| state.not_held.contains(it)) {
-            return None;
-        }
-        if !self.is_confirmed_since(state.since) {
-            self.demands.on_unconfirmed(state.since);
-            if self.unconfirmed.len() < MAX_UNCONFIRMED {
-                self.unconfirmed.insert(*flow);
-            }
-            return None;
-        }
-        let seq = state.acked;
-        self.reset_times.push(now.since(state.since));
-        self.flows.remove(flow);
-        Some(Reset { flow: *flow, seq })
+        state.unknown.insert(service, from);
+        let agents = suspects.iter().map(|it| state.unknown.get(it).copied());
+        let agents: Vec<InstanceId> = agents.collect::<Option<_>>()?;
+        state.unknown.clear();
+        (!agents.is_empty()).then(|| EntryAction::Search(agents, class, *flow))
     }
 
     /// The services that may hold a flow, with the one that a new flow would go to first. Beside
     /// the services of the route, those without a known agent are left out: their targets are gone.
-    fn services(&self, now: Timestamp, flow: &FlowKey, route: &Route) -> Vec<NameKey> {
+    pub(super) fn services(&self, now: Timestamp, flow: &FlowKey, route: &Route) -> Vec<NameKey> {
         let first = route.service(flow);
         let routed = route.shares.iter().map(|it| it.service);
         let routed = std::iter::once(first).chain(routed);
@@ -199,7 +203,7 @@
     /// ones, or `None` if the service has no known agent. The two directory agents
     /// take turns, but one whose answer is overdue is skipped unless the other's
     /// answer is overdue too.
-    fn directory_agent(
+    pub(super) fn directory_agent(
         &self,
         now: Timestamp,
         service: NameKey,
--- a/marigoldway-core/tests/flow/demands.rs
+++ b/marigoldway-core/tests/flow/demands.rs
@@ -17,7 +17,7 @@
 fn fleet(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(seed, 2, &TARGETS);
     fleet.confirms = false;
-    fleet.confirm_routes(1, fleet.now);
+    fleet.confirm(1, fleet.now);
     pass(&mut fleet, 300);
     fleet
 }
@@ -85,7 +85,7 @@
 fn demand_is_not_made_for_a_time_that_is_confirmed() {
     let mut fleet = fleet(4);
     receive(&mut fleet, 1_000);
-    fleet.confirm_routes(1, fleet.now);
+    fleet.confirm(1, fleet.now);
     assert_eq!(demand_after(&mut fleet, 20), None);
 }
 
@@ -107,7 +107,7 @@
     let (arrived, key) = (fleet.now, flow(1_000, 446));
     pass(&mut fleet, 200);
     let read = arrived + Duration::from_millis(1);
-    fleet.confirm_routes(1, arrived.before(Duration::from_millis(1)));
+    fleet.confirm(1, arrived.before(Duration::from_millis(1)));
     let segment = data(key, 7, 100);
     let entry = &mut fleet.entries[1];
     let action = entry.on_kept_packet(fleet.now, arrived, &segment);
@@ -133,7 +133,7 @@
         fleet.tick();
     }
     assert_eq!(fleet.entries[1].take_demand(fleet.now), Some(last));
-    fleet.confirm_routes(1, last);
+    fleet.confirm(1, last);
     let resets = (0..3_000).map(|port| fleet.resets(flow(1_000 + port, 443)));
     assert_eq!(resets.sum::<usize>(), 3_000);
 }
--- /dev/null
+++ b/marigoldway-core/tests/flow/denials.rs
@@ -0,0 +1,136 @@
+//! An entry resets a flow by the word of a directory agent only if each agent that may hold the flow,
+//! by the entry's own confirmed list, has replied.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+use crate::fleet::agent_id;
+use crate::fleet::flow;
+
+/// Two agents, each beside a target of the service `orders`.
+const ORDERS: [(u16, &str); 2] = [(1, "orders"), (2, "orders")];
+
+/// Number of flows that a test opens.
+const FLOWS: u16 = 40;
+
+/// A flow by the port of its client, with its initial sequence number.
+type Opened = (u16, u32);
+
+fn open_all(fleet: &mut Fleet) -> Vec<Opened> {
+    let clients = 1_000..1_000 + FLOWS;
+    clients
+        .map(|client| (client, fleet.open(0, flow(client, 443)).unwrap()))
+        .collect()
+}
+
+/// Sends data on each flow through entry 1, three times. Returns the number of flows that were
+/// answered.
+fn answered(fleet: &mut Fleet, opened: &[Opened]) -> usize {
+    let mut answered = vec![false; opened.len()];
+    for _ in 0..3 {
+        for ((client, origin), answered) in opened.iter().zip(&mut answered) {
+            *answered |= fleet.talk(1, flow(*client, 443), *origin);
+        }
+        settle(fleet);
+    }
+    answered.into_iter().filter(|it| *it).count()
+}
+
+/// Waits until queries and replies were exchanged.
+fn settle(fleet: &mut Fleet) {
+    for _ in 0..3 {
+        fleet.now = fleet.now + Duration::from_millis(100);
+        fleet.tick();
+    }
+}
+
+fn resets(fleet: &Fleet, opened: &[Opened]) -> usize {
+    let clients = opened.iter().map(|(client, _)| *client);
+    clients.map(|client| fleet.resets(flow(client, 443))).sum()
+}
+
+/// Agent 1 no longer knows agent 2, as one that doesn't hear from the store when agent 2 is registered
+/// again. Agent 2's first hellos are over.
+fn forget_agent_2(fleet: &mut Fleet) {
+    for _ in 0..15 {
+        fleet.now = fleet.now + Duration::from_secs(1);
+        fleet.heartbeat(1);
+        fleet.heartbeat(2);
+        fleet.tick();
+    }
+    let node = fleet.agents.get_mut(&agent_id(1)).unwrap();
+    node.flows.agents_mut().remove(agent_id(2));
+}
+
+/// Guards against the reset of open flows by the word of a directory agent that doesn't know their
+/// holder, while the entry does.
+#[test]
+fn flows_are_found_though_a_directory_agent_doesnt_know_their_holder() {
+    let mut fleet = Fleet::new(1, 2, &ORDERS);
+    forget_agent_2(&mut fleet);
+    let opened = open_all(&mut fleet);
+    let held = opened.iter().map(|(client, _)| flow(*client, 443));
+    let at_2 = held.filter(|it| fleet.holder(*it) == Some(agent_id(2)));
+    assert!(at_2.count() > 5);
+    assert_eq!(answered(&mut fleet, &opened), opened.len());
+    assert_eq!(resets(&fleet, &opened), 0);
+}
+
+/// Guards against the same where the process of the holder is younger than the flows, so that it can
+/// only tell by its target.
+#[test]
+fn flows_are_found_though_a_directory_agent_doesnt_know_their_young_holder() {
+    let mut fleet = Fleet::new(2, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    fleet.start_agent(2, "orders");
+    fleet.heartbeat(2);
+    fleet.announce_again(2);
+    fleet.share_with_entries();
+    let node = fleet.agents.get_mut(&agent_id(1)).unwrap();
+    node.flows.agents_mut().remove(agent_id(2));
+    assert_eq!(answered(&mut fleet, &opened), opened.len());
+    assert_eq!(resets(&fleet, &opened), 0);
+}
+
+/// Guards against resets by a list of agents that is older than the flow.
+#[test]
+fn flow_is_kept_until_the_list_of_agents_is_confirmed() {
+    let mut fleet = Fleet::new(3, 2, &ORDERS);
+    forget_agent_2(&mut fleet);
+    let opened = open_all(&mut fleet);
+    let known = fleet.records();
+    let known: Vec<_> = known
+        .into_iter()
+        .filter(|it| it.id != agent_id(2))
+        .collect();
+    fleet.restart_entry_with(1, &known);
+    fleet.confirms = false;
+    fleet.now = fleet.now + Duration::from_millis(10);
+    let before = fleet.now;
+    fleet.confirm_routes(1, before + Duration::from_secs(9));
+    answered(&mut fleet, &opened);
+    assert_eq!(resets(&fleet, &opened), 0);
+    // The list that is confirmed then has the holder.
+    fleet.share_with_entries();
+    fleet.confirm_agents(1, fleet.now);
+    assert_eq!(answered(&mut fleet, &opened), opened.len());
+    assert_eq!(resets(&fleet, &opened), 0);
+}
+
+#[test]
+fn flow_that_is_gone_is_reset_by_the_replies_to_the_entry() {
+    let mut fleet = Fleet::new(4, 2, &ORDERS);
+    let opened = open_all(&mut fleet);
+    for n in 1..=2 {
+        fleet.stop(n);
+        fleet.start_agent(n, "orders");
+        fleet.start_target(n, "orders");
+        fleet.announce(n);
+    }
+    forget_agent_2(&mut fleet);
+    fleet.restart_entry_without_agents(1);
+    fleet.share_with_entries();
+    answered(&mut fleet, &opened);
+    let told = |it: &&Opened| fleet.resets(flow(it.0, 443)) > 0;
+    assert_eq!(opened.iter().filter(told).count(), opened.len());
+}
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -27,6 +27,7 @@
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::message::Denial;
 use marigoldway_core::flow::message::DirectoryUpdate;
 use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::flow::message::Header;
@@ -174,6 +175,8 @@
 enum Datagram {
     /// Receiver, header and a client's packet.
     Packet(InstanceId, Header, Segment),
+    /// Sender, receiver and denial.
+    Denial(InstanceId, InstanceId, Denial),
     /// Sender, receiver and report.
     FlowReport(InstanceId, InstanceId, FlowReport),
     /// Receiver and update.
@@ -346,6 +349,8 @@
             idle_timeout: IDLE_TIMEOUT,
             apply_limit: APPLY_LIMIT,
             overflow: true,
+            started: self.now,
+            started_at: self.now.as_micros() / 1_000,
             seed: self.rng.random(),
             capacity: CapacityPolicy::default(),
         });
@@ -606,6 +611,13 @@
         }
     }
 
+    /// Tells entry `n` that its routes were the newest ones at `as_of`, and its list of agents lacked
+    /// none then.
+    pub fn confirm(&mut self, n: usize, as_of: Timestamp) {
+        self.confirm_routes(n, as_of);
+        self.confirm_agents(n, as_of);
+    }
+
     /// Tells entry `n` that its routes were the newest ones at `as_of`.
     pub fn confirm_routes(&mut self, n: usize, as_of: Timestamp) {
         for action in self.entries[n].confirm_routes(self.now, as_of) {
@@ -613,10 +625,17 @@
         }
     }
 
+    /// Tells entry `n` that its list of agents lacked none at `as_of`.
+    pub fn confirm_agents(&mut self, n: usize, as_of: Timestamp) {
+        for action in self.entries[n].confirm_agents(self.now, as_of) {
+            self.carry_out_entry(n, None, &action);
+        }
+    }
+
     /// Delivers a client's packet to entry `n`, and then all resulting datagrams.
     pub fn send(&mut self, n: usize, segment: Segment) -> EntryAction {
         if self.confirms {
-            self.confirm_routes(n, self.now);
+            self.confirm(n, self.now);
         }
         let action = self.entries[n].on_packet(self.now, &segment);
         self.carry_out_entry(n, Some(segment), &action);
@@ -625,7 +644,7 @@
     }
 
     /// Carries out an action of entry `n` on a client's packet, or on a report.
-    fn carry_out_entry(&mut self, n: usize, segment: Option<Segment>, action: &EntryAction) {
+    pub fn carry_out_entry(&mut self, n: usize, segment: Option<Segment>, action: &EntryAction) {
         match action {
             EntryAction::Forward(forwardings) => {
                 for (it, segment) in forwardings.iter().zip(segment.into_iter().cycle()) {
@@ -639,6 +658,14 @@
                     self.queue.push(search);
                 }
             }
+            EntryAction::Query(agents, flow) => {
+                self.questions += agents.len();
+                for agent in agents {
+                    let own = entry_id(n);
+                    let query = Datagram::Query(own, *agent, own, vec![*flow]);
+                    self.queue.push(query);
+                }
+            }
             EntryAction::Reset(reset, _) => {
                 self.received.push((reset.flow, Received::Reset(reset.seq)))
             }
@@ -784,7 +811,22 @@
                     }
                 }
             }
+            Datagram::Denial(from, to, denial) => {
+                let index = (0..self.entries.len()).find(|n| entry_id(*n) == to);
+                if let Some(n) = index {
+                    let action = self.entries[n].on_denial(self.now, from, &denial);
+                    if let Some(action) = action {
+                        self.carry_out_entry(n, None, &action);
+                    }
+                }
+            }
             Datagram::NotHeld(from, to, flows) => {
+                let index = (0..self.entries.len()).find(|n| entry_id(*n) == to);
+                if let Some(n) = index {
+                    for action in self.entries[n].on_not_held(self.now, from, &flows) {
+                        self.carry_out_entry(n, None, &action);
+                    }
+                }
                 if let Some(node) = self.agents.get_mut(&to) {
                     let mut actions = Vec::new();
                     node.flows.on_not_held(self.now, from, &flows, &mut actions);
@@ -844,6 +886,9 @@
                 AgentAction::ToEntry(entry, report) => {
                     self.queue.push(Datagram::FlowReport(agent, entry, report));
                 }
+                AgentAction::Deny(entry, denial) => {
+                    self.queue.push(Datagram::Denial(agent, entry, denial));
+                }
                 AgentAction::SendHello(agents) => {
                     let record = self.agents[&agent].flows.hello(self.now).record;
                     for other in agents {
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 
 mod candidates;
 mod demands;
+mod denials;
 mod drained_flows;
 mod drained_sets;
 mod drains;
--- a/marigoldway-core/tests/flow/overload/model/processes.rs
+++ b/marigoldway-core/tests/flow/overload/model/processes.rs
@@ -95,6 +95,8 @@
                 idle_timeout: Duration::from_secs(60),
                 apply_limit: Duration::from_secs(3),
                 overflow: self.setup.overflow,
+                started: now,
+                started_at: now.as_micros() / 1_000,
                 seed: self.rng.random(),
                 capacity: CapacityPolicy::default(),
             });
--- a/marigoldway-core/tests/flow/unconfirmed.rs
+++ b/marigoldway-core/tests/flow/unconfirmed.rs
@@ -19,7 +19,7 @@
 fn fleet_with_newer_routes(seed: u64, ports: &[(u16, &str)]) -> Fleet {
     let mut fleet = Fleet::new(seed, 2, &TARGETS);
     fleet.confirms = false;
-    fleet.confirm_routes(1, fleet.now);
+    fleet.confirm(1, fleet.now);
     fleet.now = fleet.now + Duration::from_millis(300);
     fleet.entries[0].set_routes(fleet.now, routes(2, ports));
     fleet
@@ -69,9 +69,9 @@
     assert_eq!(fleet.send(1, data(key, 7, 100)), EntryAction::Keep);
     fleet.now = fleet.now + Duration::from_millis(600);
     // The store's answer is older than the flow's first packet here.
-    fleet.confirm_routes(1, first.before(Duration::from_millis(1)));
+    fleet.confirm(1, first.before(Duration::from_millis(1)));
     assert_eq!(fleet.send(1, data(key, 7, 100)), EntryAction::Keep);
-    fleet.confirm_routes(1, first);
+    fleet.confirm(1, first);
     let action = fleet.send(1, data(key, 7, 100));
     assert!(matches!(action, EntryAction::Reset(..)));
 }
@@ -82,7 +82,7 @@
     let key = flow(1_000, 444);
     let origin = fleet.open(1, key).unwrap();
     assert_eq!(fleet.send(0, data(key, origin, 100)), EntryAction::Keep);
-    fleet.confirm_routes(0, fleet.now);
+    fleet.confirm(0, fleet.now);
     let action = fleet.send(0, data(key, origin, 100));
     assert!(matches!(action, EntryAction::Reset(..)));
 }
@@ -101,7 +101,7 @@
     }
     assert_eq!(fleet.resets(key), 0);
     fleet.entries[1].set_routes(fleet.now, routes(2, &ports));
-    fleet.confirm_routes(1, fleet.now);
+    fleet.confirm(1, fleet.now);
     assert!((0..3).any(|_| {
         let answered = fleet.talk(1, key, origin);
         settle(&mut fleet);
@@ -118,6 +118,6 @@
     let first = fleet.now;
     settle(&mut fleet);
     assert_eq!(fleet.resets(key), 0);
-    fleet.confirm_routes(1, first);
+    fleet.confirm(1, first);
     assert_eq!(fleet.resets(key), 1);
 }
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -19,8 +19,6 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
@@ -151,7 +149,7 @@
         max_flows: settings.shared.memory as usize * FLOWS_PER_MB,
         idle_timeout: settings.shared.lifetime,
         started: node.clock.now(),
-        started_at: unix_millis(),
+        started_at: node::unix_millis(),
         capacity: settings.shared.capacity,
     };
     let agent = Rc::new(Agent {
@@ -313,12 +311,6 @@
     }
 }
 
-/// Time of the instance's clock, in Unix milliseconds. 0 for a time before 1970.
-fn unix_millis() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Agent {
     /// The agent's record with the current state of its target.
     pub(crate) fn record(&self) -> AgentRecord {
--- a/marigoldway/src/packets/agent/messages.rs
+++ b/marigoldway/src/packets/agent/messages.rs
@@ -58,7 +58,9 @@
             Some(Message::Search(class, search)) => self.decide(|flows, actions| {
                 flows.on_search(now, InstanceId(from), class, &search, actions);
             }),
-            Some(Message::FlowReport(_)) | None => self.node.count("message-unexpected"),
+            Some(Message::FlowReport(_) | Message::Denial(_)) | None => {
+                self.node.count("message-unexpected")
+            }
         }
     }
 
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -8,6 +8,7 @@
 use tokio::time;
 
 use marigoldway_core::flow::entry::EntryAction;
+use marigoldway_core::flow::entry::EntryFlows;
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::followers::followers;
@@ -134,8 +135,7 @@
             // A version that the store has lost stays in force: an older one never replaces it.
             StoreEvent::NewEpoch(_) | StoreEvent::Put(_) | StoreEvent::Deleted(..) => None,
             StoreEvent::Confirmed(as_of) => {
-                self.confirm_routes(self.node.clock.now(), as_of);
-                None
+                return self.confirm(|flows, now| flows.confirm_routes(now, as_of));
             }
         };
         let Some(stored) = stored else {
@@ -147,13 +147,22 @@
         }
     }
 
-    /// Notes that the routes were the newest ones at `as_of`, and resets the flows that are known to
-    /// be gone by this.
-    fn confirm_routes(&self, now: Timestamp, as_of: Timestamp) {
-        let resets = self.flows.borrow_mut().confirm_routes(now, as_of);
-        for action in resets {
-            if let EntryAction::Reset(reset, _) = &action {
-                self.log_action(now, &reset.flow, 0, &action);
+    /// Notes a confirmation, and carries out what follows for flows that wait for it.
+    fn confirm(&self, note: impl FnOnce(&mut EntryFlows, Timestamp) -> Vec<EntryAction>) {
+        let now = self.node.clock.now();
+        let actions = note(&mut self.flows.borrow_mut(), now);
+        self.execute_all(now, actions);
+    }
+
+    /// Carries out actions that don't follow from a packet.
+    pub(super) fn execute_all(&self, now: Timestamp, actions: Vec<EntryAction>) {
+        for action in actions {
+            match &action {
+                EntryAction::Reset(reset, _) => self.log_action(now, &reset.flow, 0, &action),
+                EntryAction::Query(_, flow) | EntryAction::Search(_, _, flow) => {
+                    self.log_action(now, flow, 0, &action);
+                }
+                EntryAction::Forward(_) | EntryAction::Keep | EntryAction::Drop(_) => {}
             }
             self.execute(&[], action);
         }
@@ -162,6 +171,9 @@
     /// Applies a change of the agents' keys in the store.
     pub(super) fn on_agents(&self, event: StoreEvent) {
         let now = self.node.clock.now();
+        if let StoreEvent::Confirmed(as_of) = event {
+            return self.confirm(|flows, now| flows.confirm_agents(now, as_of));
+        }
         let mut flows = self.flows.borrow_mut();
         match event {
             StoreEvent::Snapshot(found, _) => {
@@ -172,6 +184,8 @@
                 self.agents_loaded
                     .set(self.agents_loaded.get() || !records.is_empty());
                 flows.replace_agents(now, &records);
+                let presence = agent_records::decode_presence(&self.node, &found);
+                flows.add_present_agents(now, &presence);
                 log::info!("event=agents-listed count={}", records.len());
             }
             StoreEvent::Put(stored) => {
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use error_stack::ResultExt;
@@ -355,3 +357,9 @@
         task::yield_now().await;
     }
 }
+
+/// Time of the instance's clock, in Unix milliseconds. 0 for a time before 1970.
+pub(crate) fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
