--- a/marigoldway-core/src/flow/addr_services.rs
+++ b/marigoldway-core/src/flow/addr_services.rs
@@ -3,9 +3,11 @@
 //! A configuration assigns new flows to services. Flows that were opened under an
 //! earlier configuration stay at the services of that time until they end. An entry
 //! that looks for a flow must therefore ask the services that the address had within
-//! the lifetime of a flow, too. It learns them from two sources: the configurations
-//! that it has applied itself, and the lists that the agents of each service keep in
-//! the platform's store. The lists tell an entry that started after a change.
+//! the lifetime of a flow, too. It learns them from three sources: the configurations
+//! that it has applied itself, the record of moved routes that the followers keep in
+//! the platform's store, and the lists of addresses that the agents of each service keep
+//! there. The last two tell an entry that started after a change. Only the record of moved
+//! routes is evidence that no other service holds flows.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -13,6 +15,8 @@
 use indexmap::IndexMap;
 
 use crate::flow::key::NameKey;
+use crate::flow::route_moves::Continuity;
+use crate::flow::route_moves::RouteMoves;
 use crate::flow::routes::Routes;
 use crate::time::Timestamp;
 
@@ -26,6 +30,10 @@
     former: IndexMap<SocketAddrV4, IndexMap<NameKey, Timestamp>>,
     /// Services that may hold flows to an address, as their agents listed it.
     listed: IndexMap<SocketAddrV4, Vec<NameKey>>,
+    /// Services that left the route of an address, by the record in the store.
+    moved: IndexMap<SocketAddrV4, Vec<NameKey>>,
+    /// Version of the configuration up to which every move is known, or `None` if there is none.
+    complete_to: Option<u64>,
 }
 
 impl AddrServices {
@@ -35,11 +43,22 @@
             lifetime,
             former: IndexMap::new(),
             listed: IndexMap::new(),
+            moved: IndexMap::new(),
+            complete_to: None,
         }
     }
 
     /// Records the services that a new configuration removes from the routes of the old one.
-    pub fn on_routes(&mut self, now: Timestamp, old: &Routes, new: &Routes) {
+    pub fn on_routes(
+        &mut self,
+        now: Timestamp,
+        old: &Routes,
+        new: &Routes,
+        continuity: Continuity,
+    ) {
+        if continuity == Continuity::Next && self.is_complete(old.version) {
+            self.complete_to = self.complete_to.max(Some(new.version));
+        }
         for (addr, route) in &old.by_addr {
             let kept = new.by_addr.get(addr);
             let leaves =
@@ -62,7 +81,21 @@
         self.listed.retain(|_, services| !services.is_empty());
     }
 
-    /// The services that may hold flows to an address: `routed`, the services of its present
+    /// Replaces the record of moved routes.
+    pub fn set_moves(&mut self, moves: RouteMoves) {
+        if moves.complete {
+            self.complete_to = self.complete_to.max(Some(moves.version));
+        }
+        self.moved = moves.moved;
+    }
+
+    /// Whether all services are known that may hold flows under the configuration `version`. If not,
+    /// any service may hold flows to any address.
+    pub fn is_complete(&self, version: u64) -> bool {
+        self.complete_to >= Some(version)
+    }
+
+    /// The services that may hold flows to an address, as far as is known: `routed`, the services of its present
     /// route, followed by the others. Each service is contained once.
     pub fn services(
         &self,
@@ -74,7 +107,8 @@
         let former = former
             .filter(|(_, left)| now.since(**left) <= self.lifetime)
             .map(|(service, _)| *service);
-        let listed = self.listed.get(addr).into_iter().flatten().copied();
+        let listed = [&self.moved, &self.listed].map(|it| it.get(addr));
+        let listed = listed.into_iter().flatten().flatten().copied();
         let mut services = Vec::new();
         for service in routed.chain(former).chain(listed) {
             if !services.contains(&service) {
--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -42,6 +42,7 @@
 use crate::flow::agent::ramp::OpeningQueue;
 use crate::flow::agent::ramp::RampLimiter;
 use crate::flow::agent::record::PublishedState;
+use crate::flow::agent::search::ListDemand;
 use crate::flow::agent::search::Searches;
 use crate::flow::agent::served_addrs::ServedAddrs;
 use crate::flow::agent::slot_queue::SlotQueue;
@@ -161,6 +162,10 @@
     /// Opening packets that wait for the limiter.
     opening_queue: OpeningQueue,
     searches: Searches,
+    /// Latest time at which the store is known to have had no agent of the service that `agents`
+    /// lacks, or `None` before the first confirmation.
+    list_confirmed: Option<Timestamp>,
+    list_demand: ListDemand,
     served_addrs: ServedAddrs,
     /// Number of flows that are open or whose first request is still expected.
     open_flows: u32,
@@ -200,6 +205,8 @@
             limiter: RampLimiter::new(options.started),
             opening_queue: OpeningQueue::default(),
             searches: Searches::default(),
+            list_confirmed: None,
+            list_demand: ListDemand::default(),
             served_addrs: ServedAddrs::default(),
             open_flows: 0,
         }
@@ -275,6 +282,7 @@
             // Flows seen before the first heartbeat belong to this target.
             if self.target.incarnations() > 1 {
                 self.reset_flows(actions);
+                self.announce_again();
             }
             self.health = Health::default();
         }
--- a/marigoldway-core/src/flow/agent/actions.rs
+++ b/marigoldway-core/src/flow/agent/actions.rs
@@ -6,7 +6,6 @@
 use crate::flow::agent::slot_queue::QueueDecision;
 use crate::flow::agent::slot_queue::ReleasedRequest;
 use crate::flow::key::FlowKey;
-use crate::flow::message::Denial;
 use crate::flow::message::DirectoryUpdate;
 use crate::flow::message::FlowReport;
 use crate::flow::message::Header;
@@ -56,8 +55,6 @@
     ToAgents(Vec<InstanceId>, Header),
     /// Report the state of a flow to an entry.
     ToEntry(InstanceId, FlowReport),
-    /// Tell this entry that no target of the service holds a flow.
-    Deny(InstanceId, Denial),
     /// Tell another agent which flows this one holds. The other agent is a directory agent, which
     /// stores the holders of flows, or one that queried these flows.
     ToDirectory(InstanceId, DirectoryUpdate),
--- a/marigoldway-core/src/flow/agent/open.rs
+++ b/marigoldway-core/src/flow/agent/open.rs
@@ -300,23 +300,13 @@
         verdict: Verdict,
         actions: &mut Vec<AgentAction>,
     ) {
-        let report = self.flow_report(now, flow, verdict);
-        actions.push(AgentAction::ToEntry(entry, report));
-    }
-
-    /// A report on a flow, with the state and load of the target.
-    pub(super) fn flow_report(
-        &self,
-        now: Timestamp,
-        flow: FlowKey,
-        verdict: Verdict,
-    ) -> FlowReport {
-        FlowReport {
+        let report = FlowReport {
             flow,
             verdict,
             load: self.load(now),
             version: self.version,
-        }
+        };
+        actions.push(AgentAction::ToEntry(entry, report));
     }
 }
 
--- a/marigoldway-core/src/flow/agent/peer_messages.rs
+++ b/marigoldway-core/src/flow/agent/peer_messages.rs
@@ -26,8 +26,8 @@
 /// the store stays known to its peers.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of rounds of hellos of a new process. The store has told its peers of it long
-/// before the last one.
+/// Maximum number of rounds of hellos of an agent that is new or registered again. The store has told
+/// its peers of it long before the last one.
 const MAX_HELLOS: u32 = 12;
 
 impl AgentFlows {
@@ -59,8 +59,7 @@
                 self.searches.add_reply(from, *flow);
             }
         }
-        // An entry that asks for itself isn't a directory agent.
-        if !held.is_empty() && from != entry {
+        if !held.is_empty() {
             actions.push(AgentAction::ToDirectory(from, self.directory_update(held)));
         }
         self.flush_searches(now, actions);
@@ -73,6 +72,12 @@
         self.hellos.0 > 0 || self.peers().next().is_none()
     }
 
+    /// Starts the rounds of hellos anew: the agent's record was gone, or it has another target. Peers
+    /// that don't hear from the store may not know the agent any more.
+    pub fn announce_again(&mut self) {
+        self.hellos = (0, Timestamp::ZERO);
+    }
+
     /// Announces this agent to the agents that may search for its flows if the next round of hellos
     /// is due. The rounds repeat while the store may not have told them yet.
     pub(super) fn send_hello(&mut self, now: Timestamp, actions: &mut Vec<AgentAction>) {
--- a/marigoldway-core/src/flow/agent/search.rs
+++ b/marigoldway-core/src/flow/agent/search.rs
@@ -65,6 +65,26 @@
     pub(super) class: WorkClass,
 }
 
+/// `ListDemand` decides for which time a confirmation of the list of agents is demanded.
+#[derive(Debug, Default)]
+pub(super) struct ListDemand {
+    /// When the latest search began, until a confirmation for it is demanded.
+    due: Option<Timestamp>,
+}
+
+impl ListDemand {
+    /// Notes that a search has begun.
+    pub(super) fn raise(&mut self, now: Timestamp) {
+        self.due = Some(now);
+    }
+
+    /// Takes the time for which a confirmation is to be demanded now, unless there is one that
+    /// `confirmed` tells of.
+    pub(super) fn take(&mut self, confirmed: Option<Timestamp>) -> Option<Timestamp> {
+        self.due.take().filter(|at| confirmed < Some(*at))
+    }
+}
+
 impl Search {
     /// Creates a search on behalf of an entry, for which nobody has been asked yet.
     pub(super) fn new(now: Timestamp, entry: InstanceId, class: WorkClass) -> Search {
@@ -80,6 +100,12 @@
         }
     }
 
+    /// Whether a list of agents that was the newest one at `confirmed` has every agent that may hold the
+    /// flow: the flow was open when the search began.
+    pub(super) fn is_covered(&self, confirmed: Option<Timestamp>) -> bool {
+        confirmed >= Some(self.since)
+    }
+
     /// Whether the agents that may hold the flow have to be computed again, since the known agents
     /// have changed to `revision`.
     pub(super) fn is_outdated(&self, revision: u64) -> bool {
@@ -98,11 +124,6 @@
         missing.copied().collect()
     }
 
-    /// The agents that have replied.
-    pub(super) fn into_replied(self) -> Vec<InstanceId> {
-        self.replied
-    }
-
     /// Whether a packet of the flow is to be sent to the missing agents, since none was sent within
     /// `SEARCH_TIMEOUT`. If so, notes that they are asked now.
     pub(super) fn takes_packet(&mut self, now: Timestamp) -> bool {
@@ -157,6 +178,11 @@
         search.missing().is_empty()
     }
 
+    /// The flows that are searched for.
+    pub(super) fn flows(&self) -> Vec<FlowKey> {
+        self.active.keys().copied().collect()
+    }
+
     /// The flows whose search the missing agents are to be asked for again.
     pub(super) fn due(&mut self, now: Timestamp) -> Vec<FlowKey> {
         let due = self.active.iter_mut();
--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -5,7 +5,6 @@
 use crate::flow::agent::DropReason;
 use crate::flow::agent::search::Search;
 use crate::flow::key::FlowKey;
-use crate::flow::message::Denial;
 use crate::flow::message::Header;
 use crate::flow::message::Intent;
 use crate::flow::message::Verdict;
@@ -103,6 +102,7 @@
         } else if !self.searches.insert(flow, Search::new(now, entry, class)) {
             return Vec::new();
         }
+        self.list_demand.raise(now);
         self.ask_missing(now, flow, actions)
     }
 
@@ -148,8 +148,7 @@
     }
 
     /// Reports to the entry that asked for a flow that the service doesn't hold it, if all agents
-    /// that may hold it have replied, as far as they are known here. The entry judges by its own list
-    /// of agents whether the reply of one is missing. Returns whether the search has ended.
+    /// that may hold it have replied. Returns whether the search has ended.
     fn conclude_search(
         &mut self,
         now: Timestamp,
@@ -161,18 +160,42 @@
         if !self.knows_every_agent(now) || self.searches.get_mut(flow).is_none_or(is_missing) {
             return false;
         }
+        // The list of agents may be older than the flow.
+        let confirmed = self.list_confirmed;
+        let is_covered = |it: &mut Search| it.is_covered(confirmed);
+        if !self.searches.get_mut(flow).is_some_and(is_covered) {
+            return false;
+        }
         let ended = self.searches.end(flow);
         if let Some(search) = ended
             && self.flows.peek(flow).is_none()
         {
-            let report = self.flow_report(now, *flow, Verdict::NotHeld);
-            let entry = search.entry;
-            let searched = search.into_replied();
-            actions.push(AgentAction::Deny(entry, Denial { report, searched }));
+            self.report(now, search.entry, *flow, Verdict::NotHeld, actions);
         }
         true
     }
 
+    /// Notes that the list of agents lacked none that the store had at `as_of`. Reports the flows that
+    /// are known to be gone by this.
+    pub fn confirm_list(
+        &mut self,
+        now: Timestamp,
+        as_of: Timestamp,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.list_confirmed = self.list_confirmed.max(Some(as_of));
+        for flow in self.searches.flows() {
+            self.update_holders(now, &flow);
+            self.conclude_search(now, &flow, actions);
+        }
+    }
+
+    /// Takes the time for which a confirmation of the list of agents is to be demanded, since searches
+    /// have begun.
+    pub fn take_list_demand(&mut self) -> Option<Timestamp> {
+        self.list_demand.take(self.list_confirmed)
+    }
+
     /// Handles another agent's message that its target doesn't hold flows that this agent searches.
     /// Reports the flows that no agent holds to the entry that asked for them.
     pub fn on_not_held(
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -160,6 +160,11 @@
         self.drains.take_unserved(has_agents)
     }
 
+    /// The names of the services with known agents.
+    pub(super) fn service_keys(&self) -> impl Iterator<Item = NameKey> {
+        self.services.keys().copied()
+    }
+
     /// The services with known agents.
     pub(crate) fn services(&self) -> impl Iterator<Item = &ServiceAgents> {
         self.services.values()
--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -36,7 +37,6 @@
 use crate::flow::key::FlowKey;
 use crate::flow::key::NameKey;
 use crate::flow::message::AgentRecord;
-use crate::flow::message::Denial;
 use crate::flow::message::FlowReport;
 use crate::flow::message::Header;
 use crate::flow::message::Hello;
@@ -44,9 +44,10 @@
 use crate::flow::message::Load;
 use crate::flow::message::LoadLevel;
 use crate::flow::message::PlacementHint;
-use crate::flow::message::TargetState;
 use crate::flow::message::Verdict;
 use crate::flow::overload::overflow::Overflow;
+use crate::flow::route_moves::Continuity;
+use crate::flow::route_moves::RouteMoves;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
 use crate::flow::segment::Segment;
@@ -73,10 +74,6 @@
     /// Whether new flows of a saturated service go to another service of their route that has spare
     /// capacity.
     pub overflow: bool,
-    /// When the process started, by its monotonic clock.
-    pub started: Timestamp,
-    /// When the process started, by the instance's clock, in Unix milliseconds.
-    pub started_at: u64,
     /// Seed of the random draws among agents.
     pub seed: u64,
     /// Whether and how far estimates of capacity affect the selection of agents.
@@ -110,12 +107,14 @@
     /// Latest time at which the store is known to have had no agent that `agents` lacks, or `None`
     /// before the first confirmation.
     agents_confirmed: Option<Timestamp>,
-    /// Flows that no target holds by `routes` and `agents`, until these are confirmed.
+    /// Flows that no target holds under `routes`, until these are confirmed.
     unconfirmed: IndexSet<FlowKey>,
     demands: Demands,
     /// Times from the first packets of flows to their resets, until they are taken.
     reset_times: Vec<Duration>,
     agents: Agents,
+    /// Services of the agents of which the store has a presence record.
+    present: IndexMap<InstanceId, NameKey>,
     views: AgentViews,
     overflow: Overflow,
     addr_services: AddrServices,
@@ -135,6 +134,7 @@
             demands: Demands::default(),
             reset_times: Vec::new(),
             agents: Agents::default(),
+            present: IndexMap::new(),
             views: AgentViews::default(),
             overflow: Overflow::default(),
             addr_services: AddrServices::new(options.idle_timeout),
@@ -171,12 +171,18 @@
 
     /// Applies a configuration and returns true. Returns false and keeps the
     /// configuration in use if the new version isn't higher.
-    pub fn set_routes(&mut self, now: Timestamp, routes: Arc<Routes>) -> bool {
+    pub fn set_routes(
+        &mut self,
+        now: Timestamp,
+        routes: Arc<Routes>,
+        continuity: Continuity,
+    ) -> bool {
         if let Some(known) = &self.routes {
             if routes.version <= known.version {
                 return false;
             }
-            self.addr_services.on_routes(now, known, &routes);
+            self.addr_services
+                .on_routes(now, known, &routes, continuity);
         }
         self.flows
             .set_idle_timeout(routes.idle.max(self.options.idle_timeout));
@@ -196,20 +202,24 @@
     /// Removes an agent whose target is known to hold no flow.
     pub fn remove_agent(&mut self, id: InstanceId) {
         self.agents.remove(id);
+        self.present.swap_remove(&id);
         self.views.remove(id);
     }
 
-    /// Applies the presence records of the store: those of agents that may be alive though they aren't
-    /// registered. They may hold flows, and are probed. They receive no new flow before they reply.
-    pub fn add_present_agents(&mut self, now: Timestamp, presence: &[AgentRecord]) {
-        for record in presence {
-            let record = AgentRecord {
-                state: TargetState::Absent,
-                complete: false,
-                ..*record
-            };
-            self.agents.add_unregistered(now, record);
-        }
+    /// Replaces the agents of which the store has a presence record, with their services. They may hold
+    /// flows though they aren't registered.
+    pub fn set_present_agents(&mut self, present: IndexMap<InstanceId, NameKey>) {
+        self.present = present;
+    }
+
+    /// Notes that the store has the presence record of an agent.
+    pub fn add_present_agent(&mut self, id: InstanceId, service: NameKey) {
+        self.present.insert(id, service);
+    }
+
+    /// Applies the store's record of moved routes.
+    pub fn set_route_moves(&mut self, moves: RouteMoves) {
+        self.addr_services.set_moves(moves);
     }
 
     /// Applies an agent's record from the store.
@@ -270,11 +280,7 @@
             // The agent that accepts the flow sends its own report.
             Verdict::PassedOn => self.on_passed_on(now, from, &report.flow),
             Verdict::Unknown => return self.on_unknown(now, from, &report.flow),
-            Verdict::NotHeld => {
-                let searched = Vec::new();
-                let report = *report;
-                return self.on_denial(now, from, &Denial { report, searched });
-            }
+            Verdict::NotHeld => return self.on_not_held(now, from, &report.flow),
             Verdict::Refused(reason) => self.on_refusal(now, from, report, reason),
         }
         None
--- a/marigoldway-core/src/flow/entry/actions.rs
+++ b/marigoldway-core/src/flow/entry/actions.rs
@@ -71,8 +71,6 @@
     /// Ask these agents, one of each service, to search a flow of this class among the agents
     /// that may hold it.
     Search(Vec<InstanceId>, WorkClass, FlowKey),
-    /// Ask each of these agents whether its target holds the flow.
-    Query(Vec<InstanceId>, FlowKey),
     /// Send the client a reset of the flow.
     Reset(Reset, ResetReason),
     /// Keep the packet in [`EarlyPackets`](super::EarlyPackets) until the entry has started, or
--- a/marigoldway-core/src/flow/entry/confirmation.rs
+++ b/marigoldway-core/src/flow/entry/confirmation.rs
@@ -1,9 +1,8 @@
-//! Decides which flows an entry may reset by its routes and its list of agents.
+//! Decides which flows an entry may reset by its routes.
 //!
 //! A flow was opened through an entry that had the newest configuration at that time, or one a
-//! little older, at an agent of the list of that time. This entry may have neither. So what its
-//! routes and its list say of an open flow counts only if they are known to have been the newest ones
-//! when the flow was open already.
+//! little older. This entry may have neither. So what its routes say of an open flow counts only if
+//! they are known to have been the newest ones when the flow was open already.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -30,7 +29,7 @@
 /// rotation.
 const MAX_UNKNOWN: usize = 1_024;
 
-/// `Demands` decides for which time confirmations are demanded, and when.
+/// `Demands` decides for which time a confirmation of the routes is demanded, and when.
 #[derive(Debug, Default)]
 pub(super) struct Demands {
     /// Flows that the entry didn't know, in the order of their first packets, with its time.
@@ -75,7 +74,7 @@
     }
 
     /// Notes that the list of agents lacked no agent that the store had at `as_of`. Returns the resets
-    /// of flows that are known to be gone by this, and the requests to agents that it has brought.
+    /// of flows that are known to be gone by this, and requests for others.
     pub fn confirm_agents(&mut self, now: Timestamp, as_of: Timestamp) -> Vec<EntryAction> {
         self.agents_confirmed = self.agents_confirmed.max(Some(as_of));
         self.conclude_unconfirmed(now)
@@ -87,8 +86,8 @@
         actions.collect()
     }
 
-    /// The time for which confirmations of the routes and of the agents are to be demanded now: a flow
-    /// may have to be reset by them. `None` if there is none, or if it was told before.
+    /// The time for which a confirmation of the routes is to be demanded now: a flow may have to be
+    /// reset by it. `None` if there is none, or if it was told before.
     pub fn take_demand(&mut self, now: Timestamp) -> Option<Timestamp> {
         while let Some((since, flow)) = self.demands.next_unknown(now) {
             let state = self.flows.peek(&flow);
@@ -116,16 +115,15 @@
         std::mem::take(&mut self.reset_times)
     }
 
-    /// Whether the routes in use were the newest configuration at `at` or later, and the list of agents
-    /// lacked none then. Only then do they have the route of each flow that was open at that time,
-    /// unless it was dropped since, and the agent whose target held it.
+    /// Whether the routes in use were the newest configuration at `at` or later. Only then do they
+    /// have the route of each flow that was open at that time, unless it was dropped since.
     pub(super) fn is_confirmed_since(&self, at: Timestamp) -> bool {
-        self.are_routes_confirmed(at) && self.agents_confirmed >= Some(at)
+        self.routes_confirmed >= Some(at)
     }
 
-    /// Whether the routes in use were the newest configuration at `at` or later.
-    fn are_routes_confirmed(&self, at: Timestamp) -> bool {
-        self.routes_confirmed >= Some(at)
+    /// Whether the list of agents lacked none at `at` or later.
+    pub(super) fn are_agents_confirmed(&self, at: Timestamp) -> bool {
+        self.agents_confirmed >= Some(at)
     }
 
     /// Whether the routes in use may decide on new flows: a newer configuration doesn't have to be
@@ -165,7 +163,7 @@
                 arrived
             }
         };
-        if !self.are_routes_confirmed(since) {
+        if !self.is_confirmed_since(since) {
             return EntryAction::Keep;
         }
         self.flows.remove(&flow);
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -7,7 +7,6 @@
 //! a reset at once instead of waiting for its timeout.
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::flow::entry::EntryAction;
 use crate::flow::entry::EntryFlows;
@@ -35,9 +34,7 @@
     unknown: IndexMap<NameKey, InstanceId>,
     /// Services that the flow doesn't belong to: none of their targets holds it.
     pub(super) not_held: Vec<NameKey>,
-    /// Agents that have replied that their target doesn't hold the flow.
-    pub(super) replied: IndexSet<InstanceId>,
-    /// When services or agents were last asked that searches had left out.
+    /// When services were last asked that the address isn't known to have had.
     pub(super) asked: Option<Timestamp>,
 }
 
@@ -49,35 +46,14 @@
             acked: 0,
             unknown: IndexMap::new(),
             not_held: Vec::new(),
-            replied: IndexSet::new(),
             asked: None,
         }
     }
-
-    /// Notes that a directory agent has searched its service in vain, and who has replied to it.
-    pub(super) fn on_denial(
-        &mut self,
-        service: NameKey,
-        from: InstanceId,
-        searched: &[InstanceId],
-    ) {
-        if !self.not_held.contains(&service) {
-            self.not_held.push(service);
-        }
-        self.replied.insert(from);
-        self.replied.extend(searched);
-    }
-
-    /// Notes that an agent has replied that its target doesn't hold the flow.
-    pub(super) fn on_reply(&mut self, from: InstanceId) {
-        self.replied.insert(from);
-    }
 }
 
 impl EntryFlows {
-    /// Forwards a packet, which arrived at `arrived`, to those that may know the flow: a directory
-    /// agent of each service, or the agents that a search has left out. If the flow is already known
-    /// to be gone, resets it.
+    /// Forwards a packet, which arrived at `arrived`, to a directory agent of each service that may
+    /// hold the flow. If the flow is already known to be gone, resets it.
     pub(super) fn locate(
         &mut self,
         now: Timestamp,
@@ -103,7 +79,6 @@
             Some(Missing::Services(services)) => {
                 self.to_directory_agents(now, &flow, route, &services, queries)
             }
-            Some(Missing::Agents(agents)) => self.to_holders(route, agents),
             Some(Missing::Confirmation) => {
                 self.conclude(now, &flow);
                 Vec::new()
@@ -128,8 +103,10 @@
         queries: u32,
     ) -> Vec<Forwarding> {
         // The directory agents of the right service know the flow as a rule. A search in the
-        // other services would be in vain, so the entry first waits for their reports.
-        let search = queries > 0 || self.services(now, flow, route).len() == 1;
+        // other services would be in vain, so the entry first waits for their reports. If any service
+        // may be the right one, few flows that are asked for are known.
+        let is_only = self.services(now, flow, route).len() == 1;
+        let search = queries > 0 || is_only || !self.knows_moves();
         let mut forwardings = Vec::new();
         for service in services {
             let Some(agent) = self.directory_agent(now, *service, flow, queries) else {
@@ -143,22 +120,6 @@
         forwardings
     }
 
-    /// Copies of a packet for agents that may hold the flow and that no search has asked. They reply
-    /// to this entry.
-    fn to_holders(&self, route: &Route, agents: Vec<InstanceId>) -> Vec<Forwarding> {
-        let records = agents.into_iter().filter_map(|id| self.agents.record(id));
-        let copies = records.map(|record| Forwarding {
-            agent: record.id,
-            header: self.header(
-                Intent::Search,
-                record.service,
-                route,
-                Some(self.options.own),
-            ),
-        });
-        copies.collect()
-    }
-
     /// Processes a directory agent's report that it doesn't know the flow. Returns the request for a
     /// search if no directory agent of any service knows it.
     pub(super) fn on_unknown(
@@ -190,13 +151,32 @@
     pub(super) fn services(&self, now: Timestamp, flow: &FlowKey, route: &Route) -> Vec<NameKey> {
         let first = route.service(flow);
         let routed = route.shares.iter().map(|it| it.service);
-        let routed = std::iter::once(first).chain(routed);
-        let services = self.addr_services.services(now, &flow.server, routed);
-        let is_routed = |it: &NameKey| route.shares.iter().any(|share| share.service == *it);
+        let mut services: Vec<NameKey> = std::iter::once(first).collect();
+        services.extend(routed.filter(|it| *it != first));
+        let mut former = self.former_services(now, flow, route);
+        former.retain(|it| self.has_agents(*it));
+        services.extend(former);
+        services
+    }
+
+    /// Whether agents of a service may hold flows. One that isn't registered and doesn't answer isn't
+    /// known any more, but has its presence record.
+    pub(super) fn has_agents(&self, service: NameKey) -> bool {
+        let is_known = !self.agents.of_service(service).is_empty();
+        is_known || self.present.values().any(|it| *it == service)
+    }
+
+    /// The services that may hold a flow beside those of its route.
+    pub(super) fn former_services(
+        &self,
+        now: Timestamp,
+        flow: &FlowKey,
+        route: &Route,
+    ) -> Vec<NameKey> {
+        let routed = route.shares.iter().map(|it| it.service);
+        let mut services = self.addr_services.services(now, &flow.server, routed);
+        services.retain(|it| !route.has_service(*it));
         services
-            .into_iter()
-            .filter(|it| is_routed(it) || !self.agents.of_service(*it).is_empty())
-            .collect()
     }
 
     /// The directory agent to which the next packet goes after `queries` earlier
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -216,16 +216,6 @@
     pub version: u64,
 }
 
-/// `Denial` is a directory agent's report that no target of its service holds a flow, after a
-/// search.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Denial {
-    /// The report, with the verdict [`Verdict::NotHeld`].
-    pub report: FlowReport,
-    /// The other agents that have replied that their targets don't hold the flow.
-    pub searched: Vec<InstanceId>,
-}
-
 /// `DirectoryUpdate` registers flows of one agent with a directory agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryUpdate {
--- a/marigoldway-core/src/flow/mod.rs
+++ b/marigoldway-core/src/flow/mod.rs
@@ -20,7 +20,8 @@
 //! - Agents estimate the capacity of their targets, and placement compares the estimates
 //!   ([`capacity`]).
 //! - An [`addr_services::AddrServices`] keeps which services an address had within the
-//!   lifetime of a flow. The directory agents of all of them are asked.
+//!   lifetime of a flow. The directory agents of all of them are asked. The record of
+//!   moved routes ([`route_moves`]) tells it what came before its own start.
 //! - An [`agent::AgentFlows`] decides for an agent. It processes every packet to
 //!   and from its target, so it knows the flows that the target holds. It registers
 //!   each of them with the flow's directory agents.
@@ -40,6 +41,7 @@
 pub mod message;
 pub mod overload;
 pub mod ring;
+pub mod route_moves;
 pub mod routes;
 pub mod segment;
 pub mod selection;
--- a/marigoldway-core/tests/flow/moved.rs
+++ b/marigoldway-core/tests/flow/moved.rs
@@ -243,3 +243,43 @@
     fleet.lose_addrs();
     assert_eq!(*fleet.listed_addrs(), listed);
 }
+
+/// Guards against the reset of open flows by an entry that started after their address had moved, and
+/// before any agent had listed the address: it asked the present service alone.
+#[test]
+fn flows_are_found_by_an_entry_that_started_before_their_address_was_listed() {
+    let mut fleet = Fleet::new(13, 2, &TARGETS);
+    let opened = open_from(&mut fleet, 1_000);
+    fleet.apply_routes(routes(2, &[(443, "papers"), (444, "orders")]));
+    fleet.restart_entry(1);
+    assert_eq!(served(&mut fleet, 1, &opened), opened.len());
+}
+
+/// Guards against the same while the followers haven't recorded the move either.
+#[test]
+fn flows_are_found_by_an_entry_that_started_before_the_move_was_recorded() {
+    let mut fleet = Fleet::new(14, 2, &TARGETS);
+    let opened = open_from(&mut fleet, 1_000);
+    fleet.apply_routes(routes(2, &[(443, "papers"), (444, "orders")]));
+    fleet.lose_moves();
+    fleet.restart_entry(1);
+    assert_eq!(served(&mut fleet, 1, &opened), opened.len());
+}
+
+#[test]
+fn flow_that_is_gone_is_reset_though_the_moves_were_not_recorded() {
+    let mut fleet = Fleet::new(15, 1, &TARGETS);
+    let opened = open_from(&mut fleet, 1_000);
+    fleet.lose_moves();
+    fleet.now = fleet.now + Duration::from_secs(1);
+    for (n, name) in TARGETS {
+        fleet.stop(n);
+        fleet.start_agent(n, name);
+        fleet.start_target(n, name);
+    }
+    fleet.restart_entry(0);
+    served(&mut fleet, 0, &opened);
+    for (client, _) in &opened {
+        assert!(fleet.resets(flow(*client, 443)) > 0, "{client}");
+    }
+}
--- a/marigoldway-net/src/wire/agents.rs
+++ b/marigoldway-net/src/wire/agents.rs
@@ -18,6 +18,10 @@
 /// Prefix of the record keys and presence keys of all agents.
 pub const AGENTS_PREFIX: &str = "agents/";
 
+/// Key of the record of moved routes. It has no lease: a flow may live longer than all processes of
+/// the system.
+pub const MOVES_KEY: &str = "agents/moves";
+
 /// Name of the key of one service that lists addresses, after the prefix of the service.
 const ADDRS_NAME: &str = "addrs";
 
--- a/marigoldway-net/src/wire/flows.rs
+++ b/marigoldway-net/src/wire/flows.rs
@@ -19,7 +19,6 @@
 
 use marigoldway_core::flow::key::FlowKey;
 use marigoldway_core::flow::key::NameKey;
-use marigoldway_core::flow::message::Denial;
 use marigoldway_core::flow::message::DirectoryEntry;
 use marigoldway_core::flow::message::DirectoryUpdate;
 use marigoldway_core::flow::message::FlowReport;
@@ -60,12 +59,6 @@
 /// First octet of a request to search flows among all agents of a service.
 const SEARCH: u8 = 0xe8;
 
-/// First octet of a denial: a flow report, and the agents that were searched.
-const DENIAL: u8 = 0xe9;
-
-/// Maximum number of agents in a denial, so that it fits a datagram. The entry asks others itself.
-const MAX_SEARCHED: usize = 128;
-
 /// `Message` is the content of one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message<'a> {
@@ -73,8 +66,6 @@
     Packet(Header, &'a [u8]),
     /// An agent's report to an entry on the outcome of a flow, with the agent's load.
     FlowReport(FlowReport),
-    /// A directory agent's report that no target of its service holds a flow.
-    Denial(Denial),
     /// Flows that an agent's target holds, for the directory agents of these flows.
     DirectoryUpdate(DirectoryUpdate),
     /// An agent's own record and load.
@@ -106,15 +97,6 @@
     encode(FLOW_REPORT, &WireFlowReport::from(report))
 }
 
-/// Encodes a denial, with the first [`MAX_SEARCHED`] agents that were searched.
-pub fn encode_denial(denial: &Denial) -> Vec<u8> {
-    let mut datagram = encode(DENIAL, &WireFlowReport::from(&denial.report));
-    for agent in denial.searched.iter().take(MAX_SEARCHED) {
-        datagram.extend_from_slice(WireAddr::from(agent.0).as_bytes());
-    }
-    datagram
-}
-
 /// Encodes a directory update.
 pub fn encode_directory_update(update: &DirectoryUpdate) -> Vec<u8> {
     let header = WireDirectoryUpdate {
@@ -176,7 +158,6 @@
             let wire = WireFlowReport::ref_from_bytes(body).ok()?;
             Some(Message::FlowReport(FlowReport::try_from(wire).ok()?))
         }
-        DENIAL => decode_denial(body).map(Message::Denial),
         DIRECTORY_UPDATE => decode_directory_update(body).map(Message::DirectoryUpdate),
         HELLO => {
             let wire = WireHello::ref_from_bytes(body).ok()?;
@@ -216,18 +197,6 @@
     Some(wires.iter().map(|wire| FlowKey::from(*wire)).collect())
 }
 
-fn decode_denial(body: &[u8]) -> Option<Denial> {
-    let (wire, rest) = WireFlowReport::ref_from_prefix(body).ok()?;
-    let searched = <[WireAddr]>::ref_from_bytes(rest).ok()?;
-    Some(Denial {
-        report: FlowReport::try_from(wire).ok()?,
-        searched: searched
-            .iter()
-            .map(|wire| InstanceId(SocketAddrV4::from(*wire)))
-            .collect(),
-    })
-}
-
 fn decode_directory_update(body: &[u8]) -> Option<DirectoryUpdate> {
     let (header, rest) = WireDirectoryUpdate::ref_from_prefix(body).ok()?;
     let flows = <[WireDirectoryEntry]>::ref_from_bytes(rest).ok()?;
--- a/marigoldway-net/src/wire/mod.rs
+++ b/marigoldway-net/src/wire/mod.rs
@@ -22,6 +22,7 @@
 pub mod flows;
 pub mod lists;
 pub mod membership;
+pub mod moves;
 pub mod octets;
 pub mod relay;
 pub mod replica;
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -11,6 +11,7 @@
 mod listing;
 mod log_actions;
 mod messages;
+mod moves;
 mod target;
 
 use std::cell::Cell;
@@ -43,6 +44,7 @@
 use crate::errors::Result;
 use crate::packets::agent::capacity::CapacityLog;
 use crate::packets::agent::drains::DrainAsker;
+use crate::packets::demand::Demand;
 use crate::packets::feed;
 use crate::packets::feed::Feed;
 use crate::packets::node;
@@ -112,6 +114,8 @@
     fetching: Cell<bool>,
     /// Asks entries for the drained failure domains.
     drain_asker: DrainAsker,
+    /// Raised when a search needs a confirmation of the list of agents.
+    list_demand: Rc<Demand>,
     /// Whether collected queries and replies are to be sent soon.
     flushing: Cell<bool>,
     /// Whether queued opening packets are to be sent soon.
@@ -162,6 +166,7 @@
         unregistered_at: Cell::new(None),
         fetching: Cell::new(false),
         drain_asker: DrainAsker::default(),
+        list_demand: Rc::default(),
         flushing: Cell::new(false),
         releasing: Cell::new(false),
         agents_loaded: Cell::new(false),
@@ -223,7 +228,7 @@
         prefix: agents::service_prefix(agent.flows.borrow().service()),
         role: Role::Reader,
         interval: AGENTS_INTERVAL,
-        demand: Rc::default(),
+        demand: agent.list_demand.clone(),
         followers: move || asking.followers(),
     };
     let shared = agent.clone();
@@ -239,6 +244,7 @@
     }
     let store = agent.node.store_client();
     task::spawn_local(Registrar::new(agent.clone(), store).run());
+    task::spawn_local(moves::record(agent.clone()));
     task::spawn_local(target::find_listener(agent.clone()));
     task::spawn_local(tick(agent.clone()));
     task::spawn_local(send_hellos(agent.clone()));
--- a/marigoldway/src/packets/agent/execute.rs
+++ b/marigoldway/src/packets/agent/execute.rs
@@ -53,9 +53,6 @@
                 AgentAction::ToEntry(entry, report) => {
                     self.node.send(entry.0, &flows::encode_flow_report(report));
                 }
-                AgentAction::Deny(entry, denial) => {
-                    self.node.send(entry.0, &flows::encode_denial(denial));
-                }
                 AgentAction::SendHello(agents) => {
                     let now = self.node.clock.now();
                     let hello = flows::encode_hello(&self.flows.borrow().hello(now));
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -19,6 +19,13 @@
     /// Applies a change of the service's keys in the store: records and presence keys.
     pub(super) fn on_agents(&self, event: StoreEvent) {
         let now = self.node.clock.now();
+        if let StoreEvent::Confirmed(as_of) = event {
+            let mut actions = Vec::new();
+            let mut flows = self.flows.borrow_mut();
+            flows.confirm_list(now, as_of, &mut actions);
+            drop(flows);
+            return self.execute(None, &mut [], &actions);
+        }
         let own = self.node.settings.data;
         let epoch = self.listed_epoch.get();
         let in_epoch = |revision| EpochRevision::new(epoch, revision);
@@ -129,6 +136,11 @@
         }
     }
 
+    /// Announces the agent to its peers again, since its record was gone.
+    pub(crate) fn announce_again(&self) {
+        self.flows.borrow_mut().announce_again();
+    }
+
     pub(super) fn on_own_unregistered(&self, revision: EpochRevision) {
         self.unregistered_at.set(Some(revision));
         self.record_dirty.notify_one();
--- a/marigoldway/src/packets/agent/log_actions.rs
+++ b/marigoldway/src/packets/agent/log_actions.rs
@@ -114,7 +114,11 @@
                 // `AgentAction::ToAgents`, which sends the packet, logs the receiver.
                 Verdict::PassedOn => return self.node.count("flow-deferred"),
                 Verdict::Unknown => ("flow-unknown", format!("entry={entry}")),
-                Verdict::NotHeld => ("flow-not-held", format!("entry={entry}")),
+                Verdict::NotHeld => {
+                    let (event, detail) = ("flow-not-held", format!("entry={entry}"));
+                    self.node.count(event);
+                    return self.log_flow(event, &report.flow, &detail);
+                }
                 Verdict::Refused(reason) => {
                     let load = report.load;
                     let reason = reason.as_str();
@@ -124,12 +128,6 @@
                     )
                 }
             },
-            AgentAction::Deny(entry, denial) => {
-                let event = "flow-not-held";
-                let detail = format!("entry={entry} searched={}", denial.searched.len());
-                self.node.count(event);
-                return self.log_flow(event, &denial.report.flow, &detail);
-            }
             AgentAction::Reset(reset, reason) => {
                 let event = "flow-reset";
                 self.node.count(event);
--- a/marigoldway/src/packets/agent/messages.rs
+++ b/marigoldway/src/packets/agent/messages.rs
@@ -58,9 +58,7 @@
             Some(Message::Search(class, search)) => self.decide(|flows, actions| {
                 flows.on_search(now, InstanceId(from), class, &search, actions);
             }),
-            Some(Message::FlowReport(_) | Message::Denial(_)) | None => {
-                self.node.count("message-unexpected")
-            }
+            Some(Message::FlowReport(_)) | None => self.node.count("message-unexpected"),
         }
     }
 
@@ -156,6 +154,10 @@
     /// Sends the queries and replies that the agent has collected, after the interval in which it
     /// collects them.
     fn schedule_flush(self: &Rc<Self>) {
+        if let Some(at) = self.flows.borrow_mut().take_list_demand() {
+            self.node.count("list-demanded");
+            self.list_demand.raise(at);
+        }
         if !self.flows.borrow().has_queued_searches() || self.flushing.replace(true) {
             return;
         }
--- a/marigoldway/src/packets/agent_records.rs
+++ b/marigoldway/src/packets/agent_records.rs
@@ -8,8 +8,10 @@
 
 use marigoldway_core::flow::key::NameKey;
 use marigoldway_core::flow::message::AgentRecord;
+use marigoldway_core::flow::route_moves::RouteMoves;
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::wire::agents;
+use marigoldway_net::wire::moves;
 
 use crate::packets::node::Node;
 
@@ -31,7 +33,8 @@
 /// it.
 pub(crate) fn decode(node: &Node, stored: &KeyValue) -> Option<AgentRecord> {
     let key = &stored.key;
-    if agents::presence_id(key).is_some() || agents::addrs_service(key).is_some() {
+    let is_other = agents::presence_id(key).is_some() || agents::addrs_service(key).is_some();
+    if is_other || key == agents::MOVES_KEY {
         return None;
     }
     let error = match agents::decode(&stored.value) {
@@ -67,6 +70,21 @@
         .collect()
 }
 
+/// Decodes the record of moved routes. Returns `None` for another key, and also if the value isn't a
+/// record, then counts that and logs a warning.
+pub(crate) fn decode_moves(node: &Node, stored: &KeyValue) -> Option<RouteMoves> {
+    if stored.key != agents::MOVES_KEY {
+        return None;
+    }
+    match moves::decode_moves(&stored.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log_unreadable(node, stored, &error.to_string());
+            None
+        }
+    }
+}
+
 /// Counts a value that can't be read, and logs it once for each revision of its key.
 fn log_unreadable(node: &Node, stored: &KeyValue, error: &str) {
     node.count("record-unreadable");
@@ -93,7 +111,9 @@
         .collect()
 }
 
-fn decode_presence_key(node: &Node, stored: &KeyValue) -> Option<AgentRecord> {
+/// Decodes a presence key. Returns `None` for another key, and also if the value isn't a record, then
+/// counts that and logs a warning.
+pub(crate) fn decode_presence_key(node: &Node, stored: &KeyValue) -> Option<AgentRecord> {
     agents::presence_id(&stored.key)?;
     let error = match agents::decode(&stored.value) {
         Ok(record) if agents::presence_key(&agents::agent_key(&record)) == stored.key => {
--- a/marigoldway/src/packets/entry.rs
+++ b/marigoldway/src/packets/entry.rs
@@ -25,9 +25,9 @@
 use marigoldway_core::flow::entry::EntryOptions;
 use marigoldway_core::flow::entry::Forwarding;
 use marigoldway_core::flow::key::NameKey;
-use marigoldway_core::flow::message::Denial;
 use marigoldway_core::flow::message::FlowReport;
 use marigoldway_core::ids::InstanceId;
+use marigoldway_core::replica::epoch::Epoch;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
@@ -78,8 +78,8 @@
     agents_loaded: Cell<bool>,
     /// Raised when a flow can only be reset by a confirmation of the routes.
     config_demand: Rc<Demand>,
-    /// Raised when a flow can only be reset by a confirmation of the agents.
-    agents_demand: Rc<Demand>,
+    /// Epoch of the list of agents.
+    agents_epoch: Cell<Epoch>,
     /// Wakes the task that demands confirmations for flows that stay unknown.
     flow_unknown: Notify,
     /// Time of the last packet from a client.
@@ -97,8 +97,6 @@
         max_flows: settings.memory as usize * FLOWS_PER_MB,
         idle_timeout: settings.lifetime,
         apply_limit: settings.apply_limit,
-        started: node.clock.now(),
-        started_at: node::unix_millis(),
         overflow: settings.overflow,
         seed: rand::random(),
         capacity: settings.capacity,
@@ -110,7 +108,7 @@
         buffer: RefCell::new(Vec::new()),
         agents_loaded: Cell::new(false),
         config_demand: Rc::default(),
-        agents_demand: Rc::default(),
+        agents_epoch: Cell::default(),
         flow_unknown: Notify::new(),
         last_packet: Cell::new(Timestamp::ZERO),
         fetching: Cell::new(false),
@@ -171,7 +169,7 @@
     let feed = entry.feed(
         agents::AGENTS_PREFIX,
         listing::AGENTS_INTERVAL,
-        entry.agents_demand.clone(),
+        Rc::default(),
     );
     let on_agents = move |event| {
         shared.on_agents(event);
@@ -198,7 +196,7 @@
     }
 }
 
-/// Demands confirmations for flows that stay unknown. Never returns.
+/// Demands confirmations of the routes for flows that stay unknown. Never returns.
 async fn demand_confirmations(entry: Rc<Entry>) {
     loop {
         let due = entry.flows.borrow().demand_due();
@@ -293,12 +291,6 @@
                     self.node.send(agent.0, &datagram);
                 }
             }
-            EntryAction::Query(agents, flow) => {
-                let datagram = flows::encode_query(self.node.settings.data, &[flow]);
-                for agent in agents {
-                    self.node.send(agent.0, &datagram);
-                }
-            }
             EntryAction::Reset(reset, _) => {
                 let packet = packet::encode_reset(&reset);
                 let client = reset.flow.client;
@@ -319,21 +311,12 @@
         }
     }
 
-    /// Handles a directory agent's denial of a flow.
-    fn on_denial(&self, now: Timestamp, from: InstanceId, denial: &Denial) {
-        let action = self.flows.borrow_mut().on_denial(now, from, denial);
-        self.demand_confirmation(now);
-        self.log_report(now, from, &denial.report);
-        self.execute_all(now, action.into_iter().collect());
-    }
-
-    /// Demands confirmations of the routes and the agents if the reset of a flow may need them.
+    /// Demands a confirmation of the routes if the reset of a flow may need one.
     fn demand_confirmation(&self, now: Timestamp) {
         let at = self.flows.borrow_mut().take_demand(now);
         if let Some(at) = at {
             self.node.count("demand-raised");
             self.config_demand.raise(at);
-            self.agents_demand.raise(at);
         }
     }
 
@@ -346,17 +329,6 @@
                 self.on_flow_report(now, from, &report);
                 self.on_version(report.version, from.0);
             }
-            Some(Message::Denial(denial)) => {
-                self.on_denial(now, InstanceId(from), &denial);
-                self.on_version(denial.report.version, from);
-            }
-            Some(Message::NotHeld(not_held)) => {
-                let mut flows = self.flows.borrow_mut();
-                let actions = flows.on_not_held(now, InstanceId(from), &not_held);
-                drop(flows);
-                self.demand_confirmation(now);
-                self.execute_all(now, actions);
-            }
             Some(Message::Hello(hello)) => {
                 self.flows.borrow_mut().on_hello(now, &hello);
                 self.agents_loaded.set(true);
@@ -366,6 +338,7 @@
                 Message::Packet(..)
                 | Message::DirectoryUpdate(_)
                 | Message::Probe
+                | Message::NotHeld(_)
                 | Message::Query(..)
                 | Message::Search(..),
             )
--- a/marigoldway/src/packets/entry/listing.rs
+++ b/marigoldway/src/packets/entry/listing.rs
@@ -10,10 +10,12 @@
 use marigoldway_core::flow::entry::EntryAction;
 use marigoldway_core::flow::entry::EntryFlows;
 use marigoldway_core::flow::key::NameKey;
+use marigoldway_core::flow::route_moves::Continuity;
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::followers::followers;
 use marigoldway_core::replica::sources::Role;
 use marigoldway_core::time::Timestamp;
+use marigoldway_net::platform::KeyValue;
 use marigoldway_net::wire::agents;
 use marigoldway_platform::config;
 
@@ -93,7 +95,10 @@
         let routes = entry.node.apply_config(raw, "peer");
         if let Some(routes) = routes {
             let now = entry.node.clock.now();
-            entry.flows.borrow_mut().set_routes(now, routes);
+            entry
+                .flows
+                .borrow_mut()
+                .set_routes(now, routes, Continuity::Unknown);
         }
     }
 }
@@ -127,13 +132,16 @@
     /// without which no flow is placed.
     pub(super) fn on_config(&self, event: StoreEvent) {
         drains::on_event(&self.node, self.flows.borrow_mut().agents_mut(), &event);
-        let stored = match event {
+        let (stored, continuity) = match event {
             StoreEvent::Snapshot(found, _) => {
-                found.into_iter().find(|it| it.key == config::CONFIG_KEY)
+                let stored = found.into_iter().find(|it| it.key == config::CONFIG_KEY);
+                (stored, Continuity::Unknown)
+            }
+            StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => {
+                (Some(stored), Continuity::Next)
             }
-            StoreEvent::Put(stored) if stored.key == config::CONFIG_KEY => Some(stored),
             // A version that the store has lost stays in force: an older one never replaces it.
-            StoreEvent::NewEpoch(_) | StoreEvent::Put(_) | StoreEvent::Deleted(..) => None,
+            StoreEvent::NewEpoch(_) | StoreEvent::Put(_) | StoreEvent::Deleted(..) => return,
             StoreEvent::Confirmed(as_of) => {
                 return self.confirm(|flows, now| flows.confirm_routes(now, as_of));
             }
@@ -143,7 +151,8 @@
         };
         if let Some(routes) = self.node.apply_config(stored.value.into(), "store") {
             let now = self.node.clock.now();
-            self.flows.borrow_mut().set_routes(now, routes);
+            let mut flows = self.flows.borrow_mut();
+            flows.set_routes(now, routes, continuity);
         }
     }
 
@@ -159,9 +168,7 @@
         for action in actions {
             match &action {
                 EntryAction::Reset(reset, _) => self.log_action(now, &reset.flow, 0, &action),
-                EntryAction::Query(_, flow) | EntryAction::Search(_, _, flow) => {
-                    self.log_action(now, flow, 0, &action);
-                }
+                EntryAction::Search(_, _, flow) => self.log_action(now, flow, 0, &action),
                 EntryAction::Forward(_) | EntryAction::Keep | EntryAction::Drop(_) => {}
             }
             self.execute(&[], action);
@@ -185,7 +192,9 @@
                     .set(self.agents_loaded.get() || !records.is_empty());
                 flows.replace_agents(now, &records);
                 let presence = agent_records::decode_presence(&self.node, &found);
-                flows.add_present_agents(now, &presence);
+                let present = presence.iter().map(|it| (it.id, it.service));
+                flows.set_present_agents(present.collect());
+                found.iter().for_each(|it| self.on_moves(&mut flows, it));
                 log::info!("event=agents-listed count={}", records.len());
             }
             StoreEvent::Put(stored) => {
@@ -199,6 +208,12 @@
                     flows.register_agent(record);
                 } else if let Some(listed) = agent_records::decode_service(&self.node, &stored) {
                     flows.set_service_addrs(listed.service, &listed.addrs);
+                } else if let Some(present) =
+                    agent_records::decode_presence_key(&self.node, &stored)
+                {
+                    flows.add_present_agent(present.id, present.service);
+                } else {
+                    self.on_moves(&mut flows, &stored);
                 }
             }
             StoreEvent::Deleted(key, _) => {
@@ -210,7 +225,17 @@
                     flows.remove_agent(id);
                 }
             }
-            StoreEvent::NewEpoch(_) | StoreEvent::Confirmed(_) => {}
+            StoreEvent::NewEpoch(epoch) => self.agents_epoch.set(epoch),
+            StoreEvent::Confirmed(_) => {}
+        }
+    }
+
+    /// Applies the record of moved routes, if `stored` is it. One of an earlier epoch lacks the moves
+    /// of configurations that the store has lost.
+    fn on_moves(&self, flows: &mut EntryFlows, stored: &KeyValue) {
+        if let Some(mut moves) = agent_records::decode_moves(&self.node, stored) {
+            moves.complete &= moves.epoch == self.agents_epoch.get();
+            flows.set_route_moves(moves);
         }
     }
 }
--- a/marigoldway/src/packets/entry/log_actions.rs
+++ b/marigoldway/src/packets/entry/log_actions.rs
@@ -29,7 +29,6 @@
                 }
             }
             EntryAction::Search(..) => self.node.count("flow-searched"),
-            EntryAction::Query(..) => self.node.count("agents-queried"),
             EntryAction::Keep => self.node.count("packet-kept"),
             EntryAction::Reset(_, reason) => self.log_reset(now, flow, *reason),
             EntryAction::Drop(reason) => {
--- a/marigoldway/src/packets/mod.rs
+++ b/marigoldway/src/packets/mod.rs
@@ -15,6 +15,7 @@
 mod feed;
 mod histograms;
 mod log_limit;
+mod moves;
 mod node;
 mod peers;
 mod presence;
--- a/marigoldway/src/packets/node.rs
+++ b/marigoldway/src/packets/node.rs
@@ -112,7 +112,10 @@
             histograms: Histograms::new()?,
             data: bind(settings.data.0)?,
             leaving: Cell::new(false),
-            replicas: Rc::new(Replicas::new(Timing::new(settings.apply_limit).reader)),
+            replicas: Rc::new(Replicas::new(
+                Timing::new(settings.apply_limit).reader,
+                settings.lifetime + settings.apply_limit,
+            )),
             unreadable: RefCell::default(),
             document: RefCell::new(None),
             epochs: Arc::default(),
--- a/marigoldway/src/packets/registrar.rs
+++ b/marigoldway/src/packets/registrar.rs
@@ -125,6 +125,7 @@
                 Err(Error::LeaseLost) => {
                     log::info!("event=lease-lost lease={:?}", self.lease.map(|it| it.0));
                     self.agent.node.count("lease-lost");
+                    self.agent.announce_again();
                     self.lease = None;
                     self.key_state = KeyState::Unknown;
                 }
--- a/marigoldway/src/packets/replicas.rs
+++ b/marigoldway/src/packets/replicas.rs
@@ -25,6 +25,7 @@
 use marigoldway_net::wire::replica::Request;
 
 use crate::packets::demand::Demand;
+use crate::packets::moves::Moves;
 use crate::packets::server::Answer;
 
 /// Maximum number of demands that a process holds. A follower of a domain has some 200 readers at
@@ -52,6 +53,8 @@
     demands: RefCell<IndexMap<&'static str, Rc<Demand>>>,
     /// The agents of all services, by the replica of their keys.
     pub(crate) agents: RefCell<Agents>,
+    /// The moves of routes.
+    pub(crate) moves: RefCell<Moves>,
     /// Standing of this process by prefix. A process that keeps no replicas has none.
     standings: RefCell<IndexMap<&'static str, Standing>>,
     /// Number of demands that are held.
@@ -63,13 +66,15 @@
 }
 
 impl Replicas {
-    /// No replicas. Those to come give no answer whose confirmation is older than `lifetime`.
-    pub(crate) fn new(lifetime: Duration) -> Replicas {
+    /// No replicas. Those to come give no answer whose confirmation is older than `lifetime`. Moves of
+    /// routes matter for `retention`.
+    pub(crate) fn new(lifetime: Duration, retention: Duration) -> Replicas {
         Replicas {
             lifetime,
             replicas: RefCell::default(),
             demands: RefCell::default(),
             agents: RefCell::default(),
+            moves: RefCell::new(Moves::new(retention)),
             standings: RefCell::default(),
             held: Cell::new(0),
             changed: Notify::new(),
--- a/marigoldway/src/packets/replicas/tests.rs
+++ b/marigoldway/src/packets/replicas/tests.rs
@@ -29,7 +29,7 @@
 /// Replicas of a process with this standing. The copy is at revision 1, and was confirmed a moment
 /// ago.
 async fn replicas(clock: Clock, standing: Standing) -> Rc<Replicas> {
-    let replicas = Replicas::new(Duration::from_secs(3));
+    let replicas = Replicas::new(Duration::from_secs(3), Duration::from_secs(63));
     replicas.set_standing(PREFIX, standing);
     if standing == Standing::Following {
         replicas.update(PREFIX, |it| it.replace(Vec::new(), 1));
--- a/marigoldway/src/packets/replicate.rs
+++ b/marigoldway/src/packets/replicate.rs
@@ -117,6 +117,10 @@
 fn on_event(node: &Node, prefix: &'static str, event: StoreEvent) {
     if prefix == agents::AGENTS_PREFIX {
         update_agents(node, &event);
+        node.replicas.moves.borrow_mut().on_agents(node, &event);
+    } else {
+        let now = node.clock.now();
+        node.replicas.moves.borrow_mut().on_config(now, &event);
     }
     let replicas = &node.replicas;
     match event {
