Let a flow's sequence numbers follow what its target has sent

Cause: an acknowledgement counted as one of the flow only within 32 MiB of the first octet that the agent had seen, at the agent and in the directory. A packet beyond was taken for one of another flow, and an agent that was asked by such a packet denied it without a look at its table.

Change: the origin follows the target every 8 MiB, and is registered again then, so three updates in a row may be lost. An agent doesn't deny a flow that its table has open by sequence numbers alone.

--- a/marigoldway-core/src/flow/agent/local.rs
+++ b/marigoldway-core/src/flow/agent/local.rs
@@ -4,15 +4,19 @@
 use crate::flow::segment::Segment;
 use crate::time::Timestamp;
 
-/// Maximum number of octets by which an acknowledgement may lie before the origin, which is the
-/// sequence number of the first octet that the target sent. The origin is a guess if the agent
-/// first saw the flow after it had opened.
+/// Maximum number of octets by which an acknowledgement may lie before the origin, which is a
+/// sequence number that the target has reached: that of its first octet, or a later one. The origin is
+/// a guess if the agent first saw the flow after it had opened.
 const ORIGIN_SLACK: u32 = 1 << 20;
 
 /// Number of octets, from `ORIGIN_SLACK` before the origin, within which an acknowledgement counts
 /// as one of the flow. Beyond it, sequence numbers don't tell flows apart.
 const ACK_WINDOW: u32 = 1 << 25;
 
+/// Number of octets after which the origin follows the target. It is a part of `ACK_WINDOW`, so that
+/// directory agents still know the flow if they miss some of its origins.
+const ORIGIN_STEP: u32 = 1 << 23;
+
 /// `Phase` states what the agent knows of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -34,7 +38,7 @@
     pub phase: Phase,
     /// Header of the latest packet of the flow.
     pub header: Header,
-    /// Sequence number of the first octet that the target sent.
+    /// Sequence number of the first octet that the target sent, or of a later one.
     pub origin: u32,
     /// Latest acknowledgement number from the client.
     pub acked: u32,
@@ -118,6 +122,26 @@
         fresh || segment.flags.fin
     }
 
+    /// Moves the origin to the target's last octet if that is [`ORIGIN_STEP`] further. Returns whether
+    /// it has moved, so that the flow has to be registered again.
+    pub fn advance_origin(&mut self) -> bool {
+        let Some(end) = self.target_end else {
+            return false;
+        };
+        let step = end.wrapping_sub(self.origin);
+        let moves = (ORIGIN_STEP..ACK_WINDOW).contains(&step);
+        if moves {
+            self.origin = end;
+        }
+        moves
+    }
+
+    /// Whether the target holds the flow, as far as is known: it may have ended on both sides.
+    pub fn is_held(&self) -> bool {
+        let is_known = matches!(self.phase, Phase::Answered | Phase::Open);
+        is_known && self.closed.is_none()
+    }
+
     /// Marks the flow as closed if both ends have finished sending.
     fn close(&mut self, now: Timestamp) {
         if self.client_done && self.target_done {
@@ -126,8 +150,8 @@
     }
 }
 
-/// Whether an acknowledgement can belong to a flow whose target sent `origin` as the sequence
-/// number of its first octet.
+/// Whether an acknowledgement can belong to a flow whose target has sent `origin` as the sequence
+/// number of an octet.
 pub fn ack_in_window(origin: u32, ack: u32) -> bool {
     ack.wrapping_sub(origin).wrapping_add(ORIGIN_SLACK) < ACK_WINDOW
 }
--- a/marigoldway-core/src/flow/agent/locate.rs
+++ b/marigoldway-core/src/flow/agent/locate.rs
@@ -93,7 +93,11 @@
         actions: &mut Vec<AgentAction>,
     ) {
         if header.intent == Intent::Search {
-            self.reply_not_held(now, header, segment.inbound_flow(), actions);
+            // A flow in the table isn't denied by its sequence numbers alone.
+            let known = self.flows.peek(&segment.inbound_flow());
+            if known.is_none_or(|it| !it.is_held()) {
+                self.reply_not_held(now, header, segment.inbound_flow(), actions);
+            }
             return actions.push(AgentAction::Drop(DropReason::Unknown));
         }
         if header.hops >= MAX_HOPS {
--- a/marigoldway-core/src/flow/agent/outbound.rs
+++ b/marigoldway-core/src/flow/agent/outbound.rs
@@ -53,10 +53,13 @@
             local.origin = segment.seq;
         }
         let answered = local.on_target(now, segment);
+        let moved = local.advance_origin();
         if matches!(before, Phase::Opening | Phase::Visiting) {
             let entry = local.header.entry;
             self.register(now, flow, actions);
             self.report(now, entry, flow, Verdict::Holds, actions);
+        } else if moved {
+            self.register(now, flow, actions);
         }
         if answered {
             self.end_request(now, &flow, segment, actions);
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -77,7 +77,7 @@
         let forwardings = match missing {
             None => return self.reset_lost(now, &flow),
             Some(Missing::Services(services)) => {
-                self.to_directory_agents(now, &flow, route, &services, queries)
+                self.forward_to_directory(now, &flow, route, &services, queries)
             }
             Some(Missing::Confirmation) => {
                 self.conclude(now, &flow);
@@ -94,7 +94,7 @@
     }
 
     /// Copies of a packet for a directory agent of each service, after `queries` earlier ones.
-    fn to_directory_agents(
+    fn forward_to_directory(
         &mut self,
         now: Timestamp,
         flow: &FlowKey,
@@ -143,7 +143,7 @@
         let agents = suspects.iter().map(|it| state.unknown.get(it).copied());
         let agents: Vec<InstanceId> = agents.collect::<Option<_>>()?;
         state.unknown.clear();
-        (!agents.is_empty()).then(|| EntryAction::Search(agents, class, *flow))
+        (!agents.is_empty()).then_some(EntryAction::Search(agents, class, *flow))
     }
 
     /// The services that may hold a flow, with the one that a new flow would go to first. Beside
--- a/marigoldway-core/src/flow/entry/proof.rs
+++ b/marigoldway-core/src/flow/entry/proof.rs
@@ -82,7 +82,7 @@
                 let agents = agents.filter_map(|it| self.directory_agent(now, it, flow, 0));
                 let agents: Vec<InstanceId> = agents.collect();
                 let may_ask = !agents.is_empty() && self.may_ask(now, flow);
-                may_ask.then(|| EntryAction::Search(agents, route.work.class, *flow))
+                may_ask.then_some(EntryAction::Search(agents, route.work.class, *flow))
             }
             Some(Missing::Confirmation) => {
                 self.demands.on_unconfirmed(since);
--- a/marigoldway-core/src/flow/message.rs
+++ b/marigoldway-core/src/flow/message.rs
@@ -232,7 +232,7 @@
 pub struct DirectoryEntry {
     /// The flow.
     pub flow: FlowKey,
-    /// Sequence number of the first octet that the target sent.
+    /// Sequence number of the first octet that the target sent, or of a later one.
     pub origin: u32,
 }
 
--- a/marigoldway-core/tests/flow/fleet.rs
+++ b/marigoldway-core/tests/flow/fleet.rs
@@ -759,6 +759,24 @@
         })
     }
 
+    /// The target that holds a flow sends `octets`, of which the agent sees the last packet. Returns the
+    /// sequence number that they begin a new count of.
+    pub fn transfer(&mut self, key: FlowKey, octets: u32) -> u32 {
+        let holder = self.holder(key).unwrap();
+        let target = self.agents[&holder].target.as_mut();
+        let base = target.and_then(|it| it.open.get_mut(&key)).unwrap();
+        *base = base.wrapping_add(octets);
+        let (seq, len) = (base.wrapping_sub(500), 500);
+        let flags = Flags {
+            ack: true,
+            ..Flags::default()
+        };
+        let base = *base;
+        self.deliver_from_target(holder, answer(key, flags, seq, len));
+        self.deliver_all();
+        base
+    }
+
     /// Number of resets that the client of a flow has received.
     pub fn resets(&self, key: FlowKey) -> usize {
         let resets = self.received.iter();
--- a/marigoldway-core/tests/flow/main.rs
+++ b/marigoldway-core/tests/flow/main.rs
@@ -23,3 +23,4 @@
 mod slow_start;
 mod target;
 mod unconfirmed;
+mod volume;
--- a/marigoldway-net/src/wire/moves.rs
+++ b/marigoldway-net/src/wire/moves.rs
@@ -44,8 +44,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredBase {
     version: u64,
-    /// Services, with the IP addresses and ports of their routes.
-    routes: Vec<(Vec<u64>, Vec<(u32, u16)>)>,
+    routes: Vec<StoredRoutes>,
+}
+
+/// `StoredRoutes` is the CBOR form of the routes that have the same services.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredRoutes {
+    services: Vec<u64>,
+    /// IP addresses and ports.
+    addrs: Vec<(u32, u16)>,
 }
 
 /// Encodes a record of moved routes as JSON. Returns an empty value if the encoding fails.
@@ -110,16 +117,19 @@
         }
         StoredBase {
             version: base.version,
-            routes: groups.into_iter().collect(),
+            routes: groups
+                .into_iter()
+                .map(|(services, addrs)| StoredRoutes { services, addrs })
+                .collect(),
         }
     }
 }
 
 impl From<StoredBase> for RouteBase {
     fn from(stored: StoredBase) -> RouteBase {
-        let routes = stored.routes.into_iter().flat_map(|(services, addrs)| {
-            let services: Vec<NameKey> = services.into_iter().map(NameKey).collect();
-            addrs.into_iter().map(move |(ip, port)| {
+        let routes = stored.routes.into_iter().flat_map(|group| {
+            let services: Vec<NameKey> = group.services.into_iter().map(NameKey).collect();
+            group.addrs.into_iter().map(move |(ip, port)| {
                 let addr = SocketAddrV4::new(Ipv4Addr::from_bits(ip), port);
                 (addr, services.clone())
             })
