Read the agents of the new service after a change of the settings

Cause: the agent went on to read the agents of its former service, and took this list for that of the new one, so it denied each flow of it.

Change: the reader of the list starts anew with the new service. Until the new list is applied and confirmed the agent denies nothing, and it takes nothing over from the former service: agents, directory, searches and addresses.

--- a/marigoldway-core/src/flow/agent.rs
+++ b/marigoldway-core/src/flow/agent.rs
@@ -135,8 +135,12 @@
     hellos: (u32, Timestamp),
     /// Whether the process is about to end.
     leaving: bool,
-    /// Whether the store's first list lacked this agent.
+    /// Whether the store's first list of the service lacked this agent.
     joining: bool,
+    /// When the agent began to belong to the service.
+    joined: Timestamp,
+    /// Whether the agent has belonged to another service.
+    has_moved: bool,
     /// Whether no search may end before the drained failure domains are known.
     awaits_drains: bool,
     /// Whether the store had no trace of this agent when the process started. No entry had then
@@ -191,6 +195,8 @@
             hellos: (0, Timestamp::ZERO),
             leaving: false,
             joining: false,
+            joined: options.started,
+            has_moved: false,
             awaits_drains: false,
             unannounced: false,
             found_no_target: false,
@@ -261,9 +267,25 @@
         (self.flows.len(), self.directory.len())
     }
 
-    /// Sets the service after a change of the settings.
-    pub fn set_service(&mut self, service: NameKey) {
+    /// Sets the service after a change of the settings. If it is another one, returns true, and knows
+    /// nothing of it until the store's list of its agents is applied.
+    pub fn set_service(&mut self, now: Timestamp, service: NameKey) -> bool {
+        if service == self.service {
+            return false;
+        }
         self.service = service;
+        self.has_moved = true;
+        self.joining = true;
+        self.joined = now;
+        self.agents.clear();
+        self.list_confirmed = None;
+        self.searches = Searches::default();
+        self.served_addrs = ServedAddrs::default();
+        let (max_flows, lifetime) = (self.options.max_flows, self.options.idle_timeout);
+        self.directory = FlowTable::new(max_flows, lifetime);
+        self.announce_again();
+        self.update_number(now);
+        true
     }
 
     /// Applies a heartbeat of the target. If it is the first one of a new incarnation, resets the
--- a/marigoldway-core/src/flow/agent/listing.rs
+++ b/marigoldway-core/src/flow/agent/listing.rs
@@ -19,8 +19,11 @@
         if !self.agents.is_loaded() {
             let lacks_own = |list: &[AgentRecord]| list.iter().all(|it| it.id != self.options.own);
             self.joining = lacks_own(records);
-            self.unannounced = self.joining && lacks_own(presence);
-            self.inherit_listed(now, records, presence);
+            // The list of another service says nothing of the target before the change.
+            if !self.has_moved {
+                self.unannounced = self.joining && lacks_own(presence);
+                self.inherit_listed(now, records, presence);
+            }
             self.update_number(now);
         }
         self.agents.replace(now, records);
@@ -41,7 +44,7 @@
     /// joining agents until the store has told it of them. An agent that doesn't know the drained
     /// domains doesn't know which flows were placed past them.
     pub(super) fn knows_every_agent(&self, now: Timestamp) -> bool {
-        let settled = !self.joining || now.since(self.options.started) >= JOIN_PERIOD;
+        let settled = !self.joining || now.since(self.joined) >= JOIN_PERIOD;
         let knows_drains = !self.awaits_drains || self.agents.drains().is_known();
         settled && knows_drains && self.agents.is_loaded()
     }
--- a/marigoldway-core/src/flow/agents.rs
+++ b/marigoldway-core/src/flow/agents.rs
@@ -253,6 +253,15 @@
         }
     }
 
+    /// Removes all agents, of which the complete list has to be applied again.
+    pub fn clear(&mut self) {
+        self.known.clear();
+        self.services.clear();
+        self.loaded = false;
+        self.epoch += 1;
+        self.revision += 1;
+    }
+
     /// Removes an agent at once, whether it is registered or not.
     pub fn remove(&mut self, id: InstanceId) {
         if let Some(known) = self.known.swap_remove(&id) {
--- a/marigoldway-core/tests/flow/denials.rs
+++ b/marigoldway-core/tests/flow/denials.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::agent_id;
 use crate::fleet::flow;
+use crate::fleet::service;
 
 /// Two agents, each beside a target of the service `orders`.
 const ORDERS: [(u16, &str); 2] = [(1, "orders"), (2, "orders")];
@@ -127,6 +128,23 @@
     assert_eq!(answered(&mut fleet, &opened), opened.len());
 }
 
+/// Guards against the reset of open flows by an agent whose service was changed: it knew the agents of
+/// its former service only.
+#[test]
+fn agent_of_another_service_denies_no_flow_of_its_new_one() {
+    let mut fleet = Fleet::new(6, 2, &[(1, "orders"), (2, "orders"), (3, "papers")]);
+    let opened = open_all(&mut fleet);
+    let node = fleet.agents.get_mut(&agent_id(3)).unwrap();
+    assert!(node.flows.set_service(fleet.now, service("orders")));
+    fleet.share_with_entries();
+    fleet.advance(Duration::from_secs(12));
+    answered(&mut fleet, &opened);
+    assert_eq!(resets(&fleet, &opened), 0);
+    fleet.share_roster();
+    assert_eq!(answered(&mut fleet, &opened), opened.len());
+    assert_eq!(resets(&fleet, &opened), 0);
+}
+
 #[test]
 fn flow_that_is_gone_is_reset_once_the_list_is_confirmed() {
     let mut fleet = Fleet::new(5, 2, &ORDERS);
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -114,6 +114,8 @@
     fetching: Cell<bool>,
     /// Asks entries for the drained failure domains.
     drain_asker: DrainAsker,
+    /// Wakes the reader of the service's agents: the service has changed.
+    service_changed: Notify,
     /// Raised when a search needs a confirmation of the list of agents.
     list_demand: Rc<Demand>,
     /// Whether collected queries and replies are to be sent soon.
@@ -166,6 +168,7 @@
         unregistered_at: Cell::new(None),
         fetching: Cell::new(false),
         drain_asker: DrainAsker::default(),
+        service_changed: Notify::new(),
         list_demand: Rc::default(),
         flushing: Cell::new(false),
         releasing: Cell::new(false),
@@ -221,18 +224,7 @@
         let on_packet = |datagram: &mut [u8], _| shared.on_target_packet(datagram);
         node::receive(&shared.outbound, on_packet).await;
     });
-    let asking = agent.clone();
-    let feed = Feed {
-        node: agent.node.clone(),
-        store: agent.node.feed_client(),
-        prefix: agents::service_prefix(agent.flows.borrow().service()),
-        role: Role::Reader,
-        interval: AGENTS_INTERVAL,
-        demand: agent.list_demand.clone(),
-        followers: move || asking.followers(),
-    };
-    let shared = agent.clone();
-    task::spawn_local(feed::follow(feed, move |event| shared.on_agents(event)));
+    task::spawn_local(follow_service(agent.clone()));
     drains::start(agent);
     for prefix in [OPERATORS_PREFIX, agents::AGENTS_PREFIX] {
         let shared = agent.clone();
@@ -252,6 +244,25 @@
     Ok(())
 }
 
+/// Reads the agents of the service, and those of another one once the settings name it. Never returns.
+async fn follow_service(agent: Rc<Agent>) {
+    loop {
+        let feed = Feed {
+            node: agent.node.clone(),
+            store: agent.node.feed_client(),
+            prefix: agents::service_prefix(agent.flows.borrow().service()),
+            role: Role::Reader,
+            interval: AGENTS_INTERVAL,
+            demand: agent.list_demand.clone(),
+            followers: || agent.followers(),
+        };
+        tokio::select! {
+            () = feed::follow(feed, |event| agent.on_agents(event)) => {}
+            () = agent.service_changed.notified() => {}
+        }
+    }
+}
+
 async fn tick(agent: Rc<Agent>) {
     let mut interval = time::interval(node::TICK);
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -343,7 +354,17 @@
             }
         };
         let service = NameKey::from(settings.service.as_str());
-        self.flows.borrow_mut().set_service(service);
+        let now = self.node.clock.now();
+        if self.flows.borrow_mut().set_service(now, service) {
+            log::info!("event=service-changed service={service}");
+            self.agents_loaded.set(false);
+            self.presence_written.set(false);
+            self.presence_keys.borrow_mut().clear();
+            self.own_revision.take();
+            self.addrs_revision.take();
+            self.service_changed.notify_one();
+            self.record_dirty.notify_one();
+        }
         *self.settings.borrow_mut() = settings;
     }
 
