--- a/marigoldway-core/src/flow/entry.rs
+++ b/marigoldway-core/src/flow/entry.rs
@@ -7,12 +7,12 @@
 mod actions;
 mod confirmation;
 mod early;
+mod listing;
 mod locate;
 mod open;
 mod proof;
 mod views;
 
-use std::net::SocketAddrV4;
 use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,7 +47,6 @@
 use crate::flow::message::Verdict;
 use crate::flow::overload::overflow::Overflow;
 use crate::flow::route_moves::Continuity;
-use crate::flow::route_moves::RouteMoves;
 use crate::flow::routes::Route;
 use crate::flow::routes::Routes;
 use crate::flow::segment::Segment;
@@ -206,22 +205,6 @@
         self.views.remove(id);
     }
 
-    /// Replaces the agents of which the store has a presence record, with their services. They may hold
-    /// flows though they aren't registered.
-    pub fn set_present_agents(&mut self, present: IndexMap<InstanceId, NameKey>) {
-        self.present = present;
-    }
-
-    /// Notes that the store has the presence record of an agent.
-    pub fn add_present_agent(&mut self, id: InstanceId, service: NameKey) {
-        self.present.insert(id, service);
-    }
-
-    /// Applies the store's record of moved routes.
-    pub fn set_route_moves(&mut self, moves: RouteMoves) {
-        self.addr_services.set_moves(moves);
-    }
-
     /// Applies an agent's record from the store.
     pub fn register_agent(&mut self, record: AgentRecord) {
         self.agents.register(record);
@@ -233,11 +216,6 @@
         self.agents.unregister(now, id);
     }
 
-    /// Applies the addresses for which a service's agents list that they may hold flows.
-    pub fn set_service_addrs(&mut self, service: NameKey, addrs: &[SocketAddrV4]) {
-        self.addr_services.set_listed(service, addrs);
-    }
-
     /// Removes expired agents and a bounded number of idle flows. Returns the
     /// unregistered agents to which the caller must send a probe.
     pub fn tick(&mut self, now: Timestamp) -> Vec<InstanceId> {
--- a/marigoldway/src/packets/agent.rs
+++ b/marigoldway/src/packets/agent.rs
@@ -34,7 +34,6 @@
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::epoch::Epoch;
 use marigoldway_core::replica::epoch::EpochRevision;
-use marigoldway_core::replica::sources::Role;
 use marigoldway_core::time::Timestamp;
 use marigoldway_net::wire::agents;
 use marigoldway_net::wire::flows;
@@ -45,8 +44,6 @@
 use crate::packets::agent::capacity::CapacityLog;
 use crate::packets::agent::drains::DrainAsker;
 use crate::packets::demand::Demand;
-use crate::packets::feed;
-use crate::packets::feed::Feed;
 use crate::packets::node;
 use crate::packets::node::Node;
 use crate::packets::peers;
@@ -81,10 +78,6 @@
 /// keeps a copy for entries that lose theirs.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
 
-/// Interval between two reads of the service's agents. Until a change has arrived, a directory
-/// agent that doesn't know which agent holds a flow queries other agents.
-const AGENTS_INTERVAL: Duration = Duration::from_millis(1_500);
-
 /// Interval between two requests of a starting agent to its contacts: the instances
 /// that its settings name for this.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
@@ -224,7 +217,7 @@
         let on_packet = |datagram: &mut [u8], _| shared.on_target_packet(datagram);
         node::receive(&shared.outbound, on_packet).await;
     });
-    task::spawn_local(follow_service(agent.clone()));
+    task::spawn_local(listing::follow_service(agent.clone()));
     drains::start(agent);
     for prefix in [OPERATORS_PREFIX, agents::AGENTS_PREFIX] {
         let shared = agent.clone();
@@ -244,25 +237,6 @@
     Ok(())
 }
 
-/// Reads the agents of the service, and those of another one once the settings name it. Never returns.
-async fn follow_service(agent: Rc<Agent>) {
-    loop {
-        let feed = Feed {
-            node: agent.node.clone(),
-            store: agent.node.feed_client(),
-            prefix: agents::service_prefix(agent.flows.borrow().service()),
-            role: Role::Reader,
-            interval: AGENTS_INTERVAL,
-            demand: agent.list_demand.clone(),
-            followers: || agent.followers(),
-        };
-        tokio::select! {
-            () = feed::follow(feed, |event| agent.on_agents(event)) => {}
-            () = agent.service_changed.notified() => {}
-        }
-    }
-}
-
 async fn tick(agent: Rc<Agent>) {
     let mut interval = time::interval(node::TICK);
     interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
--- a/marigoldway/src/packets/agent/listing.rs
+++ b/marigoldway/src/packets/agent/listing.rs
@@ -1,6 +1,8 @@
 //! What the store lists of the agent's service, and what the agent has to be listed with.
 
 use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
 
 use marigoldway_core::flow::agent::AgentFlows;
 use marigoldway_core::flow::key::NameKey;
@@ -8,13 +10,39 @@
 use marigoldway_core::ids::InstanceId;
 use marigoldway_core::replica::epoch::EpochRevision;
 use marigoldway_core::replica::followers;
+use marigoldway_core::replica::sources::Role;
 use marigoldway_net::platform::KeyValue;
 use marigoldway_net::wire::agents;
 
 use crate::packets::agent::Agent;
 use crate::packets::agent_records;
+use crate::packets::feed;
+use crate::packets::feed::Feed;
 use crate::packets::store::StoreEvent;
 
+/// Interval between two reads of the service's agents. Until a change has arrived, a directory
+/// agent that doesn't know which agent holds a flow queries other agents.
+const AGENTS_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Reads the agents of the service, and those of another one once the settings name it. Never returns.
+pub(super) async fn follow_service(agent: Rc<Agent>) {
+    loop {
+        let feed = Feed {
+            node: agent.node.clone(),
+            store: agent.node.feed_client(),
+            prefix: agents::service_prefix(agent.flows.borrow().service()),
+            role: Role::Reader,
+            interval: AGENTS_INTERVAL,
+            demand: agent.list_demand.clone(),
+            followers: || agent.followers(),
+        };
+        tokio::select! {
+            () = feed::follow(feed, |event| agent.on_agents(event)) => {}
+            () = agent.service_changed.notified() => {}
+        }
+    }
+}
+
 impl Agent {
     /// Applies a change of the service's keys in the store: records and presence keys.
     pub(super) fn on_agents(&self, event: StoreEvent) {
