Send no packet of a flow to targets of services that its address never had

Cause: an entry without a complete record of moved routes searched all services by the flow's packets, and agents with incomplete tables tried them at their targets. Now the other services are searched by messages alone, which agents answer by their tables; one that holds the flow itself says so.

--- a/marigoldway-core/src/flow/agent/searcher.rs
+++ b/marigoldway-core/src/flow/agent/searcher.rs
@@ -68,7 +68,11 @@
             return;
         }
         for flow in flows {
-            if self.flows.peek(flow).is_some() {
+            if let Some(local) = self.flows.peek(flow) {
+                // The entry hasn't sent a packet of the flow here: it asks several services.
+                if local.is_held() {
+                    self.report(now, entry, *flow, Verdict::Holds, actions);
+                }
                 continue;
             }
             let holders = self.other_holders(now, flow, class);
--- a/marigoldway-core/src/flow/entry/locate.rs
+++ b/marigoldway-core/src/flow/entry/locate.rs
@@ -76,7 +76,15 @@
         self.flows.insert(now, flow, FlowState::Locating(state));
         let forwardings = match missing {
             None => return self.reset_lost(now, &flow),
-            Some(Missing::Services(services)) => {
+            Some(Missing::Services(mut services)) => {
+                // No target of another service receives a packet of the flow.
+                let known = self.services(now, &flow, route);
+                services.retain(|it| known.contains(it));
+                if services.is_empty()
+                    && let Some(search) = self.conclude(now, &flow)
+                {
+                    return search;
+                }
                 self.forward_to_directory(now, &flow, route, &services, queries)
             }
             Some(Missing::Confirmation) => {
@@ -103,10 +111,9 @@
         queries: u32,
     ) -> Vec<Forwarding> {
         // The directory agents of the right service know the flow as a rule. A search in the
-        // other services would be in vain, so the entry first waits for their reports. If any service
-        // may be the right one, few flows that are asked for are known.
+        // other services would be in vain, so the entry first waits for their reports.
         let is_only = self.services(now, flow, route).len() == 1;
-        let search = queries > 0 || is_only || !self.knows_moves();
+        let search = queries > 0 || is_only;
         let mut forwardings = Vec::new();
         for service in services {
             let Some(agent) = self.directory_agent(now, *service, flow, queries) else {
@@ -135,7 +142,9 @@
         let FlowState::Locating(state) = self.flows.peek(flow)? else {
             return None;
         };
-        let suspects = self.suspects(now, flow, route, state);
+        let known = self.services(now, flow, route);
+        let mut suspects = self.suspects(now, flow, route, state);
+        suspects.retain(|it| known.contains(it));
         let FlowState::Locating(state) = self.flows.touch(now, flow)? else {
             return None;
         };
--- a/marigoldway-core/src/flow/entry/proof.rs
+++ b/marigoldway-core/src/flow/entry/proof.rs
@@ -72,8 +72,8 @@
         match self.missing(now, flow, route, state) {
             None => Some(self.reset_lost(now, flow)),
             Some(Missing::Services(services)) => {
-                // All services are asked by the flow's packets, unless the entry has learnt only now that
-                // it doesn't know each move.
+                // Services of the address are searched as their directory agents reply. Others are only
+                // asked by messages, which agents answer by their tables.
                 let known = self.services(now, flow, route);
                 if services.iter().any(|it| known.contains(it)) {
                     return None;
