--- a/review/standin-3/history.rs
+++ b/review/standin-3/history.rs
@@ -14,7 +14,7 @@
 const GROWTH: usize = 1_400;
 const STEPS: usize = 3;
 /// A storm of changes: its length and the time between two changes.
-const STORM: Duration = Duration::from_millis(2_000);
+const STORM: Duration = Duration::from_millis(3_600);
 const GAP: Duration = Duration::from_millis(190);
 const PAUSE: Duration = Duration::from_millis(190);
 const LENGTH: Duration = Duration::from_secs(92);
