--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
 for file in target/release/marigoldway target/review-3/standin; do
     [ -x "$file" ] || { echo "$file is missing"; exit 2; }
 done
-exec target/review-3/standin history review/14
+exec target/review-3/standin history review/15
