--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod rolled;
 mod store;
+mod upgraded;
 mod world;
 
 use std::process::ExitCode;
@@ -38,6 +39,7 @@
         "history" => history::play(&record),
         "lifted" => lifted::play(&record),
         "rolled" => rolled::play(&record),
+        "upgraded" => upgraded::play(&record),
         _ => Err(std::io::Error::other("no such case")),
     };
     let broken = record.broken_rules();
--- a/review/standin-3/rolled.rs
+++ b/review/standin-3/rolled.rs
@@ -20,7 +20,26 @@
 const OPEN_GAP: Duration = Duration::from_millis(4);
 const FIRST_PORT: u16 = 40_000;
 
+/// Deployments that are played at the same time, each with a kill at a moment of its own.
+const DEPLOYMENTS: usize = 3;
+
 pub fn play(record: &Arc<Record>) -> std::io::Result<String> {
+    let plays = (0..DEPLOYMENTS).map(|_| {
+        let record = record.clone();
+        thread::spawn(move || play_one(&record))
+    });
+    let plays: Vec<_> = plays.collect();
+    let mut summaries = Vec::new();
+    for play in plays {
+        let played = play
+            .join()
+            .map_err(|_| std::io::Error::other("a play has panicked"))?;
+        summaries.push(played?);
+    }
+    Ok(summaries.join("\n"))
+}
+
+fn play_one(record: &Arc<Record>) -> std::io::Result<String> {
     let bounds = Bounds {
         config_apply_ms: 5_000,
         memory_mb: 64,
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -85,7 +85,7 @@
         let Some((net, store)) = free else {
             return Err(std::io::Error::other("no free address"));
         };
-        let dir = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        let dir = std::env::temp_dir().join(format!("review-3-{}-{net}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let mut world = World {
             record,
