--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -1,14 +1,19 @@
 //! A client behind the platform's routers: it opens flows and sends requests on them.
 
 use std::collections::HashMap;
-use std::net::{SocketAddrV4, UdpSocket};
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::endpoint::{FlowKey, name};
+use crate::endpoint::FlowKey;
+use crate::endpoint::name;
 use crate::http;
-use crate::packet::{self, Outgoing};
+use crate::packet;
+use crate::packet::Outgoing;
 use crate::record::Record;
 
 const TICK: Duration = Duration::from_millis(5);
--- a/review/standin-3/delayed.rs
+++ b/review/standin-3/delayed.rs
@@ -3,13 +3,16 @@
 
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::client::Client;
 use crate::flows;
 use crate::http;
 use crate::record::Record;
-use crate::world::{Bounds, World, has_trouble};
+use crate::world::Bounds;
+use crate::world::World;
+use crate::world::has_trouble;
 
 const STABLE_WINDOW: Duration = Duration::from_millis(4_000);
 const SIDES: usize = 7;
--- a/review/standin-3/endpoint.rs
+++ b/review/standin-3/endpoint.rs
@@ -1,15 +1,26 @@
 //! An endpoint: it holds flows, runs requests and sends heartbeats to the agent beside it.
 
 use std::collections::HashMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddrV4, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::http;
-use crate::packet::{self, Outgoing, Packet};
+use crate::packet;
+use crate::packet::Outgoing;
+use crate::packet::Packet;
 use crate::record::Record;
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
--- a/review/standin-3/flows.rs
+++ b/review/standin-3/flows.rs
@@ -2,9 +2,12 @@
 //! reset that the endpoint didn't send.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::client::{Client, Flow, Phase};
+use crate::client::Client;
+use crate::client::Flow;
+use crate::client::Phase;
 use crate::endpoint::name;
 use crate::world::World;
 
--- a/review/standin-3/history.rs
+++ b/review/standin-3/history.rs
@@ -4,10 +4,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::record::Record;
-use crate::world::{Bounds, World, has_trouble};
+use crate::world::Bounds;
+use crate::world::World;
+use crate::world::has_trouble;
 
 const MEMORY_MB: u32 = 64;
 /// The configuration grows in steps of this many routes.
@@ -17,7 +20,9 @@
 const STORM: Duration = Duration::from_millis(3_600);
 const GAP: Duration = Duration::from_millis(190);
 const PAUSE: Duration = Duration::from_millis(190);
-const LENGTH: Duration = Duration::from_secs(92);
+const LENGTH: Duration = Duration::from_secs(104);
+/// Time from the end of a process by its memory to its restart.
+const RESTART_DELAY: Duration = Duration::from_millis(1_000);
 const SIDES: usize = 8;
 const ENDS: u32 = 3;
 
@@ -70,7 +75,7 @@
                 record.line(&format!("{} uses {used:.1} MB and is ended", machine.name));
                 *ends.entry(machine.name.clone()).or_default() += 1;
                 world.kill(machine);
-                world.start_later(machine);
+                world.start_later(machine, RESTART_DELAY);
             }
         }
         world.start_due()?;
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -1,7 +1,10 @@
 //! HTTP/1.1, one exchange a connection.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
--- a/review/standin-3/packet.rs
+++ b/review/standin-3/packet.rs
@@ -1,7 +1,8 @@
 //! Packets of clients and endpoints: a header of 31 bytes, then the data. All numbers are
 //! little-endian.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 
 pub const HEAD: usize = 31;
 pub const ACK: u8 = 1;
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::fs::File;
-use std::io::{BufWriter, Write};
+use std::io::BufWriter;
+use std::io::Write;
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::Instant;
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -1,13 +1,20 @@
 //! The platform's metadata store: keys with revisions, watches, conditional writes and leases.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::net::{SocketAddrV4, TcpListener};
-use std::sync::{Arc, Condvar, Mutex};
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{self, Request};
-use crate::json::{self, Json};
+use crate::http;
+use crate::http::Request;
+use crate::json;
+use crate::json::Json;
 
 /// Time for which changes are kept.
 const HISTORY: Duration = Duration::from_secs(20);
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -1,17 +1,27 @@
 //! A deployment on loopback addresses: the store, the endpoints, the clients' routers and the
 //! system's own processes.
 
-use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::fs;
+use std::fs::File;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::client::Router;
-use crate::endpoint::{Endpoint, HEARTBEAT, Options};
+use crate::endpoint::Endpoint;
+use crate::endpoint::HEARTBEAT;
+use crate::endpoint::Options;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -274,9 +284,9 @@
         Some(kb / 1_024.0)
     }
 
-    /// Starts a process that has ended after the usual delay.
-    pub fn start_later(&self, machine: &Arc<Machine>) {
-        let due = Instant::now() + RESTART_DELAY;
+    /// Starts a process that has ended after a delay.
+    pub fn start_later(&self, machine: &Arc<Machine>, delay: Duration) {
+        let due = Instant::now() + delay;
         self.due.lock().unwrap().push((due, machine.clone()));
     }
 
